--- /dev/null
+++ b/cmd/flow/main.go
@@ -0,0 +1,68 @@
+// Command flow is the data plane: it takes callers' requests and passes them to
+// targets.
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"walkrudder/internal/flow"
+	"walkrudder/internal/link"
+	"walkrudder/internal/passage"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/shell"
+	"walkrudder/internal/startup"
+	"walkrudder/internal/tally"
+)
+
+func main() {
+	var s startup.Flow
+	os.Exit(shell.Main(&s, "flow", os.Args[1:], os.Stdout, os.Stderr, func(ctx context.Context, lg *log.Logger) error { return run(ctx, lg, s) }))
+}
+
+func run(ctx context.Context, lg *log.Logger, s startup.Flow) error {
+	inner, err := shell.Listen("inner", s.Inner)
+	if err != nil {
+		return err
+	}
+	door, err := shell.Listen("door", s.Door)
+	if err != nil {
+		return err
+	}
+	line := link.NewTCP(link.Who{ID: s.ID, Kind: "flow"}, lg)
+	courier := passage.NewHTTP()
+	count := tally.New("flow")
+	f := flow.New(flow.Parts{Startup: s, Inc: shell.Incarnation(), Line: line, Clock: pulse.Wall{}, Courier: courier, Log: lg, Count: count.Add})
+	go line.Serve(inner, f.Desk)
+	life, end := context.WithCancel(context.Background())
+	fin := make(chan struct{})
+	go func() { f.Run(life); close(fin) }()
+	go pulse.Every(life, pulse.Wall{}, time.Second, courier.Sweep)
+	app := f.Door(count.Handler())
+	served := shell.Serve(app, door)
+	lg.Info("started", "inner", s.Inner, "door", s.Door, "version", startup.Version)
+	select {
+	case err = <-served:
+	case <-ctx.Done():
+		// Planned stop (design 13.8): not ready at once, still taking calls while
+		// the platform notices, then finishing all that is inside.
+		from := time.Now()
+		f.Stop()
+		lg.Info("stopping", "step", "stop", "inside", f.Passage.Flying())
+		time.Sleep(shell.Linger)
+		err = app.ShutdownWithTimeout(shell.Whole - time.Since(from) - 200*time.Millisecond)
+		if err == nil {
+			lg.Info("stopped", "step", "stop", "took", time.Since(from).String())
+		}
+	}
+	cx, done := context.WithTimeout(context.Background(), 150*time.Millisecond)
+	f.Tenant.Leave(cx)
+	done()
+	end()
+	line.Close()
+	<-fin
+	return err
+}
--- /dev/null
+++ b/cmd/mind/main.go
@@ -0,0 +1,100 @@
+// Command mind is the control plane: it keeps the shared state, watches targets
+// and brings changes into force.
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"walkrudder/internal/keep"
+	"walkrudder/internal/link"
+	"walkrudder/internal/mind"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/shell"
+	"walkrudder/internal/startup"
+	"walkrudder/internal/tally"
+)
+
+func main() {
+	var s startup.Mind
+	os.Exit(shell.Main(&s, "mind", os.Args[1:], os.Stdout, os.Stderr, func(ctx context.Context, lg *log.Logger) error { return run(ctx, lg, s) }))
+}
+
+// file is the name of the file in the data folder.
+const file = "items.db"
+
+func open(s startup.Mind, lg *log.Logger) (keep.Disk, error) {
+	if s.Data == "" {
+		return nil, nil
+	}
+	d, err := keep.OpenBunt(s.Data, file)
+	if errors.Is(err, keep.ErrSpoiled) {
+		// What is left of a damaged file must not vote: this disk starts empty,
+		// under a new incarnation, and reads everything from the others.
+		aside := file + ".spoiled-" + time.Now().UTC().Format("20060102T150405")
+		lg.Error("file damaged, set aside; this disk starts empty", "step", "open data", "aside", aside)
+		if err := os.Rename(s.Data+"/"+file, s.Data+"/"+aside); err != nil {
+			return nil, &shell.StartError{Field: "data", Err: err}
+		}
+		d, err = keep.OpenBunt(s.Data, file)
+	}
+	if err != nil {
+		return nil, &shell.StartError{Field: "data", Err: err}
+	}
+	return d, nil
+}
+
+func run(ctx context.Context, lg *log.Logger, s startup.Mind) error {
+	inner, err := shell.Listen("inner", s.Inner)
+	if err != nil {
+		return err
+	}
+	door, err := shell.Listen("door", s.Door)
+	if err != nil {
+		return err
+	}
+	disk, err := open(s, lg)
+	if err != nil {
+		return err
+	}
+	line := link.NewTCP(link.Who{ID: s.ID, Kind: "mind"}, lg)
+	count := tally.New("mind")
+	bad := make(chan error, 1)
+	m, err := mind.New(mind.Parts{Startup: s, Inc: shell.Incarnation(), Fresh: shell.Fresh(), Line: line, Clock: pulse.Wall{}, Disk: disk, Log: lg,
+		OnBad:  func(err error) { bad <- err },
+		WallMS: func() int64 { return time.Now().UnixMilli() }})
+	if err != nil {
+		return err
+	}
+	go line.Serve(inner, m.Desk)
+	life, end := context.WithCancel(context.Background())
+	fin := make(chan struct{})
+	go func() { m.Run(life); close(fin) }()
+	app := m.Door(count.Handler())
+	served := shell.Serve(app, door)
+	lg.Info("started", "inner", s.Inner, "door", s.Door, "version", startup.Version, "votes", disk != nil)
+	select {
+	case err = <-served:
+	case err = <-bad:
+	case <-ctx.Done():
+		from := time.Now()
+		m.Stop()
+		lg.Info("stopping", "step", "stop")
+		time.Sleep(shell.Linger / 2)
+		err = app.ShutdownWithTimeout(shell.Whole - time.Since(from) - 200*time.Millisecond)
+	}
+	cx, done := context.WithTimeout(context.Background(), 150*time.Millisecond)
+	m.Tenant.Leave(cx)
+	done()
+	end()
+	line.Close()
+	<-fin
+	if disk != nil {
+		err = errors.Join(err, disk.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/accord/register.go
@@ -0,0 +1,15 @@
+package accord
+
+import "walkrudder/internal/link"
+
+func init() {
+	link.Pair[PrepareAsk, PrepareTold]()
+	link.Pair[AcceptAsk, AcceptTold]()
+	link.Pair[ReadAsk, ReadTold]()
+	link.Pair[ListAsk, ListTold]()
+	link.Pair[FormAsk, FormTold]()
+	link.Pair[SealAsk, SealTold]()
+	link.Pair[JoinAsk, JoinTold]()
+	link.Pair[LiftAsk, LiftTold]()
+	link.Pair[HelloAsk, CoreTold]()
+}
--- /dev/null
+++ b/internal/accord/voter.go
@@ -0,0 +1,509 @@
+package accord
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+
+	"walkrudder/internal/defect"
+	"walkrudder/internal/fault"
+	"walkrudder/internal/keep"
+	"walkrudder/internal/link"
+)
+
+const (
+	itemPrefix = "i/"
+	coreKey    = "core"
+	diskKey    = "disk"
+	formKey    = "form"
+	floorKey   = "floor/"
+	// maxBatch bounds one group commit.
+	maxBatch = 256
+	// MaxValue bounds one item's value.
+	MaxValue = 1 << 20
+	// MaxKey bounds one item's key.
+	MaxKey = 256
+	// listPage bounds the bytes of one listing.
+	listPage = 2 << 20
+)
+
+// ErrBad says that this voter's disk has failed; it votes no more.
+var ErrBad = errors.New("disk failed, voting ended")
+
+// form is a disk node's consent to a first core (design 4.5).
+type form struct {
+	By   string
+	Core Core
+}
+
+// Voter answers for the items on one disk. One goroutine owns all its state and
+// works through a queue of commands; what a batch of them wrote is synced
+// before any of them is answered (design 4.2, 5.1).
+type Voter struct {
+	me     Seat
+	disk   keep.Disk
+	faults *fault.Set
+	cmds   chan *cmd
+	onBad  func(error)
+	line   link.Line
+
+	// Owned by the loop.
+	items map[string]Item
+	keys  []string // sorted keys of items
+	core  Core
+	form  form
+	floor map[string]string
+	puts  []keep.Put
+	after []int
+	dead  error
+
+	mu   sync.RWMutex
+	view Core // copies of core and form, for others
+	cons form
+}
+
+type cmd struct {
+	run  func()
+	done chan struct{}
+	err  error
+}
+
+// NewVoter loads what the disk holds. fresh is the incarnation to take if the
+// disk is empty; onBad is told once when the disk fails.
+func NewVoter(me Seat, d keep.Disk, fresh string, l link.Line, fs *fault.Set, onBad func(error)) (*Voter, error) {
+	v := &Voter{me: me, disk: d, faults: fs, line: l, onBad: onBad,
+		cmds: make(chan *cmd, 4*maxBatch), items: map[string]Item{}, floor: map[string]string{}}
+	m, err := d.Load()
+	if err != nil {
+		return nil, defect.At("load voter", "", err)
+	}
+	v.me.Disk = string(m[diskKey])
+	if v.me.Disk == "" {
+		v.me.Disk = fresh
+		if err := d.Commit([]keep.Put{{Key: diskKey, Value: []byte(fresh)}}); err != nil {
+			return nil, defect.At("new incarnation", "", err)
+		}
+	}
+	for k, b := range m {
+		switch {
+		case k == coreKey:
+			err = unpack(b, &v.core)
+		case k == formKey:
+			err = unpack(b, &v.form)
+		case strings.HasPrefix(k, floorKey):
+			v.floor[k[len(floorKey):]] = string(b)
+		case strings.HasPrefix(k, itemPrefix):
+			var it Item
+			if err = unpack(b, &it); err == nil {
+				v.items[k[len(itemPrefix):]] = it
+				v.keys = append(v.keys, k[len(itemPrefix):])
+			}
+		}
+		if err != nil {
+			return nil, defect.At("load item "+k, "", err)
+		}
+	}
+	slices.Sort(v.keys)
+	v.view, v.cons = v.core, v.form
+	return v, nil
+}
+
+// Seat is this voter's own place.
+func (v *Voter) Seat() Seat { return v.me }
+
+// Core is the core this voter knows.
+func (v *Voter) Core() Core {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.view
+}
+
+// Consent is the formation this voter consented to, and its proposer.
+func (v *Voter) Consent() (string, Core) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.cons.By, v.cons.Core
+}
+
+// Voting tells whether this disk has a seat in the core it knows.
+func (v *Voter) Voting() bool { return v.seated(v.Core()) }
+
+func (v *Voter) seated(c Core) bool {
+	s, ok := c.Seat(v.me.ID)
+	return ok && s.Disk == v.me.Disk
+}
+
+// Run works through the queue until ctx ends.
+func (v *Voter) Run(ctx context.Context) {
+	for {
+		var b []*cmd
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-v.cmds:
+			b = append(b, c)
+		}
+	fill:
+		for len(b) < maxBatch {
+			select {
+			case c := <-v.cmds:
+				b = append(b, c)
+			default:
+				break fill
+			}
+		}
+		v.batch(b)
+	}
+}
+
+// batch runs commands, syncs what they wrote, then lets them answer.
+func (v *Voter) batch(b []*cmd) {
+	v.puts, v.after = v.puts[:0], v.after[:0]
+	for _, c := range b {
+		if v.dead == nil {
+			c.run()
+		}
+	}
+	if v.dead == nil && len(v.puts) > 0 {
+		if err := v.disk.Commit(v.puts); err != nil {
+			v.dead = errors.Join(ErrBad, err)
+			if v.onBad != nil {
+				v.onBad(v.dead)
+			}
+		}
+	}
+	for _, n := range v.after {
+		v.faults.At(n)
+	}
+	v.mu.Lock()
+	v.view, v.cons = v.core, v.form
+	v.mu.Unlock()
+	for _, c := range b {
+		c.err = v.dead
+		close(c.done)
+	}
+}
+
+// do runs f in the loop and waits until its writes are synced.
+func (v *Voter) do(ctx context.Context, f func()) error {
+	c := &cmd{run: f, done: make(chan struct{})}
+	select {
+	case v.cmds <- c:
+	case <-ctx.Done():
+		return defect.At("voter queue", v.me.ID, ctx.Err())
+	}
+	select {
+	case <-c.done:
+		return c.err
+	case <-ctx.Done():
+		return defect.At("voter", v.me.ID, ctx.Err())
+	}
+}
+
+// told checks an ask's mark against this voter's seat.
+func (v *Voter) told(m Mark) Told {
+	ok := m.Epoch == v.core.Epoch && v.core.Epoch > 0 && v.seated(v.core) &&
+		(m.Disk == "" || m.Disk == v.me.Disk)
+	t := Told{OK: ok, Disk: v.me.Disk}
+	if !ok {
+		t.Core = v.core
+	}
+	return t
+}
+
+func (v *Voter) set(k string, it Item) {
+	if _, old := v.items[k]; !old {
+		i, _ := slices.BinarySearch(v.keys, k)
+		v.keys = slices.Insert(v.keys, i, k)
+	}
+	v.items[k] = it
+	v.puts = append(v.puts, keep.Put{Key: itemPrefix + k, Value: pack(it)})
+}
+
+// below tells whether k was folded away for good (design 6.5).
+func (v *Voter) below(k string) bool {
+	for p, f := range v.floor {
+		if strings.HasPrefix(k, p) && k < f {
+			return true
+		}
+	}
+	return false
+}
+
+// Serve teaches d to answer for this voter.
+func (v *Voter) Serve(d *link.Desk) {
+	link.On(d, v.prepare)
+	link.On(d, v.accept)
+	link.On(d, v.read)
+	link.On(d, v.list)
+	link.On(d, v.formed)
+	link.On(d, v.seal)
+	link.On(d, v.join)
+	link.On(d, v.lift)
+}
+
+func (v *Voter) prepare(ctx context.Context, _ link.Who, a PrepareAsk) (r PrepareTold, err error) {
+	err = v.do(ctx, func() {
+		if r.Told = v.told(a.Mark); !r.OK || len(a.Key) > MaxKey || v.below(a.Key) {
+			return
+		}
+		it := v.items[a.Key]
+		if a.Ballot.Compare(it.Promised) > 0 && a.Ballot.Compare(it.Accepted) > 0 {
+			v.faults.At(fault.BeforePromise)
+			v.after = append(v.after, fault.AfterPromise)
+			it.Promised = a.Ballot
+			v.set(a.Key, it)
+			r.Yes = true
+		}
+		r.Item = it
+	})
+	return r, err
+}
+
+func (v *Voter) accept(ctx context.Context, _ link.Who, a AcceptAsk) (r AcceptTold, err error) {
+	if len(a.Value) > MaxValue {
+		return r, defect.New("accept", v.me.ID, "value of %d bytes, limit %d", len(a.Value), MaxValue)
+	}
+	err = v.do(ctx, func() {
+		if r.Told = v.told(a.Mark); !r.OK || a.Disk == "" || v.below(a.Key) {
+			r.OK = r.OK && a.Disk != ""
+			return
+		}
+		it := v.items[a.Key]
+		if r.Promised = it.Promised; a.Ballot.Compare(it.Promised) >= 0 && a.Ballot.Compare(it.Accepted) >= 0 {
+			v.faults.At(fault.BeforeAccept)
+			v.after = append(v.after, fault.AfterAccept)
+			v.set(a.Key, Item{Promised: a.Ballot, Accepted: a.Ballot, Value: a.Value})
+			r.Yes = true
+		}
+	})
+	return r, err
+}
+
+func (v *Voter) read(ctx context.Context, _ link.Who, a ReadAsk) (r ReadTold, err error) {
+	err = v.do(ctx, func() {
+		if r.Told = v.told(a.Mark); r.OK {
+			r.Item = v.items[a.Key]
+		}
+	})
+	return r, err
+}
+
+func (v *Voter) list(ctx context.Context, _ link.Who, a ListAsk) (r ListTold, err error) {
+	err = v.do(ctx, func() {
+		r.Told = v.told(a.Mark)
+		// A voter that was swapped out still lets its successor pull.
+		if !r.OK && !(a.All && a.Epoch == v.core.Epoch) {
+			return
+		}
+		r.OK = true
+		if a.Last {
+			r.Entries = v.last(a.Prefix)
+			return
+		}
+		r.Entries, r.More = v.page(a)
+	})
+	return r, err
+}
+
+func (v *Voter) last(prefix string) []Entry {
+	i, _ := slices.BinarySearch(v.keys, prefix+"\xff")
+	for i--; i >= 0 && strings.HasPrefix(v.keys[i], prefix); i-- {
+		if it := v.items[v.keys[i]]; !it.Accepted.Zero() {
+			return []Entry{{v.keys[i], it}}
+		}
+	}
+	return nil
+}
+
+func (v *Voter) page(a ListAsk) (out []Entry, more bool) {
+	i, _ := slices.BinarySearch(v.keys, max(a.Prefix, a.After))
+	n := 0
+	for ; i < len(v.keys) && strings.HasPrefix(v.keys[i], a.Prefix); i++ {
+		k := v.keys[i]
+		it := v.items[k]
+		if k <= a.After || (!a.All && it.Accepted.Zero()) {
+			continue
+		}
+		if n += len(k) + len(it.Value) + 64; len(out) > 0 && (n > listPage || (a.Max > 0 && len(out) >= a.Max)) {
+			return out, true
+		}
+		out = append(out, Entry{k, it})
+	}
+	return out, false
+}
+
+// formed consents to a first core, drops a consent, or seals the core (design
+// 4.5). A consent binds until its own proposer drops it.
+func (v *Voter) formed(ctx context.Context, _ link.Who, a FormAsk) (r FormTold, err error) {
+	err = v.do(ctx, func() {
+		r.Core, r.By = v.core, v.form.By
+		same := v.form.By == a.By && slices.Equal(v.form.Core.Seats, a.Core.Seats)
+		switch {
+		case v.core.Epoch > 0:
+			r.OK = same && a.Seal
+		case a.Drop:
+			if v.form.By == a.By {
+				v.setForm(form{})
+			}
+			r.OK = true
+		case a.Seal:
+			if r.OK = same; same {
+				v.setCore(a.Core)
+			}
+		case v.form.By == "" && v.seated(a.Core) && a.Core.Epoch == 1:
+			v.setForm(form{a.By, a.Core})
+			r.By, r.OK = a.By, true
+		default:
+			r.OK = same
+		}
+	})
+	return r, err
+}
+
+// Adopt lets a voter that consented to c take it, once c is known to be sealed
+// elsewhere.
+func (v *Voter) Adopt(ctx context.Context, c Core) error {
+	return v.do(ctx, func() {
+		if v.core.Epoch == 0 && c.Epoch == 1 && slices.Equal(v.form.Core.Seats, c.Seats) {
+			v.setCore(c)
+		}
+	})
+}
+
+func (v *Voter) setForm(f form) {
+	v.form = f
+	v.puts = append(v.puts, keep.Put{Key: formKey, Value: pack(f)})
+}
+
+func (v *Voter) setCore(c Core) {
+	v.core = c
+	v.puts = append(v.puts, keep.Put{Key: coreKey, Value: pack(c)})
+}
+
+// seal moves this voter to the next epoch: it accepts nothing more in the one
+// before (design 4.4).
+func (v *Voter) seal(ctx context.Context, _ link.Who, a SealAsk) (r SealTold, err error) {
+	err = v.do(ctx, func() {
+		switch {
+		case v.core.Epoch == a.Next.Epoch:
+			r.OK = true
+		case v.core.Epoch > 0 && a.Next.Epoch == v.core.Epoch+1 && v.seated(v.core):
+			v.setCore(a.Next)
+			r.OK = true
+		}
+		r.Disk, r.Core = v.me.Disk, v.core
+	})
+	return r, err
+}
+
+// join pulls every item from the former voters and only then votes in the next
+// core (design 4.4). A promise that this node gave on an earlier disk is not
+// among them, but no accept that relies on it can reach this seat: it carries
+// the earlier incarnation.
+func (v *Voter) join(ctx context.Context, _ link.Who, a JoinAsk) (r JoinTold, err error) {
+	if !v.seated(a.Next) {
+		return r, defect.New("join", v.me.ID, "no seat in epoch %d for disk %s", a.Next.Epoch, v.me.Disk)
+	}
+	if c := v.Core(); c.Epoch >= a.Next.Epoch && v.seated(c) {
+		return JoinTold{OK: c.Epoch == a.Next.Epoch}, nil
+	}
+	all := map[string]Item{}
+	for _, s := range a.From {
+		if err := v.pull(ctx, s, a.Next.Epoch, all); err != nil {
+			return r, err
+		}
+	}
+	v.faults.At(fault.AfterPull)
+	err = v.do(ctx, func() {
+		if v.core.Epoch >= a.Next.Epoch && v.seated(v.core) {
+			r.OK = v.core.Epoch == a.Next.Epoch
+			return
+		}
+		for k, it := range all {
+			if old, ok := v.items[k]; ok && old.Accepted.Compare(it.Accepted) > 0 {
+				continue
+			}
+			v.set(k, it)
+		}
+		v.setCore(a.Next)
+		r.OK, r.Items = true, len(all)
+	})
+	return r, err
+}
+
+func (v *Voter) pull(ctx context.Context, s Seat, epoch uint64, into map[string]Item) error {
+	after := ""
+	for {
+		t, err := link.Ask[ListTold](ctx, v.line, s.Addr, ListAsk{Mark: Mark{Epoch: epoch}, After: after, All: true})
+		if err != nil {
+			return defect.At("pull", s.ID, err)
+		}
+		if !t.OK || t.Disk != s.Disk {
+			return defect.New("pull", s.ID, "not sealed for epoch %d", epoch)
+		}
+		for _, e := range t.Entries {
+			o := into[e.Key]
+			if e.Item.Accepted.Compare(o.Accepted) > 0 {
+				o.Accepted, o.Value = e.Item.Accepted, e.Item.Value
+			}
+			if e.Item.Promised.Compare(o.Promised) > 0 {
+				o.Promised = e.Item.Promised
+			}
+			into[e.Key] = o
+			after = e.Key
+		}
+		if !t.More {
+			return nil
+		}
+	}
+}
+
+type (
+	// LiftAsk raises the floor under Prefix: items below Floor were folded into
+	// an item above it and may go (design 6.5).
+	LiftAsk struct {
+		Mark
+		Prefix string
+		Floor  string
+	}
+	// LiftTold answers it.
+	LiftTold struct {
+		Told
+		Gone int
+	}
+)
+
+func (v *Voter) lift(ctx context.Context, _ link.Who, a LiftAsk) (r LiftTold, err error) {
+	err = v.do(ctx, func() {
+		if r.Told = v.told(a.Mark); !r.OK || a.Prefix == "" || !strings.HasPrefix(a.Floor, a.Prefix) || a.Floor <= v.floor[a.Prefix] {
+			return
+		}
+		v.floor[a.Prefix] = a.Floor
+		v.puts = append(v.puts, keep.Put{Key: floorKey + a.Prefix, Value: []byte(a.Floor)})
+		i, _ := slices.BinarySearch(v.keys, a.Prefix)
+		j, _ := slices.BinarySearch(v.keys, a.Floor)
+		for _, k := range v.keys[i:j] {
+			delete(v.items, k)
+			v.puts = append(v.puts, keep.Put{Key: itemPrefix + k})
+		}
+		r.Gone = j - i
+		v.keys = slices.Delete(v.keys, i, j)
+	})
+	return r, err
+}
+
+func pack(x any) []byte {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(x); err != nil {
+		// Only our own fixed types come here.
+		panic(err)
+	}
+	return b.Bytes()
+}
+
+func unpack(b []byte, x any) error { return gob.NewDecoder(bytes.NewReader(b)).Decode(x) }
--- /dev/null
+++ b/internal/commands/warden.go
@@ -0,0 +1,307 @@
+package commands
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/defect"
+	"walkrudder/internal/fault"
+	"walkrudder/internal/home"
+	"walkrudder/internal/ledger"
+	"walkrudder/internal/link"
+	"walkrudder/internal/mate"
+	"walkrudder/internal/pulse"
+)
+
+const (
+	wardenEvery = 500 * time.Millisecond
+	// suspectAt is the suspicion from which a target is noted as suspected.
+	suspectAt = 0.99
+	// goneAt is the suspicion, and goneQuiet the silence, that all judges must see
+	// before a target run is let go.
+	goneAt    = 0.9999
+	goneQuiet = 20 * time.Second
+	// together is the share of a service's targets that may stand suspected at
+	// once; beyond it the fault is taken to be on this side (design 10.5).
+	together = 0.5
+	// missing is how long a voter's lease must be lapsed before its seat goes to
+	// one that stands by.
+	missing = 6 * time.Second
+)
+
+// Warden does the duties that one mind does at a time: it notes suspicions, lets
+// silent targets go, and keeps the core's seats filled. It acts only while it
+// holds the duty's lease; every step is safe should two overlap.
+type Warden struct {
+	House   *home.House
+	Book    *ledger.Book
+	Tenant  *mate.Tenant
+	Drainer *Drainer
+	Prop    *accord.Proposer
+	Line    link.Line
+	Clock   pulse.Clock
+	Faults  *fault.Set
+	Log     *log.Logger
+
+	mu      sync.Mutex
+	suspect map[ledger.Target]bool
+	absent  map[string]time.Time // by disk
+}
+
+// Duty is the name of the warden's lease.
+const Duty = "warden"
+
+// Run works until ctx ends.
+func (w *Warden) Run(ctx context.Context) {
+	w.Tenant.Seek(Duty)
+	w.suspect, w.absent = map[ledger.Target]bool{}, map[string]time.Time{}
+	for w.Clock.Sleep(ctx, wardenEvery) == nil {
+		_ = w.House.Sweep(ctx)
+		if !w.Tenant.Holds(Duty) {
+			// What another warden does meanwhile is not followed here.
+			w.absent = map[string]time.Time{}
+			continue
+		}
+		cx, end := context.WithTimeout(ctx, 5*time.Second)
+		err := errors.Join(w.judge(cx), w.seats(cx))
+		end()
+		if err != nil && ctx.Err() == nil {
+			w.Log.Warn("warden's round not finished", "step", "warden", "err", err)
+		}
+	}
+}
+
+// judge looks at every target once.
+func (w *Warden) judge(ctx context.Context) error {
+	all, err := w.House.All(ctx)
+	if err != nil {
+		return err
+	}
+	total, bad := map[string]int{}, map[string]int{}
+	for _, x := range all {
+		if x.Gone {
+			continue
+		}
+		total[x.Beat.Service]++
+		if x.W >= suspectAt {
+			bad[x.Beat.Service]++
+		}
+	}
+	for _, x := range all {
+		t := ledger.Target{ID: x.Beat.ID, Service: x.Beat.Service, Inc: x.Beat.Inc}
+		if x.Gone {
+			delete(w.suspect, t)
+			continue
+		}
+		over := float64(bad[t.Service]) > together*float64(total[t.Service])
+		switch {
+		case x.W >= suspectAt && !w.suspect[t] && !over:
+			if err := w.Book.Note(ctx, ledger.Note{Kind: ledger.NoteSuspect, Target: &t, Seq: x.Beat.Seq, W: x.W,
+				Why: fmt.Sprintf("silent for %s, fitted alpha %.3f s beta %.2f", x.Quiet.Round(time.Millisecond), x.Fit.Alpha, x.Fit.Beta)}); err != nil {
+				return err
+			}
+			w.suspect[t] = true
+			w.mark(ctx, t, true, false)
+		case x.W < suspectAt && w.suspect[t]:
+			if err := w.Book.Note(ctx, ledger.Note{Kind: ledger.NoteTrust, Target: &t, Seq: x.Beat.Seq, W: x.W, Why: "beats again"}); err != nil {
+				return err
+			}
+			delete(w.suspect, t)
+		}
+		if x.W >= goneAt && x.Quiet > goneQuiet && !over && w.agreed(ctx, t) && w.Tenant.Holds(Duty) {
+			if err := w.Drainer.Gone(ctx, t, x.W, fmt.Sprintf("silent for %s, a majority of the minds agree", x.Quiet.Round(time.Second))); err != nil {
+				return err
+			}
+			w.Log.Info("target let go", "step", "let go", "mate", t.Service+"/"+t.ID)
+			w.mark(ctx, t, true, true)
+		}
+	}
+	return nil
+}
+
+// mark tells every mind's house; one that misses it shows the target a while
+// longer, and flows know better.
+func (w *Warden) mark(ctx context.Context, t ledger.Target, suspect, gone bool) {
+	cx, end := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer end()
+	var wg sync.WaitGroup
+	for _, m := range w.Tenant.Kind("mind") {
+		wg.Go(func() {
+			_, _ = link.Ask[home.MarkTold](cx, w.Line, m.Inner, home.MarkAsk{Service: t.Service, ID: t.ID, Inc: t.Inc, Suspect: suspect, Gone: gone})
+		})
+	}
+	wg.Wait()
+}
+
+// agreed asks the other minds: a majority of all members among them, this one
+// included, must suspect the run, and none may have heard of it lately.
+func (w *Warden) agreed(ctx context.Context, t ledger.Target) bool {
+	ms := w.Tenant.Kind("mind")
+	yes := 1
+	for _, m := range ms {
+		if m.ID == w.Book.Mind {
+			continue
+		}
+		cx, end := context.WithTimeout(ctx, 500*time.Millisecond)
+		r, err := link.Ask[home.JudgeTold](cx, w.Line, m.Inner, home.JudgeAsk{Service: t.Service, ID: t.ID, Inc: t.Inc})
+		end()
+		if err != nil {
+			continue
+		}
+		if r.Known && time.Duration(r.Quiet) < goneQuiet/2 {
+			return false
+		}
+		yes++
+	}
+	return yes > len(ms)/2
+}
+
+// seats fills a seat whose disk is gone: by its own node's new disk, or by a disk
+// node that stands by once the voter has been missing for long. One at a time:
+// the swap before must be finished first (design 4.4).
+func (w *Warden) seats(ctx context.Context) error {
+	core := w.Prop.Core()
+	if done, err := w.finish(ctx, core); err != nil || !done {
+		return err
+	}
+	disks := map[string]mate.Member{}
+	var spare []mate.Member
+	for _, m := range w.Tenant.Kind("mind") {
+		if m.Disk.Disk == "" {
+			continue
+		}
+		disks[m.Disk.Disk] = m
+		if _, in := core.Seat(m.ID); !in {
+			spare = append(spare, m)
+		}
+	}
+	now := w.Clock.Now()
+	for _, s := range core.Seats {
+		if _, ok := disks[s.Disk]; ok {
+			delete(w.absent, s.Disk)
+			continue
+		}
+		if _, ok := w.absent[s.Disk]; !ok {
+			w.absent[s.Disk] = now
+		}
+		// The same node with an emptied disk takes its own seat at once.
+		for _, m := range disks {
+			if m.ID == s.ID {
+				return w.swap(ctx, core, s, m.Disk)
+			}
+		}
+		if len(spare) > 0 && now.Sub(w.absent[s.Disk]) > missing {
+			return w.swap(ctx, core, s, spare[0].Disk)
+		}
+	}
+	return nil
+}
+
+// swap decides the next core and carries it out.
+func (w *Warden) swap(ctx context.Context, core accord.Core, out, in accord.Seat) error {
+	if !w.Tenant.Holds(Duty) {
+		return nil
+	}
+	next := accord.Core{Epoch: core.Epoch + 1}
+	for _, s := range core.Seats {
+		if s == out {
+			s = in
+		}
+		next.Seats = append(next.Seats, s)
+	}
+	raw := ledger.Encode(next)
+	_, err := w.Prop.Change(ctx, ledger.CoreItem, func(old []byte) ([]byte, error) {
+		if old != nil {
+			o, err := ledger.Decode[accord.Core](old)
+			if err != nil {
+				return nil, err
+			}
+			if o.Epoch > core.Epoch {
+				// A swap is decided already: that one is finished first.
+				return old, nil
+			}
+		}
+		return raw, nil
+	})
+	if err != nil {
+		return defect.At("decide swap", in.ID, err)
+	}
+	w.Log.Info("seat passes on", "step", "swap", "mate", in.ID, "out", out.ID, "epoch", next.Epoch)
+	_, err = w.finish(ctx, core)
+	return err
+}
+
+// finish carries a decided swap out; done says that none is left over.
+func (w *Warden) finish(ctx context.Context, core accord.Core) (done bool, err error) {
+	raw, err := w.Prop.Read(ctx, ledger.CoreItem)
+	if accord.Nothing(err) || err == nil && raw == nil {
+		return true, nil
+	}
+	if err != nil {
+		return false, defect.At("read core", "", err)
+	}
+	next, err := ledger.Decode[accord.Core](raw)
+	if err != nil {
+		return false, defect.At("read core", "", err)
+	}
+	if next.Epoch < core.Epoch {
+		return true, nil
+	}
+	var from, out []accord.Seat
+	for _, s := range w.former(core, next) {
+		cx, end := context.WithTimeout(ctx, time.Second)
+		r, err := link.Ask[accord.SealTold](cx, w.Line, s.Addr, accord.SealAsk{Next: next})
+		end()
+		if err == nil && r.OK && r.Disk == s.Disk {
+			from = append(from, s)
+		}
+	}
+	w.Faults.At(fault.AfterSeal)
+	need := core.Blocking()
+	if next.Epoch == core.Epoch {
+		// Sealed before; only a joiner may still be missing. The continuing seats
+		// together hold what any former majority accepted.
+		need = core.Quorum()
+	}
+	if len(from) < need {
+		return false, defect.New("seal", "", "%d of %d former voters sealed", len(from), need)
+	}
+	for _, s := range next.Seats {
+		if !slices.Contains(from, s) {
+			out = append(out, s)
+		}
+	}
+	votes := len(next.Seats) - len(out)
+	for _, s := range out {
+		cx, end := context.WithTimeout(ctx, 3*time.Second)
+		r, err := link.Ask[accord.JoinTold](cx, w.Line, s.Addr, accord.JoinAsk{Next: next, From: from})
+		end()
+		if err != nil || !r.OK {
+			w.Log.Debug("seat not yet joined", "step", "join", "mate", s.ID, "err", err)
+			continue
+		}
+		votes++
+		if r.Items > 0 {
+			_ = w.Book.Note(ctx, ledger.Note{Kind: ledger.NoteSwap, N: next.Epoch, Why: fmt.Sprintf("%s votes on disk %s with %d items", s.ID, s.Disk, r.Items)})
+		}
+	}
+	w.Prop.Learn(next)
+	// A majority that votes in the newest epoch can be sealed for the one after:
+	// a seat that never joins does not stand in the way of its own replacement.
+	return votes >= next.Quorum(), nil
+}
+
+// former lists the voters that a joiner may pull from.
+func (w *Warden) former(core, next accord.Core) []accord.Seat {
+	if next.Epoch > core.Epoch {
+		return core.Seats
+	}
+	return next.Seats
+}
--- /dev/null
+++ b/internal/flow/flow.go
@@ -0,0 +1,228 @@
+// Package flow puts the data plane together (design 2.1).
+package flow
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/face"
+	"walkrudder/internal/fault"
+	"walkrudder/internal/home"
+	"walkrudder/internal/link"
+	"walkrudder/internal/liveness"
+	"walkrudder/internal/mate"
+	"walkrudder/internal/passage"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/roll"
+	"walkrudder/internal/spec"
+	"walkrudder/internal/startup"
+)
+
+const (
+	// probeEvery is the interval of probes to each target.
+	probeEvery = 400 * time.Millisecond
+	// probeTime bounds one probe.
+	probeTime = 600 * time.Millisecond
+)
+
+// Parts is what a flow stands on: the real things in a daemon, the simulator's in
+// a simulated run.
+type Parts struct {
+	Startup startup.Flow
+	Inc     uint64
+	Line    link.Line
+	Clock   pulse.Clock
+	Courier passage.Courier
+	Log     *log.Logger
+	Faults  *fault.Set
+	Count   func(what, service string)
+}
+
+// Flow is one data-plane node.
+type Flow struct {
+	Parts
+	Desk    *link.Desk
+	Tenant  *mate.Tenant
+	Rack    *roll.Rack
+	Roster  *home.Roster
+	Passage *passage.Passage
+	Pauses  *liveness.Pauses
+
+	start    func(context.Context)
+	stopping atomic.Bool
+	warm     atomic.Bool
+	born     time.Time
+	wg       sync.WaitGroup
+}
+
+// New puts a flow together; Run starts it.
+func New(p Parts) *Flow {
+	i := do.New()
+	do.ProvideValue(i, p)
+	do.Provide(i, func(do.Injector) (*accord.Proposer, error) {
+		return accord.NewProposer(p.Startup.ID, p.Line, p.Clock), nil
+	})
+	do.Provide(i, func(i do.Injector) (*accord.Former, error) {
+		return &accord.Former{Seeds: p.Startup.Seeds, Self: p.Startup.Inner, Line: p.Line, Clock: p.Clock,
+			Prop: do.MustInvoke[*accord.Proposer](i)}, nil
+	})
+	do.Provide(i, func(do.Injector) (*liveness.Pauses, error) { return liveness.NewPauses(p.Clock), nil })
+	do.Provide(i, func(i do.Injector) (*mate.Tenant, error) {
+		return &mate.Tenant{Line: p.Line, Clock: p.Clock, Core: do.MustInvoke[*accord.Proposer](i)}, nil
+	})
+	do.Provide(i, newRoster)
+	do.Provide(i, newRack)
+	do.Provide(i, newPassage)
+	f := &Flow{Parts: p, born: p.Clock.Now(), Desk: link.NewDesk(), Tenant: do.MustInvoke[*mate.Tenant](i), Pauses: do.MustInvoke[*liveness.Pauses](i),
+		Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*home.Roster](i), Passage: do.MustInvoke[*passage.Passage](i)}
+	since := time.Now().UnixMilli()
+	f.Tenant.Me = func() mate.Member {
+		return mate.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "flow", Inner: p.Startup.Inner, Door: p.Startup.Door,
+			Zone: p.Startup.Zone, Spec: f.Rack.N(), Since: since}
+	}
+	f.Roster.OnStand = f.watch
+	f.Rack.Serve(f.Desk)
+	f.Roster.Serve(f.Desk)
+	fm := do.MustInvoke[*accord.Former](i)
+	fm.Serve(f.Desk)
+	f.start = func(ctx context.Context) {
+		for _, run := range []func(context.Context){fm.Run, f.Tenant.Run, f.Rack.Run, f.Roster.Run, f.Passage.Run, f.Pauses.Run} {
+			f.wg.Go(func() { run(ctx) })
+		}
+	}
+	return f
+}
+
+func newRoster(i do.Injector) (*home.Roster, error) {
+	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i)
+	r := &home.Roster{Line: p.Line, Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Zone: p.Startup.Zone,
+		Minds: func() []mate.Member { return t.Kind("mind") }, Every: probeEvery}
+	r.Init()
+	return r, nil
+}
+
+func newRack(i do.Injector) (*roll.Rack, error) {
+	p, t, r := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i), do.MustInvoke[*home.Roster](i)
+	k := &roll.Rack{Tenant: t, Line: p.Line, Clock: p.Clock, ID: p.Startup.ID, Log: p.Log,
+		Minds: func() []string { return nearest(t.Kind("mind"), p.Startup) },
+		Mates: func() []string {
+			as := lo.FilterMap(t.Members(), func(m mate.Member, _ int) (string, bool) { return m.Inner, m.ID != p.Startup.ID })
+			return lo.Uniq(append(as, lo.Without(p.Startup.Seeds, p.Startup.Inner)...))
+		},
+		OnSpec: func(t *spec.Table) {
+			r.Want(lo.Map(t.Services, func(s spec.Service, _ int) string { return s.Name }))
+		},
+		OnLeaves: func(ls []roll.Leave) {
+			for _, l := range ls {
+				_ = r.Drain(context.Background(), l.Service, l.ID, l.Inc, l.Gone)
+			}
+		},
+	}
+	k.Init()
+	return k, nil
+}
+
+// nearest lists minds to ask: the own zone first, then the rest, each flow from
+// another start; before any member is known, the seeds.
+func nearest(ms []mate.Member, s startup.Flow) []string {
+	if len(ms) == 0 {
+		return s.Seeds
+	}
+	near, far := lo.FilterReject(ms, func(m mate.Member, _ int) bool { return m.Zone == s.Zone })
+	n := 0
+	for _, c := range []byte(s.ID) {
+		n = n*31 + int(c)
+	}
+	turn := func(l []mate.Member) []mate.Member {
+		if len(l) == 0 {
+			return l
+		}
+		k := (n%len(l) + len(l)) % len(l)
+		return append(append([]mate.Member(nil), l[k:]...), l[:k]...)
+	}
+	return lo.Map(append(turn(near), turn(far)...), func(m mate.Member, _ int) string { return m.Inner })
+}
+
+func newPassage(i do.Injector) (*passage.Passage, error) {
+	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i)
+	g := &passage.Passage{Clock: p.Clock, Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*home.Roster](i),
+		Courier: p.Courier, Zone: p.Startup.Zone, ID: p.Startup.ID, Inc: p.Inc, Faults: p.Faults, Log: p.Log, Count: p.Count,
+		Flows: func() int { return len(t.Kind("flow")) + 1 }}
+	g.Init()
+	return g, nil
+}
+
+// Run works until ctx ends, then waits for its parts.
+func (f *Flow) Run(ctx context.Context) {
+	f.start(ctx)
+	f.wg.Wait()
+}
+
+// warmTime is how long after its start a flow may still be getting to know the
+// targets; after that it is ready without.
+const warmTime = 4 * time.Second
+
+// Ready is what the platform is told: this node serves, and is not stopping.
+func (f *Flow) Ready() bool {
+	if _, open := f.Rack.Gate(); !open || f.stopping.Load() {
+		return false
+	}
+	now := f.Clock.Now()
+	if !f.warm.Load() && (f.Roster.Warm(now) || now.Sub(f.born) > warmTime) {
+		f.warm.Store(true)
+	}
+	return f.warm.Load()
+}
+
+// Stop makes the node tell the platform that it is not ready.
+func (f *Flow) Stop() { f.stopping.Store(true) }
+
+// Stopping tells whether a planned stop is under way.
+func (f *Flow) Stopping() bool { return f.stopping.Load() }
+
+// watch probes one target run until ctx ends. Probes carry this flow's own
+// numbers; an answer that names another run proves nothing (design 10.2).
+func (f *Flow) watch(ctx context.Context, s *home.Stand) {
+	var seq uint64
+	first := true
+	for {
+		seq++
+		go f.probe(ctx, s, seq)
+		d := probeEvery
+		if first {
+			// A new target is worth knowing soon.
+			first, d = false, probeEvery/4
+		}
+		if f.Clock.Sleep(ctx, d) != nil {
+			return
+		}
+	}
+}
+
+func (f *Flow) probe(ctx context.Context, s *home.Stand, seq uint64) {
+	sent := f.Clock.Now()
+	cx, end := context.WithTimeout(ctx, probeTime)
+	defer end()
+	name := face.TargetName(s.ID, s.Service, s.Inc)
+	a, _, err := f.Courier.Carry(cx, &passage.Sending{Addr: s.Addr, Target: "probe:" + name, Number: face.ProbeNumber(seq), Expiry: sent.Add(probeTime),
+		Req: &passage.Request{Method: "GET", URI: face.ProbeURI(seq), Host: s.Addr}})
+	if err != nil || a.Status != 200 || !a.Whole {
+		return
+	}
+	p, err := face.ReadProbe(a.Body)
+	if err != nil || p.Seq != seq || p.ID != s.ID || p.Service != s.Service || p.Inc != s.Inc {
+		return
+	}
+	f.Roster.Proved(s, sent)
+	s.Det.Arrive(seq, f.Clock.Now())
+	if p.Leaving {
+		_ = f.Roster.Drain(ctx, s.Service, s.ID, s.Inc, false)
+	}
+}
--- /dev/null
+++ b/internal/home/house.go
@@ -0,0 +1,252 @@
+package home
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/face"
+	"walkrudder/internal/link"
+	"walkrudder/internal/liveness"
+	"walkrudder/internal/mate"
+	"walkrudder/internal/owner"
+	"walkrudder/internal/pulse"
+)
+
+const (
+	// maxTargets bounds the table of one house.
+	maxTargets = 8192
+	// forget is how long a run is kept after its last beat once it is gone or was
+	// followed by a later run.
+	forget = 10 * time.Minute
+)
+
+// Homes lists the home minds of a service: one in each zone, by rendezvous over
+// the members (design 12.1).
+func Homes(service string, ms []mate.Member) []mate.Member {
+	best := map[string]mate.Member{}
+	top := map[string]uint64{}
+	for _, m := range ms {
+		if m.Kind != "mind" {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(service + "\x00" + m.ID))
+		s := mix(h.Sum64())
+		if _, ok := best[m.Zone]; !ok || s > top[m.Zone] {
+			best[m.Zone], top[m.Zone] = m, s
+		}
+	}
+	out := lo.Values(best)
+	slices.SortFunc(out, func(a, b mate.Member) int { return int(lo.Ternary(a.Zone < b.Zone, -1, 1)) })
+	return out
+}
+
+// mix spreads the weak low bits of FNV on short names.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// row is one target's place in a house.
+type row struct {
+	e    Entry
+	det  *liveness.Detector
+	seen time.Time
+	// stood is this process's own pauses up to seen.
+	stood time.Duration
+}
+
+// House is a mind's table of targets. One owner works through its commands.
+type House struct {
+	Clock pulse.Clock
+	Pause *liveness.Pauses
+	Run   uint64 // this run of the mind
+
+	own     *owner.Owner
+	rows    map[string]map[string]*row // by service, target
+	n       int
+	version map[string]uint64
+	news    map[string]chan struct{}
+}
+
+// Init makes the house ready.
+func (h *House) Init() {
+	h.own = owner.New(1024)
+	h.rows = map[string]map[string]*row{}
+	h.version = map[string]uint64{}
+	h.news = map[string]chan struct{}{}
+}
+
+// Start runs the owner until ctx ends.
+func (h *House) Start(ctx context.Context) { h.own.Run(ctx) }
+
+func (h *House) changed(service string) {
+	h.version[service]++
+	if c := h.news[service]; c != nil {
+		close(c)
+		delete(h.news, service)
+	}
+}
+
+// Take merges a beat: the largest number of the latest run counts.
+func (h *House) Take(ctx context.Context, b face.Beat) (r BeatTold, err error) {
+	err = h.own.Do(ctx, func() {
+		now := h.Clock.Now()
+		s := h.rows[b.Service]
+		if s == nil {
+			s = map[string]*row{}
+			h.rows[b.Service] = s
+		}
+		x := s[b.ID]
+		if x == nil && h.n >= maxTargets {
+			return
+		}
+		switch {
+		case x == nil || b.Inc > x.e.Beat.Inc:
+			if x == nil {
+				h.n++
+			}
+			x = &row{det: liveness.New(liveness.Defaults(time.Duration(b.EveryMS)*time.Millisecond), h.Pause, now)}
+			s[b.ID] = x
+		case !later(b, x.e.Beat):
+			r = BeatTold{OK: true, Seq: x.e.Beat.Seq, Gone: x.e.Gone && b.Inc == x.e.Beat.Inc}
+			return
+		}
+		x.det.Arrive(b.Seq, now)
+		x.seen, x.stood = now, h.Pause.At(now)
+		old := x.e.Beat
+		// Leaving binds a run to its end.
+		b.Leaving = b.Leaving || old.Leaving && old.Inc == b.Inc
+		x.e.Beat = b
+		old.Seq = b.Seq
+		if old != b || x.e.Suspect {
+			x.e.Suspect = false
+			h.changed(b.Service)
+		}
+		r = BeatTold{OK: true, Seq: b.Seq, Gone: x.e.Gone}
+	})
+	return r, err
+}
+
+// Watch waits for news of a service.
+func (h *House) Watch(ctx context.Context, a WatchAsk) (r WatchTold, err error) {
+	cx, end := context.WithTimeout(ctx, time.Duration(min(max(a.WaitMS, 0), 2000))*time.Millisecond)
+	defer end()
+	for {
+		var wait chan struct{}
+		err = h.own.Do(ctx, func() {
+			r = WatchTold{Run: h.Run, Version: h.version[a.Service]}
+			if a.Run == h.Run && a.Seen == r.Version {
+				r.Same = true
+				if wait = h.news[a.Service]; wait == nil {
+					wait = make(chan struct{})
+					h.news[a.Service] = wait
+				}
+				return
+			}
+			for _, x := range h.rows[a.Service] {
+				r.Entries = append(r.Entries, x.e)
+			}
+		})
+		if err != nil || !r.Same {
+			return r, err
+		}
+		select {
+		case <-cx.Done():
+			return r, nil
+		case <-wait:
+		}
+	}
+}
+
+// Judge is this mind's own suspicion of a target run.
+func (h *House) Judge(ctx context.Context, a JudgeAsk) (r JudgeTold, err error) {
+	err = h.own.Do(ctx, func() {
+		x := h.rows[a.Service][a.ID]
+		if x == nil || x.e.Beat.Inc != a.Inc {
+			return
+		}
+		now := h.Clock.Now()
+		r = JudgeTold{Known: true, Seq: x.e.Beat.Seq, W: x.det.Suspicion(now), Quiet: int64(h.quiet(x, now))}
+	})
+	return r, err
+}
+
+// quiet is the silence less this process's own pauses.
+func (h *House) quiet(x *row, now time.Time) time.Duration {
+	return now.Sub(x.seen) - (h.Pause.At(now) - x.stood)
+}
+
+// Seen is one target as a mind sees it.
+type Seen struct {
+	Entry
+	Quiet time.Duration
+	Fit   liveness.Fit
+}
+
+// All lists every target with a fresh suspicion.
+func (h *House) All(ctx context.Context) (out []Seen, err error) {
+	err = h.own.Do(ctx, func() {
+		now := h.Clock.Now()
+		for _, s := range h.rows {
+			for _, x := range s {
+				e := x.e
+				e.W = x.det.Suspicion(now)
+				f, _ := x.det.Fitted()
+				out = append(out, Seen{e, h.quiet(x, now), f})
+			}
+		}
+	})
+	slices.SortFunc(out, func(a, b Seen) int {
+		return lo.Ternary(a.Beat.Service+"/"+a.Beat.ID < b.Beat.Service+"/"+b.Beat.ID, -1, 1)
+	})
+	return out, err
+}
+
+// Mark notes on a target run that it is suspected, leaving or gone.
+func (h *House) Mark(ctx context.Context, service, id string, inc uint64, f func(*Entry)) error {
+	return h.own.Do(ctx, func() {
+		if x := h.rows[service][id]; x != nil && x.e.Beat.Inc == inc {
+			old := x.e
+			if f(&x.e); x.e != old {
+				h.changed(service)
+			}
+		}
+	})
+}
+
+// Sweep forgets runs that were let go long ago.
+func (h *House) Sweep(ctx context.Context) error {
+	return h.own.Do(ctx, func() {
+		now := h.Clock.Now()
+		for svc, s := range h.rows {
+			for id, x := range s {
+				if x.e.Gone && now.Sub(x.seen) > forget {
+					delete(s, id)
+					h.n--
+					h.changed(svc)
+				}
+			}
+			if len(s) == 0 {
+				delete(h.rows, svc)
+			}
+		}
+	})
+}
+
+// Serve teaches d to answer for this house.
+func (h *House) Serve(d *link.Desk) {
+	link.On(d, func(ctx context.Context, _ link.Who, a BeatAsk) (BeatTold, error) { return h.Take(ctx, a.Beat) })
+	link.On(d, func(ctx context.Context, _ link.Who, a WatchAsk) (WatchTold, error) { return h.Watch(ctx, a) })
+	link.On(d, func(ctx context.Context, _ link.Who, a MarkAsk) (MarkTold, error) {
+		err := h.Mark(ctx, a.Service, a.ID, a.Inc, func(e *Entry) { e.Suspect, e.Gone = a.Suspect, e.Gone || a.Gone })
+		return MarkTold{OK: err == nil}, err
+	})
+	link.On(d, func(ctx context.Context, _ link.Who, a JudgeAsk) (JudgeTold, error) { return h.Judge(ctx, a) })
+}
--- /dev/null
+++ b/internal/home/register.go
@@ -0,0 +1,11 @@
+package home
+
+import "walkrudder/internal/link"
+
+func init() {
+	link.Pair[BeatAsk, BeatTold]()
+	link.Pair[WatchAsk, WatchTold]()
+	link.Pair[DrainAsk, DrainTold]()
+	link.Pair[MarkAsk, MarkTold]()
+	link.Pair[JudgeAsk, JudgeTold]()
+}
--- /dev/null
+++ b/internal/home/types.go
@@ -0,0 +1,77 @@
+// Package home keeps the tables of targets: at each service's home mind in every
+// zone, and at the flows that subscribe there (design 12).
+package home
+
+import "walkrudder/internal/face"
+
+// Entry is what is known of a target run.
+type Entry struct {
+	Beat    face.Beat
+	Gone    bool // let go by agreement
+	Suspect bool // by the home's detector
+	W       float64
+}
+
+// later tells whether b is news against what is held: a later run, or a later
+// beat of the same.
+func later(b, held face.Beat) bool {
+	return b.Inc > held.Inc || b.Inc == held.Inc && b.Seq > held.Seq
+}
+
+type (
+	// BeatAsk hands a beat on to a home.
+	BeatAsk struct{ Beat face.Beat }
+	// BeatTold answers it.
+	BeatTold struct {
+		OK   bool
+		Seq  uint64 // the largest met for this run
+		Gone bool
+	}
+	// WatchAsk waits for news of a service past version Seen of the home's run.
+	WatchAsk struct {
+		Service string
+		Run     uint64
+		Seen    uint64
+		WaitMS  int
+	}
+	// WatchTold answers it; Entries is the whole table of the service, where Same
+	// is false.
+	WatchTold struct {
+		Run     uint64
+		Version uint64
+		Same    bool
+		Entries []Entry
+	}
+	// DrainAsk tells a flow that a target run is leaving, or was let go.
+	DrainAsk struct {
+		Service string
+		ID      string
+		Inc     uint64
+		Gone    bool
+	}
+	// DrainTold answers it.
+	DrainTold struct{ OK bool }
+	// MarkAsk tells a mind what was decided of a target run.
+	MarkAsk struct {
+		Service string
+		ID      string
+		Inc     uint64
+		Suspect bool
+		Gone    bool
+	}
+	// MarkTold answers it.
+	MarkTold struct{ OK bool }
+	// JudgeAsk asks a mind for its own suspicion of a target run.
+	JudgeAsk struct {
+		Service string
+		ID      string
+		Inc     uint64
+	}
+	// JudgeTold answers it. Known is false where no beat of the run came here.
+	JudgeTold struct {
+		Known bool
+		Seq   uint64
+		W     float64
+		Quiet int64 // nanoseconds since the last beat
+	}
+)
--- /dev/null
+++ b/internal/ledger/book.go
@@ -0,0 +1,246 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/defect"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/spec"
+)
+
+// Fold is the state that the changes up to N give. It is never changed.
+type Fold struct {
+	N      uint64
+	Sheet  spec.Sheet
+	tokens map[string]uint64
+	first  uint64
+}
+
+// Token finds the change that carried a token.
+func (f *Fold) Token(t string) (uint64, bool) {
+	n, ok := f.tokens[t]
+	return n, ok
+}
+
+// maxTokens bounds how many tokens a fold remembers; a resend must come within
+// as many changes (design 6.4).
+const maxTokens = 20000
+
+// Book is one mind's view of the ledger.
+type Book struct {
+	Prop  *accord.Proposer
+	Clock pulse.Clock
+	Mind  string
+	// WallMS is the wall clock for people, in milliseconds.
+	WallMS func() int64
+
+	mu   sync.Mutex // one refresh at a time
+	fold atomic.Pointer[Fold]
+	seq  atomic.Uint64
+}
+
+// Fold is the last fold made here.
+func (b *Book) Fold() *Fold {
+	if f := b.fold.Load(); f != nil {
+		return f
+	}
+	return &Fold{}
+}
+
+// Refresh folds every change that was decided before the call.
+func (b *Book) Refresh(ctx context.Context) (*Fold, error) {
+	key, _, err := b.Prop.Last(ctx, ChangePrefix)
+	if accord.Nothing(err) {
+		// The last number was promised or half written and is now free again:
+		// what comes before it is settled by the listing.
+		err = nil
+	}
+	if err != nil {
+		return nil, defect.At("refresh", "", err)
+	}
+	f := b.Fold()
+	if key == "" || key <= ChangeKey(f.N) {
+		return f, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f = b.Fold()
+	after := ""
+	if f.N > 0 {
+		after = ChangeKey(f.N)
+	}
+	n := &Fold{N: f.N, Sheet: f.Sheet, tokens: map[string]uint64{}, first: f.first}
+	for t, k := range f.tokens {
+		n.tokens[t] = k
+	}
+	err = b.Prop.List(ctx, ChangePrefix, after, func(k string, v []byte) error {
+		c, err := Decode[Change](v)
+		if err != nil {
+			return defect.At("fold "+k, "", err)
+		}
+		return n.take(c)
+	})
+	if err != nil {
+		return nil, err
+	}
+	b.fold.Store(n)
+	return n, nil
+}
+
+// take folds one change in.
+func (f *Fold) take(c Change) error {
+	switch {
+	case f.N == 0 && c.Sheet != nil:
+		f.first = c.N
+		f.Sheet = *c.Sheet
+	case c.N != f.N+1:
+		return fmt.Errorf("change %d after %d: the ledger has a gap", c.N, f.N)
+	default:
+		s, bad := f.Sheet.Apply(c.Edits)
+		if len(bad) > 0 {
+			return fmt.Errorf("change %d does not apply: %v", c.N, bad)
+		}
+		f.Sheet = s
+	}
+	f.N = c.N
+	if c.Token != "" {
+		f.tokens[c.Token] = c.N
+	}
+	if len(f.tokens) > maxTokens {
+		for t, k := range f.tokens {
+			if k+maxTokens/2 < c.N {
+				delete(f.tokens, t)
+			}
+		}
+	}
+	return nil
+}
+
+// ErrTaken says that another change took the number first.
+var ErrTaken = errors.New("another change came first")
+
+// Decide creates change c at its number, or tells that the number was taken.
+func (b *Book) Decide(ctx context.Context, c Change) error {
+	raw := Encode(c)
+	_, err := b.Prop.Change(ctx, ChangeKey(c.N), func(old []byte) ([]byte, error) {
+		if old == nil || string(old) == string(raw) {
+			return raw, nil
+		}
+		return nil, ErrTaken
+	})
+	return err
+}
+
+// Flipped is the version in force, by a majority.
+func (b *Book) Flipped(ctx context.Context) (uint64, error) {
+	v, err := b.Prop.Read(ctx, Flip)
+	if accord.Nothing(err) || err == nil && v == nil {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, defect.At("read flip", "", err)
+	}
+	return strconv.ParseUint(string(v), 10, 64)
+}
+
+// SetFlipped records that n is in force; it never goes back.
+func (b *Book) SetFlipped(ctx context.Context, n uint64) (uint64, error) {
+	out := n
+	_, err := b.Prop.Change(ctx, Flip, func(old []byte) ([]byte, error) {
+		if old != nil {
+			o, err := strconv.ParseUint(string(old), 10, 64)
+			if err != nil {
+				return nil, err
+			}
+			if o >= n {
+				out = o
+				return old, nil
+			}
+		}
+		out = n
+		return []byte(strconv.FormatUint(n, 10)), nil
+	})
+	return out, defect.At("flip", "", err)
+}
+
+// Once writes an immutable item; an item already there stays, and counts.
+func (b *Book) Once(ctx context.Context, key string, n Note) (Note, error) {
+	n.Mind = b.Mind
+	if n.At == 0 {
+		n.At = b.WallMS()
+	}
+	raw, err := b.Prop.Change(ctx, key, func(old []byte) ([]byte, error) {
+		if old != nil {
+			return old, nil
+		}
+		return Encode(n), nil
+	})
+	if err != nil {
+		return n, defect.At("note "+n.Kind, "", err)
+	}
+	return Decode[Note](raw)
+}
+
+// Note writes a decision under a key of its own.
+func (b *Book) Note(ctx context.Context, n Note) error {
+	at := b.WallMS()
+	n.At = at
+	key := fmt.Sprintf("%s%013d-%s-%d", NotePrefix, at, b.Mind, b.seq.Add(1))
+	_, err := b.Once(ctx, key, n)
+	return err
+}
+
+// Notes lists the decisions under prefix, oldest first where keys are by time.
+func (b *Book) Notes(ctx context.Context, prefix string) ([]Note, error) {
+	var out []Note
+	err := b.Prop.List(ctx, prefix, "", func(k string, v []byte) error {
+		n, err := Decode[Note](v)
+		if err != nil {
+			return defect.At("read "+k, "", err)
+		}
+		out = append(out, n)
+		return nil
+	})
+	return out, err
+}
+
+// Changes lists all changes, oldest first.
+func (b *Book) Changes(ctx context.Context) ([]Change, error) {
+	var out []Change
+	err := b.Prop.List(ctx, ChangePrefix, "", func(k string, v []byte) error {
+		c, err := Decode[Change](v)
+		if err != nil {
+			return defect.At("read "+k, "", err)
+		}
+		out = append(out, c)
+		return nil
+	})
+	return out, err
+}
+
+// At folds the sheet as it was at version n.
+func (b *Book) At(ctx context.Context, n uint64) (spec.Sheet, error) {
+	cs, err := b.Changes(ctx)
+	if err != nil {
+		return spec.Sheet{}, err
+	}
+	f := &Fold{tokens: map[string]uint64{}}
+	for _, c := range cs {
+		if c.N > n {
+			break
+		}
+		if err := f.take(c); err != nil {
+			return spec.Sheet{}, err
+		}
+	}
+	if f.N != n {
+		return spec.Sheet{}, defect.New("sheet at version", "", "no version %d", n)
+	}
+	return f.Sheet, nil
+}
--- /dev/null
+++ b/internal/liveness/pauses.go
@@ -0,0 +1,61 @@
+package liveness
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"walkrudder/internal/pulse"
+)
+
+const (
+	// tick is how often the process looks whether it stood still.
+	tick = 50 * time.Millisecond
+	// still is the delay of a tick that counts as a pause of the process.
+	still = 250 * time.Millisecond
+)
+
+// Pauses adds up the time that this process itself stood still: frozen, starved
+// or suspended. A jump of the machine's wall clock is none: only the monotonic
+// clock is read.
+type Pauses struct {
+	clock pulse.Clock
+	at    atomic.Pointer[beat]
+}
+
+// beat is the last tick and the time stood still before it.
+type beat struct {
+	last  time.Time
+	total time.Duration
+}
+
+// NewPauses starts the count at zero.
+func NewPauses(c pulse.Clock) *Pauses {
+	p := &Pauses{clock: c}
+	p.at.Store(&beat{last: c.Now()})
+	return p
+}
+
+// Run looks every tick until ctx ends.
+func (p *Pauses) Run(ctx context.Context) {
+	for {
+		now := p.clock.Now()
+		p.at.Store(&beat{now, p.At(now)})
+		if p.clock.Sleep(ctx, tick) != nil {
+			return
+		}
+	}
+}
+
+// Total is the time stood still up to now.
+func (p *Pauses) Total() time.Duration { return p.At(p.clock.Now()) }
+
+// At is the time stood still up to now, including a pause that the next tick has
+// yet to notice: the first look after a freeze is already right.
+func (p *Pauses) At(now time.Time) time.Duration {
+	b := p.at.Load()
+	if d := now.Sub(b.last); d > still {
+		return b.total + d - tick
+	}
+	return b.total
+}
--- /dev/null
+++ b/internal/liveness/window_test.go
@@ -0,0 +1,64 @@
+package liveness
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// The figures were worked out apart from this code, by the formulas on paper.
+func TestWindowFitAgainstFiguresWorkedOutApart(t *testing.T) {
+	for _, c := range []struct {
+		gaps              []float64
+		alpha, beta, at25 float64
+	}{
+		{[]float64{3, 1, 2}, 2.3098435440, 2.0635449514, 0.6918996645},
+		{[]float64{1.3, 0.9, 1.1, 1.0}, 1.1430428418, 7.2777734411, 1},
+	} {
+		w := NewWindow(10)
+		for _, g := range c.gaps {
+			w.Push(g)
+		}
+		f, ok := w.Fit()
+		if !ok || !near(f.Alpha, c.alpha) || !near(f.Beta, c.beta) || !near(f.Suspicion(2.5), c.at25) {
+			t.Errorf("%v: alpha %.6f beta %.6f w(2.5) %.6f, want %v", c.gaps, f.Alpha, f.Beta, f.Suspicion(2.5), c)
+		}
+		if g := f.After(0.99); !near(f.Suspicion(g), 0.99) {
+			t.Errorf("After is no inverse of Suspicion: %v", f.Suspicion(g))
+		}
+	}
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) < 2e-6 }
+
+func TestWindowKeepsTheLastGapsInOrder(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	w := NewWindow(16)
+	var all []float64
+	for range 200 {
+		g := 0.01 + r.Float64()
+		all = append(all, g)
+		w.Push(g)
+		last := slices.Clone(all[max(0, len(all)-16):])
+		slices.Sort(last)
+		for i, v := range last {
+			if !near(math.Exp(w.x[i]), v) {
+				t.Fatalf("gap %d is %v, want %v", i, math.Exp(w.x[i]), v)
+			}
+		}
+		if w.Len() != len(last) {
+			t.Fatalf("holds %d, want %d", w.Len(), len(last))
+		}
+	}
+}
+
+func TestWindowWithoutSpreadHasNoFit(t *testing.T) {
+	w := NewWindow(8)
+	for range 8 {
+		if _, ok := w.Fit(); ok {
+			t.Fatal("a fit from equal gaps")
+		}
+		w.Push(1)
+	}
+}
--- /dev/null
+++ b/internal/mate/court.go
@@ -0,0 +1,217 @@
+// Package mate tells which nodes are members: each holds a lease that a majority
+// of the core granted (design 7). Duties are leases of the same kind (design
+// 7.3).
+package mate
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/link"
+	"walkrudder/internal/pulse"
+)
+
+const (
+	// Lease is how long a member counts after its last renewal.
+	Lease = time.Second
+	// Renew is how often a member renews.
+	Renew = Lease / 4
+	// margin is what a holder gives up of its lease, against clocks that run at
+	// slightly different speeds (design 7.2).
+	margin = Lease / 20
+	// DutyLease is how long a duty is held after its last renewal.
+	DutyLease = 2 * time.Second
+	// maxMembers bounds the table of one court.
+	maxMembers = 4096
+)
+
+// Member is what a node says of itself with each renewal.
+type Member struct {
+	ID    string
+	Inc   uint64 // this run of the process
+	Kind  string // "flow" or "mind"
+	Inner string
+	Door  string
+	Zone  string
+	Disk  accord.Seat // where it has a disk
+	Spec  uint64      // version in force there
+	Since int64       // start, unix milliseconds, for people
+}
+
+type (
+	// RenewAsk renews the asker's lease and duties; Gone gives them back.
+	RenewAsk struct {
+		Epoch  uint64
+		Member Member
+		Duties []string
+		Seen   uint64 // table version the asker has
+		Gone   bool
+	}
+	// RenewTold answers it. Duties are those granted.
+	RenewTold struct {
+		OK      bool
+		Epoch   uint64
+		Core    accord.Core // where the epoch differs
+		Version uint64
+		Members []Member // where Version differs from Seen
+		Duties  []string
+	}
+	// TableAsk asks for the lease table.
+	TableAsk struct{ Epoch uint64 }
+	// TableTold answers it.
+	TableTold struct {
+		accord.Told
+		Members []Member
+	}
+)
+
+type grant struct {
+	m     Member
+	until time.Time
+}
+
+type duty struct {
+	by    string
+	inc   uint64
+	until time.Time
+}
+
+// Court grants leases at one voter, in memory only: after a start, or after
+// taking a seat, it grants nothing and shows no table until every lease granted
+// before must have lapsed (design 7.1).
+type Court struct {
+	voter *accord.Voter
+	clock pulse.Clock
+
+	mu      sync.Mutex
+	by      map[string]grant
+	duties  map[string]duty
+	version uint64
+	epoch   uint64
+	seated  bool
+	warm    time.Time
+}
+
+// NewCourt makes the court that sits beside v.
+func NewCourt(v *accord.Voter, c pulse.Clock) *Court {
+	return &Court{voter: v, clock: c, by: map[string]grant{}, duties: map[string]duty{}, version: uint64(c.Now().UnixNano())}
+}
+
+// Serve teaches d to answer for this court.
+func (c *Court) Serve(d *link.Desk) {
+	link.On(d, c.renew)
+	link.On(d, c.table)
+}
+
+// look follows the core, and tells whether this court may speak for epoch.
+func (c *Court) look(epoch uint64) bool {
+	co := c.voter.Core()
+	in := c.voter.Voting()
+	if co.Epoch != c.epoch {
+		// Without a seat in the epoch just before, earlier grants of this seat's
+		// former holder are unknown here.
+		if !c.seated || co.Epoch != c.epoch+1 {
+			c.warm = c.clock.Now().Add(DutyLease)
+		}
+		c.epoch = co.Epoch
+	}
+	c.seated = in
+	return in && epoch == co.Epoch
+}
+
+func (c *Court) renew(_ context.Context, _ link.Who, a RenewAsk) (r RenewTold, _ error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ok := c.look(a.Epoch)
+	if r.Epoch = c.epoch; !ok {
+		r.Core = c.voter.Core()
+		return r, nil
+	}
+	now := c.clock.Now()
+	c.sweep(now)
+	if a.Gone {
+		if g, ok := c.by[a.Member.ID]; ok && g.m.Inc == a.Member.Inc {
+			delete(c.by, a.Member.ID)
+			c.version++
+		}
+		for n, d := range c.duties {
+			if d.by == a.Member.ID && d.inc == a.Member.Inc {
+				delete(c.duties, n)
+			}
+		}
+		r.OK = true
+		return r, nil
+	}
+	// An older run of the same node must not take the place of the newer.
+	g, had := c.by[a.Member.ID]
+	if had && g.m.Inc > a.Member.Inc || !had && len(c.by) >= maxMembers {
+		return r, nil
+	}
+	if !had || g.m != a.Member {
+		c.version++
+	}
+	// During warm-up leases are granted, for they harm nobody; only the table,
+	// which might lack some, is withheld, and so are duties.
+	c.by[a.Member.ID] = grant{a.Member, now.Add(Lease)}
+	if !now.Before(c.warm) {
+		for _, n := range a.Duties {
+			d, taken := c.duties[n]
+			if taken && (d.by != a.Member.ID || d.inc != a.Member.Inc) {
+				continue
+			}
+			c.duties[n] = duty{a.Member.ID, a.Member.Inc, now.Add(DutyLease)}
+			r.Duties = append(r.Duties, n)
+		}
+	}
+	r.OK, r.Version = true, c.version
+	if a.Seen != c.version {
+		r.Members = c.members()
+	}
+	return r, nil
+}
+
+func (c *Court) table(_ context.Context, _ link.Who, a TableAsk) (r TableTold, _ error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.Disk = c.voter.Seat().Disk
+	now := c.clock.Now()
+	if !c.look(a.Epoch) {
+		r.Core = c.voter.Core()
+		return r, nil
+	}
+	if now.Before(c.warm) {
+		return r, nil
+	}
+	c.sweep(now)
+	r.OK, r.Members = true, c.members()
+	return r, nil
+}
+
+func (c *Court) sweep(now time.Time) {
+	for id, g := range c.by {
+		if !now.Before(g.until) {
+			delete(c.by, id)
+			c.version++
+		}
+	}
+	for n, d := range c.duties {
+		if !now.Before(d.until) {
+			delete(c.duties, n)
+		}
+	}
+}
+
+func (c *Court) members() []Member {
+	out := make([]Member, 0, len(c.by))
+	for _, g := range c.by {
+		out = append(out, g.m)
+	}
+	slices.SortFunc(out, byID)
+	return out
+}
+
+func byID(a, b Member) int { return cmp.Compare(a.ID, b.ID) }
--- /dev/null
+++ b/internal/mate/register.go
@@ -0,0 +1,8 @@
+package mate
+
+import "walkrudder/internal/link"
+
+func init() {
+	link.Pair[RenewAsk, RenewTold]()
+	link.Pair[TableAsk, TableTold]()
+}
--- /dev/null
+++ b/internal/mate/tenant.go
@@ -0,0 +1,281 @@
+package mate
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/defect"
+	"walkrudder/internal/link"
+	"walkrudder/internal/pulse"
+)
+
+// Tenant keeps this node's lease renewed and knows the other members.
+type Tenant struct {
+	Line  link.Line
+	Clock pulse.Clock
+	// Core knows the voters; newer cores are learned into it.
+	Core *accord.Proposer
+	// Me describes this node at each renewal.
+	Me func() Member
+
+	until   atomic.Pointer[time.Time]
+	started atomic.Pointer[time.Time] // when the lease now held was first granted
+	members atomic.Pointer[[]Member]
+
+	mu     sync.Mutex
+	tables map[string]table // by disk
+	wanted map[string]bool
+	duties map[string]time.Time
+}
+
+type table struct {
+	version uint64
+	members []Member
+	at      time.Time
+}
+
+// Held tells whether this node's lease stands now. It reads the clock each time:
+// after a freeze the first look already says no.
+func (t *Tenant) Held() bool {
+	u := t.until.Load()
+	return u != nil && t.Clock.Now().Before(*u)
+}
+
+// HeldSince is when the unbroken lease began; ok is false where none stands.
+func (t *Tenant) HeldSince() (time.Time, bool) {
+	s := t.started.Load()
+	if s == nil || !t.Held() {
+		return time.Time{}, false
+	}
+	return *s, true
+}
+
+// Members is the last known membership, sorted by ID.
+func (t *Tenant) Members() []Member {
+	if p := t.members.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// Kind is the known members of one kind.
+func (t *Tenant) Kind(kind string) []Member {
+	return lo.Filter(t.Members(), func(m Member, _ int) bool { return m.Kind == kind })
+}
+
+// Seek asks for duty name with the next renewals; Leave gives it up.
+func (t *Tenant) Seek(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.wanted == nil {
+		t.wanted = map[string]bool{}
+	}
+	t.wanted[name] = true
+}
+
+// Holds tells whether a majority granted this node the duty, and it has not
+// ended.
+func (t *Tenant) Holds(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u, ok := t.duties[name]
+	return ok && t.Clock.Now().Before(u)
+}
+
+// Run renews until ctx ends.
+func (t *Tenant) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.renew(ctx)
+		if t.Clock.Sleep(ctx, Renew) != nil {
+			return
+		}
+	}
+}
+
+// renew asks every voter once. The lease counts from before the first ask left.
+func (t *Tenant) renew(ctx context.Context) {
+	core := t.Core.Core()
+	if core.Epoch == 0 {
+		return
+	}
+	me := t.Me()
+	sent := t.Clock.Now()
+	t.mu.Lock()
+	want := lo.Keys(t.wanted)
+	seen := lo.MapValues(t.tables, func(x table, _ string) uint64 { return x.version })
+	t.mu.Unlock()
+	slices.Sort(want)
+	cx, end := context.WithTimeout(ctx, Lease-Renew)
+	type back struct {
+		s   accord.Seat
+		r   RenewTold
+		err error
+	}
+	ch := make(chan back, len(core.Seats))
+	for _, s := range core.Seats {
+		go func() {
+			r, err := link.Ask[RenewTold](cx, t.Line, s.Addr, RenewAsk{Epoch: core.Epoch, Member: me, Duties: want, Seen: seen[s.Disk]})
+			ch <- back{s, r, err}
+		}()
+	}
+	yes, held := 0, map[string]int{}
+	fin := make(chan struct{})
+	take := func(b back) {
+		if b.err != nil {
+			return
+		}
+		if !b.r.OK {
+			t.Core.Learn(b.r.Core)
+			return
+		}
+		yes++
+		t.mu.Lock()
+		if t.tables == nil {
+			t.tables = map[string]table{}
+		}
+		x := t.tables[b.s.Disk]
+		if x.version != b.r.Version {
+			x.members = b.r.Members
+		}
+		x.version, x.at = b.r.Version, sent
+		t.tables[b.s.Disk] = x
+		t.mu.Unlock()
+		for _, n := range b.r.Duties {
+			held[n]++
+		}
+		if yes == core.Quorum() {
+			t.granted(sent)
+		}
+		t.mu.Lock()
+		if t.duties == nil {
+			t.duties = map[string]time.Time{}
+		}
+		for n, k := range held {
+			if k == core.Quorum() {
+				t.duties[n] = sent.Add(DutyLease - 2*margin)
+			}
+		}
+		t.mu.Unlock()
+	}
+	// A slow voter must not delay the next renewal at the others.
+	go func() {
+		defer end()
+		defer close(fin)
+		for range core.Seats {
+			take(<-ch)
+		}
+		t.merge(core)
+	}()
+	cx2, end2 := context.WithTimeout(ctx, Renew)
+	defer end2()
+	select {
+	case <-fin:
+	case <-cx2.Done():
+	}
+}
+
+func (t *Tenant) granted(sent time.Time) {
+	u := sent.Add(Lease - margin)
+	// The lease is unbroken only if this answer came before the one before ended:
+	// else some voter may have dropped it and taken it up again.
+	if old, now := t.until.Load(), t.Clock.Now(); old == nil || !now.Before(*old) {
+		t.started.Store(&now)
+	} else if u.Before(*old) {
+		return
+	}
+	t.until.Store(&u)
+}
+
+// merge takes the union of the newest tables.
+func (t *Tenant) merge(core accord.Core) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	by := map[string]Member{}
+	now := t.Clock.Now()
+	any := false
+	for _, s := range core.Seats {
+		x, ok := t.tables[s.Disk]
+		if !ok || now.Sub(x.at) > Lease {
+			continue
+		}
+		any = true
+		for _, m := range x.members {
+			if o, ok := by[m.ID]; !ok || m.Inc > o.Inc || m.Inc == o.Inc && m.Spec > o.Spec {
+				by[m.ID] = m
+			}
+		}
+	}
+	if !any {
+		return
+	}
+	out := lo.Values(by)
+	slices.SortFunc(out, byID)
+	t.members.Store(&out)
+}
+
+// Leave gives the lease back, so that nobody waits for it to lapse.
+func (t *Tenant) Leave(ctx context.Context) {
+	core := t.Core.Core()
+	t.until.Store(nil)
+	var wg sync.WaitGroup
+	for _, s := range core.Seats {
+		wg.Go(func() {
+			_, _ = link.Ask[RenewTold](ctx, t.Line, s.Addr, RenewAsk{Epoch: core.Epoch, Member: t.Me(), Gone: true})
+		})
+	}
+	wg.Wait()
+}
+
+// Table reads the lease tables of a majority of voters now: every lease granted
+// by a majority before the call, and not lapsed, is in it (design 7.1).
+func (t *Tenant) Table(ctx context.Context) ([]Member, error) {
+	core := t.Core.Core()
+	if core.Epoch == 0 {
+		return nil, accord.ErrNoCore
+	}
+	cx, end := context.WithTimeout(ctx, Lease)
+	defer end()
+	ch := make(chan *TableTold, len(core.Seats))
+	for _, s := range core.Seats {
+		go func() {
+			r, err := link.Ask[TableTold](cx, t.Line, s.Addr, TableAsk{Epoch: core.Epoch})
+			if err != nil {
+				ch <- nil
+				return
+			}
+			if !r.OK {
+				t.Core.Learn(r.Core)
+			}
+			if !r.OK || r.Disk != s.Disk {
+				ch <- nil
+				return
+			}
+			ch <- &r
+		}()
+	}
+	by := map[string]Member{}
+	n := 0
+	for range core.Seats {
+		r := <-ch
+		if r == nil {
+			continue
+		}
+		for _, m := range r.Members {
+			if o, ok := by[m.ID]; !ok || m.Inc > o.Inc {
+				by[m.ID] = m
+			}
+		}
+		if n++; n == core.Quorum() {
+			out := lo.Values(by)
+			slices.SortFunc(out, byID)
+			return out, nil
+		}
+	}
+	return nil, defect.At("lease table", "", accord.ErrNoQuorum)
+}
--- /dev/null
+++ b/internal/mind/mind.go
@@ -0,0 +1,173 @@
+// Package mind puts the control plane together (design 2.1).
+package mind
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/do/v2"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/commands"
+	"walkrudder/internal/fault"
+	"walkrudder/internal/home"
+	"walkrudder/internal/keep"
+	"walkrudder/internal/ledger"
+	"walkrudder/internal/link"
+	"walkrudder/internal/liveness"
+	"walkrudder/internal/mate"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/roll"
+	"walkrudder/internal/startup"
+)
+
+// Parts is what a mind stands on.
+type Parts struct {
+	Startup startup.Mind
+	Inc     uint64
+	// Fresh is the incarnation that an empty disk takes.
+	Fresh  string
+	Line   link.Line
+	Clock  pulse.Clock
+	Disk   keep.Disk // nil for a mind that does not vote
+	Log    *log.Logger
+	Faults *fault.Set
+	// OnBad is told when the disk fails: the process is to end.
+	OnBad  func(error)
+	WallMS func() int64
+}
+
+// Mind is one control-plane node.
+type Mind struct {
+	Parts
+	Desk    *link.Desk
+	Voter   *accord.Voter
+	Prop    *accord.Proposer
+	Tenant  *mate.Tenant
+	Book    *ledger.Book
+	Roller  *roll.Roller
+	House   *home.House
+	Changer *commands.Changer
+	Beater  *commands.Beater
+	Drainer *commands.Drainer
+	Warden  *commands.Warden
+
+	start    func(context.Context)
+	stopping atomic.Bool
+	wg       sync.WaitGroup
+}
+
+// New puts a mind together; Run starts it.
+func New(p Parts) (*Mind, error) {
+	i := do.New()
+	me := accord.Seat{ID: p.Startup.ID, Addr: p.Startup.Inner, Zone: p.Startup.Zone}
+	var v *accord.Voter
+	if p.Disk != nil {
+		var err error
+		if v, err = accord.NewVoter(me, p.Disk, p.Fresh, p.Line, p.Faults, p.OnBad); err != nil {
+			return nil, err
+		}
+	}
+	do.ProvideValue(i, v)
+	do.ProvideValue(i, link.NewDesk())
+	do.Provide(i, func(do.Injector) (*liveness.Pauses, error) { return liveness.NewPauses(p.Clock), nil })
+	do.Provide(i, func(do.Injector) (*accord.Proposer, error) {
+		return accord.NewProposer(p.Startup.ID+"."+p.Fresh, p.Line, p.Clock), nil
+	})
+	do.Provide(i, func(i do.Injector) (*accord.Former, error) {
+		return &accord.Former{Seeds: p.Startup.Seeds, Self: p.Startup.Inner, Size: p.Startup.Core, Line: p.Line, Clock: p.Clock,
+			Prop: do.MustInvoke[*accord.Proposer](i), Voter: v}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*mate.Tenant, error) {
+		return &mate.Tenant{Line: p.Line, Clock: p.Clock, Core: do.MustInvoke[*accord.Proposer](i)}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*ledger.Book, error) {
+		return &ledger.Book{Prop: do.MustInvoke[*accord.Proposer](i), Clock: p.Clock, Mind: p.Startup.ID, WallMS: p.WallMS}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*roll.Roller, error) {
+		return &roll.Roller{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*mate.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*home.House, error) {
+		h := &home.House{Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Run: p.Inc}
+		h.Init()
+		return h, nil
+	})
+	do.Provide(i, func(i do.Injector) (*commands.Drainer, error) {
+		return &commands.Drainer{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*mate.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*commands.Beater, error) {
+		return &commands.Beater{House: do.MustInvoke[*home.House](i), Tenant: do.MustInvoke[*mate.Tenant](i), Line: p.Line, Me: p.Startup.ID,
+			Drainer: do.MustInvoke[*commands.Drainer](i)}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*commands.Changer, error) {
+		return &commands.Changer{Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), Clock: p.Clock, Mind: p.Startup.ID}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*commands.Warden, error) {
+		return &commands.Warden{House: do.MustInvoke[*home.House](i), Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*mate.Tenant](i),
+			Drainer: do.MustInvoke[*commands.Drainer](i), Prop: do.MustInvoke[*accord.Proposer](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
+	})
+	m := &Mind{Parts: p, Voter: v, Desk: do.MustInvoke[*link.Desk](i), Prop: do.MustInvoke[*accord.Proposer](i), Tenant: do.MustInvoke[*mate.Tenant](i),
+		Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), House: do.MustInvoke[*home.House](i),
+		Changer: do.MustInvoke[*commands.Changer](i), Beater: do.MustInvoke[*commands.Beater](i), Drainer: do.MustInvoke[*commands.Drainer](i),
+		Warden: do.MustInvoke[*commands.Warden](i)}
+	since := p.WallMS()
+	m.Tenant.Me = func() mate.Member {
+		x := mate.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "mind", Inner: p.Startup.Inner, Door: p.Startup.Door, Zone: p.Startup.Zone, Since: since}
+		if v != nil {
+			x.Disk = v.Seat()
+		}
+		return x
+	}
+	fm := do.MustInvoke[*accord.Former](i)
+	fm.Serve(m.Desk)
+	m.Roller.Serve(m.Desk, m.Drainer.Leaves)
+	m.House.Serve(m.Desk)
+	runs := []func(context.Context){fm.Run, m.Tenant.Run, m.House.Start, m.Roller.Watch, m.Warden.Run, m.sweep, do.MustInvoke[*liveness.Pauses](i).Run}
+	if v != nil {
+		v.Serve(m.Desk)
+		mate.NewCourt(v, p.Clock).Serve(m.Desk)
+		runs = append(runs, v.Run)
+	}
+	m.start = func(ctx context.Context) {
+		for _, run := range runs {
+			m.wg.Go(func() { run(ctx) })
+		}
+	}
+	return m, nil
+}
+
+// Run works until ctx ends, then waits for its parts.
+func (m *Mind) Run(ctx context.Context) {
+	m.start(ctx)
+	m.wg.Wait()
+}
+
+// Ready is what the platform is told: this mind is a member.
+func (m *Mind) Ready() bool { return m.Tenant.Held() && !m.stopping.Load() }
+
+// Stop makes the node tell the platform that it is not ready.
+func (m *Mind) Stop() { m.stopping.Store(true) }
+
+// sweepEvery is how often copies that no read has mended are looked for.
+const sweepEvery = 15 * time.Second
+
+// sweep reads every item now and then, which mends old copies (design 4.3). The
+// duty says which mind does it.
+func (m *Mind) sweep(ctx context.Context) {
+	m.Tenant.Seek("sweep")
+	for m.Clock.Sleep(ctx, sweepEvery) == nil {
+		if !m.Tenant.Holds("sweep") {
+			continue
+		}
+		cx, end := context.WithTimeout(ctx, sweepEvery)
+		if n, err := m.Prop.Mend(cx); err != nil && ctx.Err() == nil {
+			m.Log.Warn("sweep not finished", "step", "sweep", "err", err)
+		} else if n > 0 {
+			m.Log.Info("sweep mended copies", "step", "sweep", "items", n)
+		}
+		end()
+	}
+}
--- /dev/null
+++ b/internal/passage/elect.go
@@ -0,0 +1,81 @@
+package passage
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"walkrudder/internal/home"
+)
+
+const (
+	// Fresh is how old a proof of a target's identity may be when a request is
+	// written: addresses pass to another service after about 2 s.
+	Fresh = 1500 * time.Millisecond
+	// suspectAt is the suspicion at which a target is passed over, unless its
+	// service says otherwise.
+	suspectAt = 0.99
+	// suspectCap is the share of a service's targets that may be passed over for
+	// suspicion together; beyond it the least suspected stay in (design 10.5).
+	suspectCap = 0.5
+	// farther is how much busier the own zone may be before another is used.
+	farther = 2.0
+)
+
+// candidate is a target with what the choice reads of it, taken once.
+type candidate struct {
+	s *home.Stand
+	w float64
+}
+
+// elect chooses a target for a service at this instant: proved, not leaving, not
+// suspected; of two drawn at random the less busy for its capacity, the own zone
+// first. Suspicion is read fresh for every target at every choice.
+func (p *Passage) elect(service string, limit float64, tried []*home.Stand) *home.Stand {
+	now := p.Clock.Now()
+	if limit == 0 {
+		limit = suspectAt
+	}
+	all := p.Roster.Of(service)
+	var ok, bad []candidate
+	for _, s := range all {
+		if s.Leaving.Load() || s.Gone.Load() || slices.Contains(tried, s) || p.Roster.Age(s, now) >= Fresh {
+			continue
+		}
+		if w := s.Det.Suspicion(now); w < limit {
+			ok = append(ok, candidate{s, w})
+		} else {
+			bad = append(bad, candidate{s, w})
+		}
+	}
+	// Many suspected at once says more of this node or its network than of them.
+	if n := len(all); len(bad) > int(suspectCap*float64(n)) {
+		slices.SortFunc(bad, func(a, b candidate) int {
+			if a.w < b.w {
+				return -1
+			}
+			return 1
+		})
+		ok = append(ok, bad[:len(bad)-int(suspectCap*float64(n))]...)
+	}
+	if len(ok) == 0 {
+		return nil
+	}
+	a := ok[rand.IntN(len(ok))]
+	for range 2 {
+		if b := ok[rand.IntN(len(ok))]; p.load(b.s) < p.load(a.s) {
+			a = b
+		}
+	}
+	return a.s
+}
+
+// load is how busy a target is for its capacity; a target in another zone counts
+// as busier.
+func (p *Passage) load(s *home.Stand) float64 {
+	l := (float64(s.Flying.Load()) + 1) / float64(max(1, s.Capacity.Load()))
+	if s.Zone != p.Zone {
+		l *= farther
+	}
+	return l
+}
--- /dev/null
+++ b/internal/passage/passage.go
@@ -0,0 +1,429 @@
+package passage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
+
+	"walkrudder/internal/face"
+	"walkrudder/internal/fault"
+	"walkrudder/internal/home"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/roll"
+	"walkrudder/internal/spec"
+)
+
+const (
+	// queueSize bounds each queue; together with sendWorkers it bounds the
+	// requests inside one flow.
+	queueSize   = 512
+	sendWorkers = 512
+	// maxTries bounds the targets tried for one request.
+	maxTries = 4
+	// slack is kept free before the expiry, for the answer's way back.
+	slack = 20 * time.Millisecond
+	// clientRate and clientBurst limit a client that hammers; proper ones stay far
+	// below.
+	clientRate  = 60
+	clientBurst = 120
+	maxClients  = 10000
+)
+
+// Passage leads requests through a flow.
+type Passage struct {
+	Clock   pulse.Clock
+	Rack    *roll.Rack
+	Roster  *home.Roster
+	Courier Courier
+	Zone    string
+	ID      string
+	Inc     uint64
+	Flows   func() int
+	Faults  *fault.Set
+	Log     *log.Logger
+	Count   func(what, service string)
+
+	grant, choose, send, check *Stage
+
+	calls   atomic.Uint64
+	mu      sync.Mutex
+	budgets map[string]*Budget
+	clients map[string]*client
+	born    time.Time
+	flying  atomic.Int64
+}
+
+type client struct {
+	l    *rate.Limiter
+	seen time.Time
+}
+
+// Init makes the stages.
+func (p *Passage) Init() {
+	p.grant = NewStage("grant", queueSize, 4, p.doGrant)
+	p.choose = NewStage("elect", queueSize, 4, p.doElect)
+	p.send = NewStage("send", queueSize, sendWorkers, p.doSend)
+	p.check = NewStage("check", queueSize, 4, p.doCheck)
+	p.budgets, p.clients = map[string]*Budget{}, map[string]*client{}
+	p.born = p.Clock.Now()
+	if p.Count == nil {
+		p.Count = func(string, string) {}
+	}
+}
+
+// Run works until ctx ends.
+func (p *Passage) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, s := range []*Stage{p.grant, p.choose, p.send, p.check} {
+		wg.Go(func() { s.Run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Flying is the number of calls inside.
+func (p *Passage) Flying() int64 { return p.flying.Load() }
+
+// Enter is the door: it takes a call in, waits for its end or its expiry, and
+// returns the trip with Answer or Out set. patience is the most a call may wait
+// before its binding is known.
+func (p *Passage) Enter(ctx context.Context, client, key string, r *Request) *Trip {
+	p.flying.Add(1)
+	defer p.flying.Add(-1)
+	now := p.Clock.Now()
+	t := &Trip{Ctx: ctx, Client: client, Key: key, Req: r, Came: now, done: make(chan struct{}),
+		Call: p.ID + "-" + strconv.FormatUint(p.Inc, 36) + "-" + strconv.FormatUint(p.calls.Add(1), 36)}
+	// The binding may change while the call waits at the gate; what it is under
+	// now only bounds the wait.
+	tab, open := p.Rack.Gate()
+	t.Expiry = now.Add(2 * time.Second)
+	b, m := tab.Find(r.Method, r.URI[:pathEnd(r.URI)])
+	switch {
+	case m == spec.Found:
+		t.Expiry = now.Add(b.Expiry)
+	case open:
+		t.Out = missing(m, tab, r)
+		return t
+	}
+	if !p.limit(client, now) {
+		t.Out = &face.Verdict{Status: 429, Code: face.BusyNotRun, Why: "this client sends too many requests", Retry: time.Second}
+		return t
+	}
+	wait := t.Left(now)
+	if !p.grant.Put(t) {
+		t.Out = busy("the door's queue is full", time.Second)
+		return t
+	}
+	for {
+		c, stop := p.Clock.After(wait)
+		select {
+		case <-t.done:
+			stop()
+			return t
+		case <-c:
+		}
+		if t.drop() {
+			t.Out = busy("no target could take it before its expiry", time.Second)
+			t.over.Store(true)
+			return t
+		}
+		// Under way: the sending ends at the same expiry, and says how.
+		wait = 50 * time.Millisecond
+	}
+}
+
+func pathEnd(uri string) int {
+	for i := range len(uri) {
+		if uri[i] == '?' {
+			return i
+		}
+	}
+	return len(uri)
+}
+
+func missing(m spec.Match, t *spec.Table, r *Request) *face.Verdict {
+	if m == spec.NoMethod {
+		return &face.Verdict{Status: 405, Code: face.BadMethod, Allow: t.Allows(r.URI[:pathEnd(r.URI)])}
+	}
+	return &face.Verdict{Status: 404, Code: face.NoBinding}
+}
+
+func busy(why string, retry time.Duration) *face.Verdict {
+	return &face.Verdict{Status: 503, Code: face.BusyNotRun, Why: why, Retry: retry}
+}
+
+// refuse ends a trip that has not run. Where a byte may have left already that
+// would be a lie, and the outcome is unknown.
+func (p *Passage) refuse(t *Trip, why string) {
+	switch {
+	case t.Loose > 0 && !t.Bound.Repeatable:
+		t.Out = &face.Verdict{Status: 502, Code: face.Unknown, Why: why}
+	case t.Loose > 0:
+		t.Out = &face.Verdict{Status: 502, Code: face.BadAnswer, Why: why, Retry: time.Second}
+	case t.drop() || t.state.Load() == sent:
+		// Sent without a byte that left, or answered "not run" by the target.
+		t.Out = busy(why, time.Second)
+	default:
+		return
+	}
+	t.finish()
+}
+
+// doGrant waits for the gate, finds the binding and bounds the body.
+func (p *Passage) doGrant(t *Trip) {
+	cx, end := context.WithDeadline(t.Ctx, t.Expiry)
+	tab, ok := p.Rack.Gate()
+	if !ok {
+		tab, ok = p.Rack.Wait(cx)
+	}
+	end()
+	if !ok {
+		if t.drop() {
+			t.Out = busy("this node waits for the control plane", time.Second)
+			t.finish()
+		}
+		return
+	}
+	b, m := tab.Find(t.Req.Method, t.Req.URI[:pathEnd(t.Req.URI)])
+	if m != spec.Found {
+		if t.drop() {
+			t.Out = missing(m, tab, t.Req)
+			t.finish()
+		}
+		return
+	}
+	if len(t.Req.Body) > b.MaxBody {
+		if t.drop() {
+			t.Out = &face.Verdict{Status: 413, Code: face.TooLarge, Why: fmt.Sprintf("the limit here is %d bytes", b.MaxBody)}
+			t.finish()
+		}
+		return
+	}
+	t.Table, t.Bound = tab, b
+	// Never longer than the caller was promised on arrival.
+	if e := t.Came.Add(b.Expiry); e.Before(t.Expiry) {
+		t.Expiry = e
+	}
+	if !p.choose.Put(t) {
+		p.refuse(t, "the queue before the choice is full")
+	}
+}
+
+// doElect chooses a target, or gives up at once when there is none and waiting
+// can bring none in time.
+func (p *Passage) doElect(t *Trip) {
+	s := t.Table.Services[t.Bound.Service]
+	now := p.Clock.Now()
+	if t.Left(now) <= slack {
+		p.refuse(t, "no time left before its expiry")
+		return
+	}
+	if t.Tries >= maxTries {
+		p.refuse(t, "every target tried failed")
+		return
+	}
+	t.Stand = p.elect(s.Name, s.Suspect, t.Tried)
+	if t.Stand == nil {
+		p.refuse(t, "no target of "+s.Name+" can take it now")
+		return
+	}
+	t.Tries++
+	t.Tried = append(t.Tried, t.Stand)
+	t.Stand.Flying.Add(1)
+	if !p.send.Put(t) {
+		t.Stand.Flying.Add(-1)
+		p.refuse(t, "the queue before the sending is full")
+	}
+}
+
+// budget finds or makes the budget of a service.
+func (p *Passage) budget(service string) *Budget {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.budgets[service]
+	if b == nil {
+		b = NewBudget(p.born, p.Flows)
+		p.budgets[service] = b
+	}
+	return b
+}
+
+// doSend sends once.
+func (p *Passage) doSend(t *Trip) {
+	s, b := t.Stand, t.Bound
+	svc := t.Table.Services[b.Service].Name
+	now := p.Clock.Now()
+	exp := t.Expiry
+	if b.Repeatable && t.Tries < maxTries {
+		// Keep time for another target, should this one never answer.
+		exp = now.Add(max(t.Left(now)/2, min(t.Left(now), 400*time.Millisecond)))
+	}
+	n := &Sending{Addr: s.Addr, Target: face.TargetName(s.ID, s.Service, s.Inc), Req: t.Req, Expiry: exp,
+		Number: t.Call + "." + strconv.Itoa(t.Tries), Fresh: !b.Repeatable}
+	charged, dead := false, false
+	var at time.Time
+	n.Last = func() bool {
+		p.Faults.At(fault.BeforeSend)
+		// Everything that allows this sending is looked at again, now that the
+		// next step writes: the sheet, the proof of identity, leaving, the expiry.
+		at = p.Clock.Now()
+		tab, open := p.Rack.Gate()
+		if !open || tab != t.Table && !p.still(t, tab) || s.Leaving.Load() || s.Gone.Load() ||
+			p.Roster.Age(s, at) >= Fresh || t.Left(at) <= slack {
+			return false
+		}
+		if t.Sends > 0 && !charged {
+			if charged = p.budget(svc).Extra(at); !charged {
+				dead = true
+				return false
+			}
+		}
+		return t.take()
+	}
+	a, left, err := p.Courier.Carry(t.Ctx, n)
+	s.Flying.Add(-1)
+	if left {
+		p.Faults.At(fault.AfterSend)
+		if t.Sends++; t.Sends == 1 {
+			p.budget(svc).First(at)
+		}
+		t.Loose++
+		t.Sent = at
+	}
+	if t.over.Load() {
+		return
+	}
+	if err == nil {
+		t.Answer = a
+		if !p.check.Put(t) {
+			p.doCheck(t)
+		}
+		return
+	}
+	p.Count("send-defect", svc)
+	if p.Log != nil && !errors.Is(err, errStopped) {
+		p.Log.Warn("sending failed", "step", "send", "mate", s.Key(), "call", t.Call, "left", left, "err", err)
+	}
+	switch {
+	case dead:
+		p.refuse(t, "the allowance for sending again is used up")
+	case left && !b.Repeatable:
+		p.refuse(t, "the target took the request and gave no answer")
+	default:
+		p.again(t, "no answer from the target")
+	}
+}
+
+// still tells whether the sheet that came into force meanwhile allows the same.
+func (p *Passage) still(t *Trip, tab *spec.Table) bool {
+	b, m := tab.Find(t.Req.Method, t.Req.URI[:pathEnd(t.Req.URI)])
+	if m != spec.Found || tab.Services[b.Service].Name != t.Stand.Service || b.Repeatable != t.Bound.Repeatable {
+		return false
+	}
+	t.Table, t.Bound = tab, b
+	return true
+}
+
+// again sends the trip back to the choice, under the sheet now in force.
+func (p *Passage) again(t *Trip, why string) {
+	now := p.Clock.Now()
+	if t.Left(now) <= slack || t.Tries >= maxTries {
+		p.refuse(t, why)
+		return
+	}
+	tab, open := p.Rack.Gate()
+	if tab != t.Table || !open {
+		if t.state.Load() == waiting {
+			if !p.grant.Put(t) {
+				p.refuse(t, why)
+			}
+			return
+		}
+		if b, m := tab.Find(t.Req.Method, t.Req.URI[:pathEnd(t.Req.URI)]); m == spec.Found && (b.Repeatable || t.Loose == 0) {
+			t.Table, t.Bound = tab, b
+		} else {
+			p.refuse(t, why)
+			return
+		}
+	}
+	if !p.choose.Put(t) {
+		p.refuse(t, why)
+	}
+}
+
+// doCheck lets only a proper answer through: the target's own stamp, to this
+// very sending, and the whole body.
+func (p *Passage) doCheck(t *Trip) {
+	s, a := t.Stand, t.Answer
+	svc := s.Service
+	bad := ""
+	st, err := face.ReadStamp(a.Stamp)
+	switch {
+	case a.Stamp == "":
+		bad = "no stamp"
+	case err != nil:
+		bad = err.Error()
+	case st.ID != s.ID || st.Service != s.Service || st.Inc != s.Inc:
+		bad = "stamp of another target"
+	case st.Request != t.Call+"."+strconv.Itoa(t.Tries):
+		bad = "stamp for another request"
+	case !a.Whole:
+		bad = "body without a known end"
+	case st.Length >= 0 && t.Req.Method != "HEAD" && st.Length != len(a.Body):
+		bad = fmt.Sprintf("body of %d bytes, stamped %d", len(a.Body), st.Length)
+	}
+	if bad != "" {
+		p.Count("bad-answer", svc)
+		if p.Log != nil {
+			p.Log.Warn("answer refused", "step", "check", "mate", s.Key(), "call", t.Call, "why", bad)
+		}
+		t.Answer = nil
+		if t.Bound.Repeatable {
+			p.again(t, "the target's answer was not proper: "+bad)
+		} else {
+			p.refuse(t, "the target's answer was not proper: "+bad)
+		}
+		return
+	}
+	// A proper answer proves who stood at the address when the request left.
+	p.Roster.Proved(s, t.Sent)
+	if a.Status == 503 && a.NotRun {
+		t.Answer = nil
+		t.Loose--
+		p.again(t, "the targets are busy")
+		return
+	}
+	t.finish()
+}
+
+// limit bounds a client that hammers.
+func (p *Passage) limit(c string, now time.Time) bool {
+	if c == "" {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.clients[c]
+	if x == nil {
+		if len(p.clients) >= maxClients {
+			for k, v := range p.clients {
+				if now.Sub(v.seen) > 10*time.Second {
+					delete(p.clients, k)
+				}
+			}
+			if len(p.clients) >= maxClients {
+				return true
+			}
+		}
+		x = &client{l: rate.NewLimiter(clientRate, clientBurst)}
+		p.clients[c] = x
+	}
+	x.seen = now
+	return x.l.AllowN(now, 1)
+}
--- /dev/null
+++ b/internal/passage/trip.go
@@ -0,0 +1,69 @@
+// Package passage is a request's way through a flow: door, grant, elect, send,
+// check, return, joined by bounded queues (design 13).
+package passage
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"walkrudder/internal/face"
+	"walkrudder/internal/home"
+	"walkrudder/internal/spec"
+)
+
+// The states of a trip. Only one side can move it on: whoever wants to write a
+// byte must take it from Waiting to Sent, and whoever tells the caller "not run"
+// must take it from Waiting to Dropped.
+const (
+	waiting int32 = iota
+	sent
+	dropped
+)
+
+// Trip is the one context of a request, handed from stage to stage.
+type Trip struct {
+	Ctx    context.Context
+	Call   string
+	Client string
+	Key    string
+	Req    *Request
+
+	Came   time.Time
+	Expiry time.Time
+	Table  *spec.Table
+	Bound  *spec.Bound
+
+	Stand *home.Stand
+	Tried []*home.Stand
+	Sends int // sendings of which a byte may have left
+	Tries int
+
+	state  atomic.Int32
+	Answer *Answer
+	Out    *face.Verdict
+	// Loose counts the sendings that may have run: those that left, less those of
+	// which the target said that it did not.
+	Loose int
+	Sent  time.Time // when the last sending left
+	done  chan struct{}
+	over  atomic.Bool
+}
+
+// finish ends the trip with what was set on it; only the first counts.
+func (t *Trip) finish() {
+	if t.over.CompareAndSwap(false, true) {
+		close(t.done)
+	}
+}
+
+// take claims the right to write; false says that the caller was told "not run".
+func (t *Trip) take() bool {
+	return t.state.CompareAndSwap(waiting, sent) || t.state.Load() == sent
+}
+
+// drop claims the right to say "not run".
+func (t *Trip) drop() bool { return t.state.CompareAndSwap(waiting, dropped) }
+
+// Left is what remains until the trip's expiry.
+func (t *Trip) Left(now time.Time) time.Duration { return t.Expiry.Sub(now) }
--- /dev/null
+++ b/internal/roll/register.go
@@ -0,0 +1,11 @@
+package roll
+
+import "walkrudder/internal/link"
+
+func init() {
+	link.Pair[StageAsk, FlowTold]()
+	link.Register[HoldAsk]()
+	link.Register[FlipAsk]()
+	link.Pair[ConfirmAsk, ConfirmTold]()
+	link.Pair[LastAsk, LastTold]()
+}
--- /dev/null
+++ b/internal/roll/types.go
@@ -0,0 +1,54 @@
+// Package roll brings a decided change into force on every flow: stage it
+// everywhere, hold, decide the flip, release (design 8.2).
+package roll
+
+import "walkrudder/internal/spec"
+
+type (
+	// StageAsk hands a flow version N, to be kept ready.
+	StageAsk struct {
+		N     uint64
+		Sheet spec.Sheet
+	}
+	// HoldAsk stops new sends under versions below N.
+	HoldAsk struct{ N uint64 }
+	// FlipAsk puts N in force; the flip is decided.
+	FlipAsk struct{ N uint64 }
+	// FlowTold answers the three; N is the version in force there.
+	FlowTold struct {
+		OK bool
+		N  uint64
+	}
+	// ConfirmAsk asks a mind what is in force, by a majority read begun after
+	// the ask; the asker's lease was granted before.
+	ConfirmAsk struct {
+		ID   string
+		Have uint64 // version the asker has the sheet of
+	}
+	// ConfirmTold answers it. Settled says that no decided change waits for its
+	// flip. Sheet is sent where Have differs from N.
+	ConfirmTold struct {
+		OK      bool
+		Settled bool
+		N       uint64
+		Sheet   *spec.Sheet
+		Leaves  []Leave
+	}
+	// Leave is a target run that was acknowledged as leaving, or let go.
+	Leave struct {
+		Service string
+		ID      string
+		Inc     uint64
+		Gone    bool
+	}
+	// LastAsk asks any node for the last sheet it knows to be in force, and
+	// whether it has a majority's lease.
+	LastAsk struct{ Have uint64 }
+	// LastTold answers it.
+	LastTold struct {
+		Held  bool
+		Known bool // this node has had a confirmed sheet in this run
+		N     uint64
+		Sheet *spec.Sheet
+	}
+)
--- /dev/null
+++ b/internal/spec/edit.go
@@ -0,0 +1,64 @@
+package spec
+
+import (
+	"fmt"
+	"slices"
+)
+
+// The kinds of edit.
+const (
+	PutService  = "put-service"
+	DropService = "remove-service"
+	PutBinding  = "put-binding"
+	DropBinding = "remove-binding"
+	Replace     = "replace"
+)
+
+// Edit is one part of a change to the sheet.
+type Edit struct {
+	Op      string   `json:"op"`
+	Name    string   `json:"name,omitempty"`
+	Service *Service `json:"service,omitempty"`
+	Binding *Binding `json:"binding,omitempty"`
+	Sheet   *Sheet   `json:"sheet,omitempty"`
+}
+
+// Apply makes the sheet that edits turn s into, or lists why it may not be: the
+// change is taken whole or not at all (design 8.1).
+func (s Sheet) Apply(edits []Edit) (Sheet, []Problem) {
+	out := s.Sorted()
+	var bad []Problem
+	if len(edits) == 0 {
+		bad = append(bad, Problem{"edits", "is empty"})
+	}
+	for i, e := range edits {
+		at := fmt.Sprintf("edits[%d]", i)
+		switch {
+		case e.Op == PutService && e.Service != nil:
+			out.Services = slices.DeleteFunc(out.Services, func(x Service) bool { return x.Name == e.Service.Name })
+			out.Services = append(out.Services, *e.Service)
+		case e.Op == PutBinding && e.Binding != nil:
+			out.Bindings = slices.DeleteFunc(out.Bindings, func(x Binding) bool { return x.Name == e.Binding.Name })
+			out.Bindings = append(out.Bindings, *e.Binding)
+		case e.Op == DropService:
+			n := len(out.Services)
+			if out.Services = slices.DeleteFunc(out.Services, func(x Service) bool { return x.Name == e.Name }); len(out.Services) == n {
+				bad = append(bad, Problem{at + ".name", fmt.Sprintf("no service %q", e.Name)})
+			}
+		case e.Op == DropBinding:
+			n := len(out.Bindings)
+			if out.Bindings = slices.DeleteFunc(out.Bindings, func(x Binding) bool { return x.Name == e.Name }); len(out.Bindings) == n {
+				bad = append(bad, Problem{at + ".name", fmt.Sprintf("no binding %q", e.Name)})
+			}
+		case e.Op == Replace && e.Sheet != nil:
+			out = *e.Sheet
+		default:
+			bad = append(bad, Problem{at, fmt.Sprintf("op %q unknown, or its content is missing", e.Op)})
+		}
+	}
+	// The caller's own order is checked, so that paths name what was written.
+	if bad = append(bad, out.Check()...); len(bad) > 0 {
+		return s, bad
+	}
+	return out.Sorted(), nil
+}
--- /dev/null
+++ b/tools/fleet/main.go
@@ -0,0 +1,105 @@
+// Command fleet runs a whole deployment as real processes on this machine, with
+// stand-in targets and callers, and reports what the checker found.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"walkrudder/tools/stand"
+)
+
+type args struct {
+	Plan string        `arg:"--plan" default:"alcazar" help:"alcazar or grachtwerk"`
+	For  time.Duration `arg:"--for" default:"20s" help:"how long callers call"`
+	Bin  string        `arg:"--bin,required" help:"folder with the programs flow and mind"`
+	Dir  string        `arg:"--dir" help:"folder for logs and data; a new one by default"`
+	Net  uint8         `arg:"--net" default:"20" help:"second number of the 127.x addresses"`
+}
+
+func (args) Description() string {
+	return "fleet runs a deployment as real processes with stand-in targets and callers, and checks the promises from their records."
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var a args
+	arg.MustParse(&a)
+	p, err := stand.Plans(a.Plan)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleet: plan:", err)
+		return 2
+	}
+	if a.Dir == "" {
+		if a.Dir, err = os.MkdirTemp("", "fleet-"); err != nil {
+			fmt.Fprintln(os.Stderr, "fleet: dir:", err)
+			return 2
+		}
+	}
+	t, err := stand.NewTown(p, a.Dir, a.Bin, a.Net)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err)
+		return 2
+	}
+	ctx, end := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer end()
+	defer t.Lower()
+	up, done := context.WithTimeout(ctx, 30*time.Second)
+	defer done()
+	began := time.Now()
+	if err := t.Raise(up); err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err, "; logs in", a.Dir)
+		return 1
+	}
+	fmt.Printf("%s: %d processes, %d targets, serving after %.1f s; logs in %s\n", p.Name, len(t.Fleet.Nodes), len(t.Targets), time.Since(began).Seconds(), a.Dir)
+	cx, stop := context.WithTimeout(ctx, a.For)
+	defer stop()
+	go t.Platform.Run(cx)
+	go changes(cx, t)
+	t.Callers.Go(cx)
+	v := t.Rec.Check()
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+	if len(v.Broken) > 0 {
+		return 1
+	}
+	return 0
+}
+
+// changes moves a repeatable path to another service and back, again and again.
+func changes(ctx context.Context, t *stand.Town) {
+	var k stand.Kind
+	for _, x := range t.Plan.Kinds {
+		if x.Repeatable && x.Size == 0 {
+			k = x
+		}
+	}
+	other := k.Service
+	for n := range t.Plan.Targets {
+		if n != k.Service {
+			other = n
+		}
+	}
+	for i := 0; ctx.Err() == nil; i++ {
+		svc := k.Service
+		if i%2 == 0 {
+			svc = other
+		}
+		r, err := t.Bind(ctx, k, svc)
+		if err == nil {
+			fmt.Printf("version %d in force\n", r.Version)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(3 * time.Second):
+		}
+	}
+}
--- /dev/null
+++ b/tools/stand/caller.go
@@ -0,0 +1,192 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"walkrudder/internal/face"
+)
+
+// Kind is one kind of call in the mix.
+type Kind struct {
+	Method     string
+	Path       string
+	Service    string
+	Repeatable bool
+	Rate       float64 // a second, over all callers
+	Size       int     // of the answer, where set
+	Post       int     // bytes of the request's body
+}
+
+// Platform stands for the one address: it asks each flow once a second whether
+// it is ready and spreads calls over those that are.
+type Platform struct {
+	Doors func() []string
+	mu    sync.Mutex
+	ready []string
+}
+
+var asker = &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Ready asks one node.
+func Ready(door string) bool {
+	r, err := asker.Get("http://" + door + face.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_ = r.Body.Close()
+	return r.StatusCode == 200
+}
+
+// Run asks until ctx ends.
+func (p *Platform) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.Ask()
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// Ask asks every node once.
+func (p *Platform) Ask() {
+	ds := p.Doors()
+	ok := make([]bool, len(ds))
+	var wg sync.WaitGroup
+	for i, d := range ds {
+		wg.Go(func() { ok[i] = Ready(d) })
+	}
+	wg.Wait()
+	var l []string
+	for i, d := range ds {
+		if ok[i] {
+			l = append(l, d)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ready = l
+}
+
+// Pick chooses a ready node.
+func (p *Platform) Pick() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.ready) == 0 {
+		return ""
+	}
+	return p.ready[rand.IntN(len(p.ready))]
+}
+
+// Callers makes calls at the kinds' rates and writes each outcome down.
+type Callers struct {
+	Kinds    []Kind
+	Platform *Platform
+	Rec      *Records
+	Run      string // makes orders differ between runs
+	n        atomic.Uint64
+	wg       sync.WaitGroup
+	open     atomic.Int64
+	client   *http.Client
+}
+
+// maxOpen bounds the calls under way.
+const maxOpen = 2000
+
+// Go calls until ctx ends, then waits for the calls under way.
+func (c *Callers) Go(ctx context.Context) {
+	c.client = &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}}
+	for _, k := range c.Kinds {
+		if k.Rate <= 0 {
+			continue
+		}
+		c.wg.Go(func() {
+			next := time.Now()
+			for ctx.Err() == nil {
+				// Arrivals without memory, at the kind's rate.
+				next = next.Add(time.Duration(rand.ExpFloat64() / k.Rate * float64(time.Second)))
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(time.Until(next)):
+				}
+				if c.open.Load() >= maxOpen {
+					continue
+				}
+				c.open.Add(1)
+				c.wg.Go(func() {
+					defer c.open.Add(-1)
+					c.Call(k, "", "")
+				})
+			}
+		})
+	}
+	c.wg.Wait()
+}
+
+// Call makes one call and notes its outcome; an empty order or door is chosen.
+func (c *Callers) Call(k Kind, order, door string) Outcome {
+	if order == "" {
+		order = fmt.Sprintf("%s-%d", c.Run, c.n.Add(1))
+	}
+	if door == "" {
+		door = c.Platform.Pick()
+	}
+	o := Outcome{Order: order, Path: k.Path, Service: k.Service, Repeatable: k.Repeatable, Proper: true, Sent: time.Now(), Flow: door}
+	defer func() { o.Done = time.Now(); c.Rec.Outcome(o) }()
+	if door == "" {
+		o.Err = "no ready node"
+		return o
+	}
+	u := "http://" + door + k.Path
+	if k.Size > 0 {
+		u += fmt.Sprintf("?size=%d", k.Size)
+	}
+	var in io.Reader
+	if k.Post > 0 {
+		in = bytes.NewReader(bytes.Repeat([]byte("p"), k.Post))
+	}
+	q, err := http.NewRequest(k.Method, u, in)
+	if err != nil {
+		o.Err = err.Error()
+		return o
+	}
+	// The standard client sends again by itself when a kept link turns out dead;
+	// a body without GetBody keeps it from that.
+	q.GetBody = nil
+	q.Header.Set(OrderField, order)
+	r, err := c.client.Do(q)
+	if err != nil {
+		o.Err = err.Error()
+		return o
+	}
+	defer r.Body.Close()
+	o.Status, o.Stamp, o.Retry = r.StatusCode, r.Header.Get(face.StampField), r.Header.Get("Retry-After")
+	raw, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
+	if err != nil {
+		o.Err = err.Error()
+		return o
+	}
+	if r.StatusCode < 300 {
+		var b Body
+		if json.Unmarshal(raw, &b) == nil {
+			o.BodyOrder = b.Order
+			o.BodyWhole = k.Size == 0 && len(b.Pad) == 200 || len(b.Pad) == k.Size
+		}
+		return o
+	}
+	var v struct{ Error string }
+	_ = json.Unmarshal(raw, &v)
+	o.Code = v.Error
+	return o
+}
--- /dev/null
+++ b/tools/stand/town.go
@@ -0,0 +1,169 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/commands"
+	"walkrudder/internal/spec"
+)
+
+// Town is a whole deployment: fleet, targets, callers, operator and records.
+type Town struct {
+	Plan     Plan
+	Fleet    *Fleet
+	Targets  []*Target
+	Callers  *Callers
+	Platform *Platform
+	Rec      *Records
+	net      byte
+}
+
+// NewTown lays a deployment out; Raise starts it.
+func NewTown(p Plan, dir, bin string, net byte) (*Town, error) {
+	f, err := NewFleet(p, dir, bin, net)
+	if err != nil {
+		return nil, err
+	}
+	t := &Town{Plan: p, Fleet: f, Rec: NewRecords(), net: net}
+	t.Platform = &Platform{Doors: func() []string { return f.Doors("flow") }}
+	t.Callers = &Callers{Kinds: p.Kinds, Platform: t.Platform, Rec: t.Rec, Run: fmt.Sprintf("%d", time.Now().UnixNano()%1e9)}
+	i := 0
+	names := lo.Keys(p.Targets)
+	for _, svc := range names {
+		for k := range p.Targets[svc] {
+			i++
+			t.Targets = append(t.Targets, &Target{ID: fmt.Sprintf("%s-%d", svc, k+1), Service: svc, Zone: fmt.Sprintf("z%d", k%p.Zones+1),
+				Addr: fmt.Sprintf("127.%d.2.%d:0", net, i), Capacity: 8, Every: time.Second, Work: 8 * time.Millisecond,
+				Minds: func() []string { return f.Doors("mind") }, Rec: t.Rec})
+		}
+	}
+	return t, nil
+}
+
+// Sheet is the deployment's route sheet.
+func (t *Town) Sheet() spec.Sheet {
+	var s spec.Sheet
+	for n := range t.Plan.Targets {
+		s.Services = append(s.Services, spec.Service{Name: n})
+	}
+	for _, k := range t.Plan.Kinds {
+		s.Bindings = append(s.Bindings, spec.Binding{Name: k.Path[1:], Service: k.Service, Methods: []string{k.Method}, Path: k.Path,
+			ExpiryMS: 3000, Repeatable: k.Repeatable})
+	}
+	return s.Sorted()
+}
+
+// Raise starts fleet and targets, puts the sheet in force and waits until every
+// flow is ready and knows its targets.
+func (t *Town) Raise(ctx context.Context) error {
+	if err := t.Fleet.Start(); err != nil {
+		return err
+	}
+	for _, x := range t.Targets {
+		if err := x.Start(ctx); err != nil {
+			return err
+		}
+	}
+	now := time.Now()
+	for _, k := range t.Plan.Kinds {
+		t.Rec.Allow(k.Path, k.Service, now)
+	}
+	s := t.Sheet()
+	var r commands.Result
+	for {
+		var err error
+		r, err = t.Order(ctx, commands.Order{Token: "first", By: "stand", Edits: []spec.Edit{{Op: spec.Replace, Sheet: &s}}})
+		if err == nil && r.Outcome == commands.InForce {
+			break
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("first sheet: %+v: %w", r, errors.Join(err, ctx.Err()))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err := Await(ctx, func() bool {
+		t.Platform.Ask()
+		t.Platform.mu.Lock()
+		defer t.Platform.mu.Unlock()
+		return len(t.Platform.ready) == t.Plan.Flows
+	}); err != nil {
+		return fmt.Errorf("flows not ready: %w", err)
+	}
+	return nil
+}
+
+var operator = &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Order sends an order to some mind.
+func (t *Town) Order(ctx context.Context, o commands.Order) (r commands.Result, err error) {
+	ms := t.Fleet.Doors("mind")
+	err = errors.New("no mind")
+	for _, i := range rand.Perm(len(ms)) {
+		if r, err = SendOrder(ctx, ms[i], o); err == nil {
+			return r, nil
+		}
+	}
+	return r, err
+}
+
+// SendOrder sends an order to one mind.
+func SendOrder(ctx context.Context, door string, o commands.Order) (r commands.Result, err error) {
+	b, err := json.Marshal(o)
+	if err != nil {
+		return r, err
+	}
+	q, err := http.NewRequestWithContext(ctx, "POST", "http://"+door+"/v1/changes", bytes.NewReader(b))
+	if err != nil {
+		return r, err
+	}
+	p, err := operator.Do(q)
+	if err != nil {
+		return r, err
+	}
+	defer p.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(p.Body, 4<<20))
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return r, fmt.Errorf("%s: %s", p.Status, raw)
+	}
+	return r, nil
+}
+
+// Bind moves a path to a service, and notes the change once acknowledged.
+func (t *Town) Bind(ctx context.Context, k Kind, service string) (commands.Result, error) {
+	b := spec.Binding{Name: k.Path[1:], Service: service, Methods: []string{k.Method}, Path: k.Path, ExpiryMS: 3000, Repeatable: k.Repeatable}
+	asked := time.Now()
+	t.Rec.Allow(k.Path, service, asked)
+	o := commands.Order{Token: fmt.Sprintf("bind-%d", asked.UnixNano()), By: "stand", Edits: []spec.Edit{{Op: spec.PutBinding, Binding: &b}}}
+	for {
+		r, err := t.Order(ctx, o)
+		if err == nil && r.Outcome == commands.InForce {
+			t.Rec.Change(Change{Path: k.Path, Service: service, Asked: asked, Acked: time.Now(), Version: r.Version})
+			return r, nil
+		}
+		if ctx.Err() != nil {
+			return r, errors.Join(err, ctx.Err())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Lower ends targets and fleet.
+func (t *Town) Lower() {
+	for _, x := range t.Targets {
+		x.Crash()
+	}
+	t.Fleet.Stop()
+}
