Simulator: real node code on a virtual clock, over faulty net, disks and targets

Runs inside testing/synctest; failures, calls and changes are drawn from a seed, and the same checker judges as for real processes.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -58,6 +58,7 @@
 	start    func(context.Context)
 	stopping atomic.Bool
 	warm     atomic.Bool
+	opened   atomic.Int64 // when the gate was last seen open, since born
 	born     time.Time
 	wg       sync.WaitGroup
 }
@@ -93,6 +94,9 @@
 	fm := do.MustInvoke[*accord.Former](i)
 	fm.Serve(f.Desk)
 	f.start = func(ctx context.Context) {
+		f.wg.Go(func() {
+			pulse.Every(ctx, p.Clock, closedTime/8, func() { f.Ready() })
+		})
 		for _, run := range []func(context.Context){fm.Run, f.Tenant.Run, f.Rack.Run, f.Roster.Run, f.Passage.Run, f.Pauses.Run} {
 			f.wg.Go(func() { run(ctx) })
 		}
@@ -169,12 +173,20 @@
 // targets; after that it is ready without.
 const warmTime = 4 * time.Second
 
+// closedTime is how long the gate may be closed before this node is not ready.
+const closedTime = 1200 * time.Millisecond
+
 // Ready is what the platform is told: this node serves, and is not stopping.
 func (f *Flow) Ready() bool {
-	if _, open := f.Rack.Gate(); !open || f.stopping.Load() {
+	now := f.Clock.Now()
+	if _, open := f.Rack.Gate(); open {
+		f.opened.Store(int64(now.Sub(f.born)) + 1)
+	}
+	// A hold closes the gate for a moment, on all flows at once: that alone must
+	// not take them all out of the platform's choice.
+	if o := f.opened.Load(); o == 0 || now.Sub(f.born)-time.Duration(o) > closedTime || f.stopping.Load() {
 		return false
 	}
-	now := f.Clock.Now()
 	if !f.warm.Load() && (f.Roster.Warm(now) || now.Sub(f.born) > warmTime) {
 		f.warm.Store(true)
 	}
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -40,7 +40,9 @@
 	// WallMS is the wall clock for people, in milliseconds.
 	WallMS func() int64
 
-	mu   sync.Mutex // one refresh at a time
+	// one refresh at a time; a channel, for it is held while others are asked
+	once sync.Once
+	busy chan struct{}
 	fold atomic.Pointer[Fold]
 	seq  atomic.Uint64
 }
@@ -68,9 +70,17 @@
 	if key == "" || key <= ChangeKey(f.N) {
 		return f, nil
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b.once.Do(func() { b.busy = make(chan struct{}, 1) })
+	select {
+	case b.busy <- struct{}{}:
+	case <-ctx.Done():
+		return nil, defect.At("refresh", "", ctx.Err())
+	}
+	defer func() { <-b.busy }()
 	f = b.Fold()
+	if key <= ChangeKey(f.N) {
+		return f, nil
+	}
 	after := ""
 	if f.N > 0 {
 		after = ChangeKey(f.N)
--- /dev/null
+++ b/internal/sim/target.go
@@ -0,0 +1,284 @@
+package sim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"walkrudder/internal/face"
+	"walkrudder/internal/home"
+	"walkrudder/internal/passage"
+	"walkrudder/tools/stand"
+)
+
+// Target is a stand-in target on the virtual clock. Addresses are the world's: a
+// target that takes over an address displaces whoever stood there.
+type Target struct {
+	w       *World
+	ID      string
+	Service string
+	Zone    string
+	Addr    string
+	passed  bool // its address has passed to another target
+
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	mode    stand.Mode
+	inc     uint64
+	seq     uint64
+	leaving bool
+	run     context.Context
+	end     context.CancelFunc
+	last    *passage.Answer
+}
+
+const beatEvery = time.Second
+
+// Start begins a new run at the target's address.
+func (t *Target) Start() {
+	ctx, end := context.WithCancel(t.w.ctx)
+	t.mu.Lock()
+	t.run, t.end = ctx, end
+	t.inc = uint64(time.Now().UnixNano() / 1000)
+	t.seq, t.leaving, t.mode = 0, false, stand.Good
+	t.mu.Unlock()
+	t.w.Net.mu.Lock()
+	t.w.at[t.Addr] = t
+	t.w.Net.mu.Unlock()
+	t.w.wg.Go(func() {
+		for ctx.Err() == nil {
+			t.Beat(ctx)
+			t.mu.Lock()
+			d := beatEvery*9/10 + time.Duration(t.rnd.Int64N(int64(beatEvery/5)))
+			t.mu.Unlock()
+			select {
+			case <-ctx.Done():
+			case <-time.After(d):
+			}
+		}
+	})
+}
+
+// Crash ends the run at once.
+func (t *Target) Crash() {
+	t.mu.Lock()
+	if t.end != nil {
+		t.end()
+	}
+	t.mu.Unlock()
+	t.w.Net.mu.Lock()
+	if t.w.at[t.Addr] == t {
+		delete(t.w.at, t.Addr)
+	}
+	t.w.Net.mu.Unlock()
+}
+
+// Up tells whether the target runs.
+func (t *Target) Up() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.run != nil && t.run.Err() == nil
+}
+
+// Set makes the target behave as m.
+func (t *Target) Set(m stand.Mode) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mode = m
+}
+
+// Beat sends one beat to a mind drawn at random.
+func (t *Target) Beat(ctx context.Context) (r home.BeatTold, leaving, ok bool) {
+	t.mu.Lock()
+	t.seq++
+	b := face.Beat{ID: t.ID, Service: t.Service, Zone: t.Zone, Addr: t.Addr, Capacity: 8, Leaving: t.leaving, Seq: t.seq, Inc: t.inc, EveryMS: int(beatEvery.Milliseconds())}
+	t.mu.Unlock()
+	ms := t.w.Of("mind")
+	n := ms[t.w.Rand(len(ms))]
+	m, up := n.Mind(), n.Host.up()
+	if m == nil || up == nil {
+		return r, false, false
+	}
+	ch := make(chan bool, 1)
+	go func() {
+		time.Sleep(t.w.Net.delay())
+		n.awake()
+		cx, end := context.WithTimeout(up, 4*time.Second)
+		defer end()
+		x, err := m.Beater.Take(cx, b)
+		n.awake()
+		if up.Err() == nil {
+			r = x
+			ch <- err == nil
+		}
+	}()
+	select {
+	case ok = <-ch:
+		return r, b.Leaving, ok
+	case <-time.After(4500 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	return home.BeatTold{}, false, false
+}
+
+// Leave announces leaving until it is acknowledged, and notes when.
+func (t *Target) Leave(ctx context.Context) bool {
+	t.mu.Lock()
+	t.leaving = true
+	inc := t.inc
+	t.mu.Unlock()
+	for ctx.Err() == nil && t.Up() {
+		if _, l, ok := t.Beat(ctx); ok && l {
+			t.w.Rec.Leave(stand.Leave{Target: t.ID, Inc: inc, Acked: time.Now()})
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// courier carries sendings to the world's targets.
+type courier struct {
+	w   *World
+	h   *Host
+	run context.Context
+}
+
+var errReset = errors.New("connection reset")
+
+// Carry sends s: a link is made first, and only then asks Last whether to write.
+func (c *courier) Carry(ctx context.Context, s *passage.Sending) (*passage.Answer, bool, error) {
+	cx, end := context.WithDeadline(ctx, s.Expiry)
+	defer end()
+	stop := context.AfterFunc(c.run, end)
+	defer stop()
+	wait := func(d time.Duration) bool {
+		select {
+		case <-cx.Done():
+		case <-time.After(d):
+		}
+		c.h.awake()
+		return cx.Err() == nil
+	}
+	if !wait(c.w.Net.delay()) {
+		return nil, false, cx.Err()
+	}
+	c.w.Net.mu.Lock()
+	t := c.w.at[s.Addr]
+	c.w.Net.mu.Unlock()
+	if t == nil || !t.Up() {
+		return nil, false, errDown
+	}
+	if !c.w.Net.passes(c.h.ID, t.ID) {
+		<-cx.Done()
+		return nil, false, errCut
+	}
+	if s.Last != nil && !s.Last() {
+		return nil, false, errors.New("stopped")
+	}
+	c.h.awake()
+	if c.run.Err() != nil {
+		return nil, false, c.run.Err()
+	}
+	// From here on the request is on its way, whatever becomes of this node.
+	back := make(chan *passage.Answer, 1)
+	run := t.runCtx()
+	go func() {
+		time.Sleep(c.w.Net.delay())
+		if run.Err() != nil || !c.w.Net.passes(c.h.ID, t.ID) {
+			return
+		}
+		a := t.serve(run, s)
+		time.Sleep(c.w.Net.delay())
+		if run.Err() == nil && c.w.Net.passes(t.ID, c.h.ID) {
+			back <- a
+		}
+	}()
+	select {
+	case a := <-back:
+		c.h.awake()
+		if a == nil {
+			return nil, true, errReset
+		}
+		return a, true, nil
+	case <-run.Done():
+		c.h.awake()
+		return nil, true, errReset
+	case <-cx.Done():
+		c.h.awake()
+		return nil, true, cx.Err()
+	}
+}
+
+func (t *Target) runCtx() context.Context {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.run
+}
+
+// serve runs one request; nil cuts the link.
+func (t *Target) serve(run context.Context, s *passage.Sending) *passage.Answer {
+	t.mu.Lock()
+	mode, inc, work := t.mode, t.inc, time.Duration(2+t.rnd.IntN(12))*time.Millisecond
+	if mode != stand.Good && mode != stand.Vanished && t.rnd.IntN(2) == 0 {
+		mode = stand.Good
+	}
+	leaving := t.leaving
+	t.mu.Unlock()
+	if mode == stand.Vanished {
+		<-run.Done()
+		return nil
+	}
+	if s.Req.URI[:min(len(s.Req.URI), len(face.ProbePath))] == face.ProbePath {
+		var n uint64
+		_, _ = fmt.Sscanf(s.Number, "p%d", &n)
+		body := fmt.Sprintf(`{"id":%q,"service":%q,"incarnation":%d,"seq":%d,"leaving":%v}`, t.ID, t.Service, inc, n, leaving)
+		return &passage.Answer{Status: 200, Body: []byte(body), Whole: true}
+	}
+	order := ""
+	for _, f := range s.Req.Header {
+		if f[0] == stand.OrderField {
+			order = f[1]
+		}
+	}
+	st := face.Stamp{ID: t.ID, Service: t.Service, Inc: inc, Request: s.Number}
+	if mode == stand.Refusing {
+		return &passage.Answer{Status: 503, NotRun: true, Whole: true, Stamp: st.String()}
+	}
+	t.w.Rec.Exec(stand.Exec{At: time.Now(), Target: t.ID, Service: t.Service, Inc: inc, Order: order, Number: s.Number, Path: s.Req.URI, Meant: s.Target})
+	if mode == stand.Slow {
+		work *= 20
+	}
+	select {
+	case <-run.Done():
+		return nil
+	case <-time.After(work):
+	}
+	body := order + "."
+	st.Length = len(body)
+	a := &passage.Answer{Status: 200, Body: []byte(body), Whole: true, Stamp: st.String()}
+	switch mode {
+	case stand.Silent:
+		<-run.Done()
+		return nil
+	case stand.Losing:
+		return nil
+	case stand.Garbling:
+		st.Inc++
+		a.Stamp = st.String()
+	case stand.Cutting:
+		a.Body = a.Body[:len(a.Body)/2]
+	case stand.Swapping:
+		t.mu.Lock()
+		if t.last != nil {
+			a = t.last
+		} else {
+			t.last = a
+		}
+		t.mu.Unlock()
+	}
+	return a
+}
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,429 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/lo"
+
+	"walkrudder/internal/commands"
+	"walkrudder/internal/fault"
+	"walkrudder/internal/flow"
+	"walkrudder/internal/mind"
+	"walkrudder/internal/passage"
+	"walkrudder/internal/spec"
+	"walkrudder/internal/startup"
+	"walkrudder/tools/stand"
+)
+
+// Shape is the size of a world.
+type Shape struct {
+	Zones, Disks, Minds, Flows int
+	Targets                    map[string]int
+	Log                        io.Writer
+}
+
+// Small is a world that a run in CI can afford.
+func Small() Shape {
+	return Shape{Zones: 3, Disks: 3, Minds: 4, Flows: 4, Targets: map[string]int{"orders": 5, "records": 5}}
+}
+
+// Alcazar and Grachtwerk are the deployments of today.
+func Alcazar() Shape {
+	return Shape{Zones: 3, Disks: 3, Minds: 5, Flows: 8, Targets: map[string]int{"orders": 14, "records": 16}}
+}
+
+// Grachtwerk has a fourth disk that stands by.
+func Grachtwerk() Shape {
+	return Shape{Zones: 4, Disks: 4, Minds: 6, Flows: 8, Targets: map[string]int{"orders": 20, "records": 20}}
+}
+
+// Node is one node of the world.
+type Node struct {
+	*Host
+	Kind   string
+	Disk   *Disk
+	Faults *fault.Set
+	w      *World
+
+	mu   sync.Mutex
+	mind *mind.Mind
+	flow *flow.Flow
+	end  context.CancelFunc
+	done chan struct{}
+	inc  uint64
+	// looked is what the platform last saw: ready or not.
+	looked bool
+}
+
+// World is a whole deployment on a virtual clock.
+type World struct {
+	Net     *Net
+	Nodes   []*Node
+	Targets []*Target
+	Rec     *stand.Records
+	Shape   Shape
+	log     *log.Logger
+	rnd     *rand.Rand
+	rmu     sync.Mutex
+	seeds   []string
+	orders  int
+	at      map[string]*Target // by address: who stands there now
+	say     func(format string, args ...any)
+	lost    time.Time // when the last disk was lost
+	twice   int       // orders that a resend did again
+	stop    context.CancelFunc
+	ctx     context.Context
+	wg      sync.WaitGroup
+}
+
+// New lays a world out from a seed.
+func New(seed uint64, s Shape) *World {
+	rnd := rand.New(rand.NewPCG(seed, 0x5eed))
+	sub := func() *rand.Rand { return rand.New(rand.NewPCG(rnd.Uint64(), rnd.Uint64())) }
+	w := &World{Net: newNet(sub()), Rec: stand.NewRecords(), Shape: s, rnd: sub(), at: map[string]*Target{}}
+	if s.Log == nil {
+		s.Log = io.Discard
+	}
+	w.log = log.NewWithOptions(s.Log, log.Options{Formatter: log.JSONFormatter, Level: log.DebugLevel, ReportTimestamp: true, TimeFormat: "15:04:05.000"})
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	for i := range s.Minds + s.Flows {
+		n := &Node{w: w, Faults: &fault.Set{}, Host: &Host{net: w.Net, Addr: fmt.Sprintf("10.0.0.%d:7000", i+1)}}
+		if i < s.Minds {
+			n.ID, n.Kind, n.Zone = fmt.Sprintf("m%d", i+1), "mind", fmt.Sprintf("z%d", i%s.Zones+1)
+			if i < s.Disks {
+				n.Disk = newDisk(sub())
+			}
+		} else {
+			k := i - s.Minds
+			n.ID, n.Kind, n.Zone = fmt.Sprintf("f%d", k+1), "flow", fmt.Sprintf("z%d", k%s.Zones+1)
+		}
+		w.Net.at[n.Addr] = n.Host
+		w.Nodes = append(w.Nodes, n)
+		if i < 3 {
+			w.seeds = append(w.seeds, n.Addr)
+		}
+	}
+	i := 0
+	for _, svc := range []string{"orders", "records"} {
+		for k := range s.Targets[svc] {
+			i++
+			t := &Target{w: w, ID: fmt.Sprintf("%s-%d", svc, k+1), Service: svc, Zone: fmt.Sprintf("z%d", k%s.Zones+1), Addr: fmt.Sprintf("10.0.1.%d:80", i), rnd: sub()}
+			w.Targets = append(w.Targets, t)
+		}
+	}
+	return w
+}
+
+// Rand draws below n.
+func (w *World) Rand(n int) int {
+	w.rmu.Lock()
+	defer w.rmu.Unlock()
+	return w.rnd.IntN(n)
+}
+
+// Of lists the nodes of a kind.
+func (w *World) Of(kind string) []*Node {
+	return lo.Filter(w.Nodes, func(n *Node, _ int) bool { return n.Kind == kind })
+}
+
+// Node finds a node.
+func (w *World) Node(id string) *Node {
+	n, _ := lo.Find(w.Nodes, func(n *Node) bool { return n.ID == id })
+	return n
+}
+
+// Go runs f until the world ends.
+func (w *World) Go(f func(ctx context.Context)) {
+	w.wg.Go(func() { f(w.ctx) })
+}
+
+// Start starts every node and target.
+func (w *World) Start() {
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	for _, t := range w.Targets {
+		t.Start()
+	}
+}
+
+// End ends everything and waits for it.
+func (w *World) End() {
+	w.stop()
+	w.Net.Mend("")
+	for _, n := range w.Nodes {
+		n.Thaw()
+		n.Kill()
+	}
+	for _, t := range w.Targets {
+		t.Crash()
+	}
+	w.wg.Wait()
+	for _, n := range w.Nodes {
+		if n.done != nil {
+			<-n.done
+		}
+	}
+}
+
+// Start starts the node's process, if it does not run.
+func (n *Node) Start() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.end != nil {
+		return
+	}
+	if n.done != nil {
+		<-n.done
+	}
+	ctx, end := context.WithCancel(context.Background())
+	n.inc++
+	l := &line{h: n.Host, run: ctx}
+	s := startup.Node{ID: n.ID, Zone: n.Zone, Inner: n.Addr, Door: n.Addr + "d", Seeds: n.w.seeds}
+	lg := n.w.log.With("node", n.ID)
+	var run func(context.Context)
+	if n.Kind == "mind" {
+		p := mind.Parts{Startup: startup.Mind{Node: s, Core: min(3, n.w.Shape.Disks)}, Inc: n.inc, Fresh: fmt.Sprintf("%s-%d", n.ID, n.inc),
+			Line: l, Clock: clock{n.Host}, Log: lg, Faults: n.Faults, WallMS: func() int64 { return time.Now().UnixMilli() },
+			OnBad: func(error) { go n.Kill() }}
+		if n.Disk != nil {
+			p.Disk = &handle{n.Disk, n.Host, l}
+		}
+		m, err := mind.New(p)
+		if err != nil {
+			panic(err)
+		}
+		n.mind, run = m, m.Run
+		n.Host.mu.Lock()
+		n.desk = m.Desk
+		n.Host.mu.Unlock()
+	} else {
+		f := flow.New(flow.Parts{Startup: startup.Flow{Node: s}, Inc: n.inc, Line: l, Clock: clock{n.Host}, Log: lg, Faults: n.Faults,
+			Courier: &courier{w: n.w, h: n.Host, run: ctx}})
+		n.flow, run = f, f.Run
+		n.Host.mu.Lock()
+		n.desk = f.Desk
+		n.Host.mu.Unlock()
+	}
+	done := make(chan struct{})
+	n.end, n.done = end, done
+	n.Host.mu.Lock()
+	n.run = ctx
+	n.Host.mu.Unlock()
+	go func() {
+		run(ctx)
+		close(done)
+	}()
+}
+
+// Kill ends the process at once; what it had not synced is lost.
+func (n *Node) Kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.end != nil {
+		n.end()
+		n.end = nil
+	}
+	n.Thaw()
+}
+
+// Up tells whether the process runs.
+func (n *Node) Up() bool { return n.Host.up() != nil }
+
+// Mind is the running mind, nil when none runs.
+func (n *Node) Mind() *mind.Mind {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.end == nil {
+		return nil
+	}
+	return n.mind
+}
+
+// Flow is the running flow, nil when none runs.
+func (n *Node) Flow() *flow.Flow {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.end == nil {
+		return nil
+	}
+	return n.flow
+}
+
+// Frozen tells whether the host stands still.
+func (n *Node) Frozen() bool {
+	n.Host.mu.Lock()
+	defer n.Host.mu.Unlock()
+	return n.ice != nil
+}
+
+// Order sends an order to a mind, as an operator would over HTTP; ok is false
+// when no answer came.
+func (w *World) Order(ctx context.Context, n *Node, o commands.Order) (r commands.Result, ok bool) {
+	m, up := n.Mind(), n.Host.up()
+	if m == nil || up == nil {
+		return r, false
+	}
+	cx, end := context.WithTimeout(up, 10*time.Second)
+	defer end()
+	ch := make(chan commands.Result, 1)
+	go func() {
+		time.Sleep(w.Net.delay())
+		n.awake()
+		r := m.Changer.Change(cx, o)
+		n.awake()
+		if up.Err() == nil {
+			ch <- r
+		}
+	}()
+	select {
+	case r = <-ch:
+		return r, true
+	case <-ctx.Done():
+	case <-cx.Done():
+	}
+	return r, false
+}
+
+// kinds of call in a world.
+var kinds = []stand.Kind{
+	{Method: "POST", Path: "/orders", Service: "orders"},
+	{Method: "GET", Path: "/status", Service: "orders", Repeatable: true},
+	{Method: "GET", Path: "/glossary", Service: "records", Repeatable: true},
+}
+
+// Sheet is the world's first sheet.
+func Sheet() spec.Sheet {
+	s := spec.Sheet{Services: []spec.Service{{Name: "orders"}, {Name: "records"}}}
+	for _, k := range kinds {
+		s.Bindings = append(s.Bindings, binding(k, k.Service))
+	}
+	return s.Sorted()
+}
+
+func binding(k stand.Kind, service string) spec.Binding {
+	return spec.Binding{Name: k.Path[1:], Service: service, Methods: []string{k.Method}, Path: k.Path, ExpiryMS: 3000, Repeatable: k.Repeatable}
+}
+
+// Form waits until the first sheet is in force and every flow is ready.
+func (w *World) Form(within time.Duration) error {
+	ctx, end := context.WithTimeout(w.ctx, within)
+	defer end()
+	for _, k := range kinds {
+		w.Rec.Allow(k.Path, k.Service, time.Now())
+	}
+	s := Sheet()
+	for {
+		r, ok := w.Order(ctx, w.Of("mind")[w.Rand(w.Shape.Minds)], commands.Order{Token: "first", Edits: []spec.Edit{{Op: spec.Replace, Sheet: &s}}})
+		if ok && r.Outcome == commands.InForce {
+			break
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("no first sheet: %+v", r)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for !lo.EveryBy(w.Of("flow"), func(n *Node) bool { f := n.Flow(); return f != nil && f.Ready() }) {
+		if ctx.Err() != nil {
+			return fmt.Errorf("flows not ready")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+// Call makes one call at a flow, chosen among the ready ones as the platform
+// does, and notes the outcome.
+func (w *World) Call(k stand.Kind) {
+	w.rmu.Lock()
+	w.orders++
+	order := fmt.Sprintf("o%d", w.orders)
+	w.rmu.Unlock()
+	var ready []*Node
+	for _, n := range w.Of("flow") {
+		if n.looked {
+			ready = append(ready, n)
+		}
+	}
+	o := stand.Outcome{Order: order, Path: k.Path, Service: k.Service, Repeatable: k.Repeatable, Proper: true, Sent: time.Now()}
+	defer func() { o.Done = time.Now(); w.Rec.Outcome(o) }()
+	if len(ready) == 0 {
+		o.Err = "no ready node"
+		return
+	}
+	n := ready[w.Rand(len(ready))]
+	o.Flow = n.ID
+	f, up := n.Flow(), n.Host.up()
+	if f == nil || up == nil {
+		o.Err = "connection refused"
+		return
+	}
+	ch := make(chan *passage.Trip, 1)
+	go func() {
+		time.Sleep(w.Net.delay())
+		n.awake()
+		if up.Err() != nil {
+			return
+		}
+		t := f.Passage.Enter(up, "", "", &passage.Request{Method: k.Method, URI: k.Path, Host: "x", Header: [][2]string{{stand.OrderField, order}}})
+		n.awake()
+		if up.Err() == nil {
+			ch <- t
+		}
+	}()
+	var t *passage.Trip
+	select {
+	case t = <-ch:
+	case <-up.Done():
+		o.Err = "connection reset"
+		return
+	case <-time.After(15 * time.Second):
+		o.Err = "Timeout"
+		return
+	}
+	if t.Out != nil {
+		o.Status, o.Code = t.Out.Status, t.Out.Code
+		if t.Out.Retry > 0 {
+			o.Retry = t.Out.RetryAfter()
+		}
+		return
+	}
+	o.Status, o.Stamp = t.Answer.Status, t.Answer.Stamp
+	o.BodyOrder, o.BodyWhole = string(t.Answer.Body), t.Answer.Whole
+	if len(o.BodyOrder) > 0 && o.BodyOrder[len(o.BodyOrder)-1] == '.' {
+		o.BodyOrder = o.BodyOrder[:len(o.BodyOrder)-1]
+	} else {
+		o.BodyWhole = false
+	}
+}
+
+// Platform asks every flow once a second whether it is ready.
+func (w *World) Platform(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, n := range w.Of("flow") {
+			f := n.Flow()
+			n.looked = f != nil && !n.Frozen() && f.Ready()
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// Callers calls at rate a second until ctx ends, then waits for what is open.
+func (w *World) Callers(ctx context.Context, rate float64) {
+	var wg sync.WaitGroup
+	for ctx.Err() == nil {
+		w.rmu.Lock()
+		d := time.Duration(w.rnd.ExpFloat64() / rate * float64(time.Second))
+		k := kinds[w.rnd.IntN(len(kinds))]
+		w.rmu.Unlock()
+		time.Sleep(d)
+		wg.Go(func() { w.Call(k) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/sim/world_test.go
@@ -0,0 +1,104 @@
+package sim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var (
+	seeds = flag.Int("sim.seeds", 3, "how many seeds a run takes")
+	first = flag.Uint64("sim.first", 1, "the first seed")
+	loud  = flag.Bool("sim.loud", false, "tell what happens, and log to standard error")
+	size  = flag.String("sim.size", "small", "small, alcazar or grachtwerk")
+)
+
+func shape() Shape {
+	s := Small()
+	switch *size {
+	case "alcazar":
+		s = Alcazar()
+	case "grachtwerk":
+		s = Grachtwerk()
+	}
+	if *loud {
+		s.Log = os.Stderr
+	}
+	return s
+}
+
+// chaos is one seeded run: form, fail for a while, heal, recover, judge.
+func chaos(t *testing.T, seed uint64, d Defects) {
+	synctest.Test(t, func(t *testing.T) {
+		w := New(seed, shape())
+		defer w.End()
+		if *loud {
+			d.Log = t.Logf
+		}
+		w.Start()
+		if err := w.Form(15 * time.Second); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		w.Go(w.Platform)
+		cx, end := context.WithTimeout(w.ctx, 40*time.Second)
+		defer end()
+		calls, stop := context.WithTimeout(w.ctx, 62*time.Second)
+		defer stop()
+		done := make(chan struct{})
+		go func() { w.Callers(calls, 60); close(done) }()
+		ops := make(chan struct{})
+		go func() { w.Operate(calls); close(ops) }()
+		time.Sleep(2 * time.Second)
+		w.Chaos(cx, d)
+		healed := time.Now()
+		<-done
+		<-ops
+		v := w.Rec.Check()
+		for _, b := range v.Broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		if w.twice > 0 {
+			t.Errorf("seed %d: %d orders done twice by their resend", seed, w.twice)
+		}
+		bad := 0
+		for _, o := range w.Rec.Outcomes {
+			if o.Sent.Sub(healed) > 15*time.Second && (o.Status >= 300 || o.Err != "") {
+				bad++
+			}
+		}
+		if bad > 0 {
+			t.Errorf("seed %d: %d calls failed later than 15 s after all came back", seed, bad)
+		}
+		pc, fin := context.WithTimeout(w.ctx, 5*time.Second)
+		defer fin()
+		for _, n := range w.Of("mind") {
+			for _, b := range w.Picture(pc, n) {
+				t.Errorf("seed %d: %s", seed, b)
+			}
+		}
+		t.Logf("seed %d: %d calls, %d ok, %d refused, %d unknown, %v, %d changes, extra worst %.0f, slowest change %.0f ms, slip %.0f ms",
+			seed, v.Calls, v.Successes, v.Refusals, v.Unknown, v.Other, len(w.Rec.Changes), v.WorstExtra, v.SlowestMS, v.SlipMS)
+	})
+}
+
+func sweep(t *testing.T, d Defects) {
+	for i := range *seeds {
+		t.Run(fmt.Sprint(*first+uint64(i)), func(t *testing.T) {
+			t.Parallel()
+			chaos(t, *first+uint64(i), d)
+		})
+	}
+}
+
+func TestCalm(t *testing.T) {
+	sweep(t, Defects{Targets: false, Nodes: false, Net: false, Disks: false})
+}
+func TestTargets(t *testing.T) { sweep(t, Defects{Targets: true}) }
+func TestNodes(t *testing.T)   { sweep(t, Defects{Nodes: true}) }
+func TestDisks(t *testing.T)   { sweep(t, Defects{Disks: true, Nodes: true}) }
+func TestNet(t *testing.T)     { sweep(t, Defects{Net: true}) }
+func TestAll(t *testing.T)     { sweep(t, Defects{Nodes: true, Disks: true, Net: true, Targets: true}) }
