--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -127,6 +127,12 @@
 			stop()
 			return t
 		case <-c:
+		case <-ctx.Done():
+			// This process ends: whoever waits is cut off with it.
+			stop()
+			t.over.Store(true)
+			t.Out = &face.Verdict{Status: 502, Code: face.Unknown, Why: "this node was ended"}
+			return t
 		}
 		if t.drop() {
 			t.Out = busy("no target could take it before its expiry", time.Second)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -157,6 +157,7 @@
 func (w *World) End() {
 	w.stop()
 	w.Net.Mend("")
+	defer time.Sleep(10 * time.Second) // whatever still waits on a clock ends
 	for _, n := range w.Nodes {
 		n.Thaw()
 		n.Kill()
@@ -166,22 +167,33 @@
 	}
 	w.wg.Wait()
 	for _, n := range w.Nodes {
-		if n.done != nil {
-			<-n.done
+		n.mu.Lock()
+		d := n.done
+		n.mu.Unlock()
+		if d != nil {
+			<-d
 		}
 	}
 }
 
 // Start starts the node's process, if it does not run.
 func (n *Node) Start() {
+	// A lock is not held while waiting: a bubble's clock stands still as long as
+	// anybody waits for a lock.
 	n.mu.Lock()
+	for n.end == nil && n.done != nil {
+		d := n.done
+		n.mu.Unlock()
+		<-d
+		n.mu.Lock()
+		if n.done == d {
+			n.done = nil
+		}
+	}
 	defer n.mu.Unlock()
-	if n.end != nil {
+	if n.end != nil || n.w.ctx.Err() != nil {
 		return
 	}
-	if n.done != nil {
-		<-n.done
-	}
 	ctx, end := context.WithCancel(context.Background())
 	n.inc++
 	l := &line{h: n.Host, run: ctx}
