--- a/internal/sim/chaos.go
+++ b/internal/sim/chaos.go
@@ -82,8 +82,10 @@
 	})
 }
 
-func (w *World) span(least, most int) time.Duration {
-	return time.Duration(least+w.Rand(most-least)) * time.Millisecond
+func (w *World) span(least, most int) time.Duration { return w.pause("chaos", least, most) }
+
+func (w *World) pause(name string, least, most int) time.Duration {
+	return time.Duration(least+w.Draw(name, most-least)) * time.Millisecond
 }
 
 func (w *World) killOne() {
@@ -265,8 +267,8 @@
 	k := kinds[2]
 	at := "records"
 	for i := 0; ctx.Err() == nil; i++ {
-		time.Sleep(w.span(300, 1500))
-		if w.Rand(6) == 0 {
+		time.Sleep(w.pause("ops", 300, 1500))
+		if w.Draw("ops", 6) == 0 {
 			bad := binding(k, "nowhere")
 			w.Order(ctx, w.mindAny(), commands.Order{Edits: []spec.Edit{{Op: spec.DropBinding, Name: "orders"}, {Op: spec.PutBinding, Binding: &bad}}})
 			continue
@@ -284,9 +286,9 @@
 				at = to
 				break
 			}
-			time.Sleep(w.span(20, 200))
+			time.Sleep(w.pause("ops", 20, 200))
 		}
-		if w.Rand(4) == 0 {
+		if w.Draw("ops", 4) == 0 {
 			// An acknowledgement that never arrived: the same order once more.
 			if r, ok := w.Order(ctx, w.mindAny(), o); ok && r.Outcome == commands.InForce && !r.Again {
 				w.tell("order %s done twice", o.Token)
@@ -298,7 +300,7 @@
 
 func (w *World) mindAny() *Node {
 	ms := w.Of("mind")
-	return ms[w.Rand(len(ms))]
+	return ms[w.Draw("ops", len(ms))]
 }
 
 // Picture checks that the ledger, read through any mind, holds every change and
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/gob"
 	"errors"
+	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,8 +24,9 @@
 // Net carries questions between the world's nodes.
 type Net struct {
 	mu    sync.Mutex
-	rnd   *rand.Rand
-	at    map[string]*Host // by address
+	seed  uint64
+	rnd   map[[2]string]*rand.Rand // each way has its own chance
+	at    map[string]*Host         // by address
 	cut   map[[2]string]bool
 	loss  float64
 	least time.Duration
@@ -44,22 +46,34 @@
 	ice  chan struct{} // closed on thaw; nil while not frozen
 }
 
-func newNet(rnd *rand.Rand) *Net {
-	return &Net{rnd: rnd, at: map[string]*Host{}, cut: map[[2]string]bool{}, least: 200 * time.Microsecond, most: 2 * time.Millisecond}
+func newNet(seed uint64) *Net {
+	return &Net{seed: seed, rnd: map[[2]string]*rand.Rand{}, at: map[string]*Host{}, cut: map[[2]string]bool{}, least: 200 * time.Microsecond, most: 2 * time.Millisecond}
 }
 
 // delay draws one way's time.
-func (n *Net) delay() time.Duration {
+func (n *Net) delay(a, b string) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.least + time.Duration(n.rnd.Int64N(int64(n.most-n.least)+1))
+	return n.least + time.Duration(n.way(a, b).Int64N(int64(n.most-n.least)+1))
+}
+
+func (n *Net) way(a, b string) *rand.Rand {
+	k := [2]string{a, b}
+	r := n.rnd[k]
+	if r == nil {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(a + ">" + b))
+		r = rand.New(rand.NewPCG(n.seed, h.Sum64()))
+		n.rnd[k] = r
+	}
+	return r
 }
 
 // passes tells whether a message from a to b gets through.
 func (n *Net) passes(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.cut[[2]string{a, b}] && (n.loss == 0 || n.rnd.Float64() >= n.loss)
+	return !n.cut[[2]string{a, b}] && (n.loss == 0 || n.way(a, b).Float64() >= n.loss)
 }
 
 // Cut breaks the way from a to b; Mend restores it.
@@ -165,14 +179,14 @@
 	n := l.h.net
 	back := make(chan told, 1)
 	go func() {
-		time.Sleep(n.delay())
+		time.Sleep(n.delay(l.h.ID, addr))
 		h := n.host(addr)
 		if h == nil || !n.passes(l.h.ID, h.ID) {
 			return
 		}
 		up := h.up()
 		if up == nil {
-			time.Sleep(n.delay())
+			time.Sleep(n.delay(h.ID, l.h.ID))
 			if n.passes(h.ID, l.h.ID) {
 				back <- told{nil, errDown}
 			}
@@ -199,7 +213,7 @@
 		if err == nil {
 			v, err = through(v)
 		}
-		time.Sleep(n.delay())
+		time.Sleep(n.delay(h.ID, l.h.ID))
 		if n.passes(h.ID, l.h.ID) {
 			back <- told{v, err}
 		}
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -97,14 +97,14 @@
 	b := face.Beat{ID: t.ID, Service: t.Service, Zone: t.Zone, Addr: t.Addr, Capacity: 8, Leaving: t.leaving, Seq: t.seq, Inc: t.inc, EveryMS: int(beatEvery.Milliseconds())}
 	t.mu.Unlock()
 	ms := t.w.Of("mind")
-	n := ms[t.w.Rand(len(ms))]
+	n := ms[t.w.Draw("beat "+t.ID, len(ms))]
 	m, up := n.Mind(), n.Host.up()
 	if m == nil || up == nil {
 		return r, false, false
 	}
 	ch := make(chan bool, 1)
 	go func() {
-		time.Sleep(t.w.Net.delay())
+		time.Sleep(t.w.Net.delay(t.ID, n.ID))
 		n.awake()
 		cx, end := context.WithTimeout(up, 4*time.Second)
 		defer end()
@@ -163,7 +163,7 @@
 		c.h.awake()
 		return cx.Err() == nil
 	}
-	if !wait(c.w.Net.delay()) {
+	if !wait(c.w.Net.delay(c.h.ID, s.Addr)) {
 		return nil, false, cx.Err()
 	}
 	c.w.Net.mu.Lock()
@@ -187,12 +187,12 @@
 	back := make(chan *passage.Answer, 1)
 	run := t.runCtx()
 	go func() {
-		time.Sleep(c.w.Net.delay())
+		time.Sleep(c.w.Net.delay(c.h.ID, t.ID))
 		if run.Err() != nil || !c.w.Net.passes(c.h.ID, t.ID) {
 			return
 		}
 		a := t.serve(run, s)
-		time.Sleep(c.w.Net.delay())
+		time.Sleep(c.w.Net.delay(t.ID, c.h.ID))
 		if run.Err() == nil && c.w.Net.passes(t.ID, c.h.ID) {
 			back <- a
 		}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"sync"
@@ -69,8 +70,9 @@
 	Rec     *stand.Records
 	Shape   Shape
 	log     *log.Logger
-	rnd     *rand.Rand
+	seed    uint64
 	rmu     sync.Mutex
+	streams map[string]*rand.Rand
 	seeds   []string
 	orders  int
 	at      map[string]*Target // by address: who stands there now
@@ -86,7 +88,7 @@
 func New(seed uint64, s Shape) *World {
 	rnd := rand.New(rand.NewPCG(seed, 0x5eed))
 	sub := func() *rand.Rand { return rand.New(rand.NewPCG(rnd.Uint64(), rnd.Uint64())) }
-	w := &World{Net: newNet(sub()), Rec: stand.NewRecords(), Shape: s, rnd: sub(), at: map[string]*Target{}}
+	w := &World{Net: newNet(seed), Rec: stand.NewRecords(), Shape: s, seed: seed, streams: map[string]*rand.Rand{}, at: map[string]*Target{}}
 	if s.Log == nil {
 		s.Log = io.Discard
 	}
@@ -120,13 +122,29 @@
 	return w
 }
 
-// Rand draws below n.
-func (w *World) Rand(n int) int {
+// stream is one purpose's own chance: what one part of the world draws does not
+// shift what another gets, so that a seed gives the same failures again.
+func (w *World) stream(name string) *rand.Rand {
+	r := w.streams[name]
+	if r == nil {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(name))
+		r = rand.New(rand.NewPCG(w.seed, h.Sum64()))
+		w.streams[name] = r
+	}
+	return r
+}
+
+// Draw draws below n for a purpose.
+func (w *World) Draw(name string, n int) int {
 	w.rmu.Lock()
 	defer w.rmu.Unlock()
-	return w.rnd.IntN(n)
+	return w.stream(name).IntN(n)
 }
 
+// Rand draws below n for the failures.
+func (w *World) Rand(n int) int { return w.Draw("chaos", n) }
+
 // Of lists the nodes of a kind.
 func (w *World) Of(kind string) []*Node {
 	return lo.Filter(w.Nodes, func(n *Node, _ int) bool { return n.Kind == kind })
@@ -286,7 +304,7 @@
 	defer end()
 	ch := make(chan commands.Result, 1)
 	go func() {
-		time.Sleep(w.Net.delay())
+		time.Sleep(w.Net.delay("op", n.ID))
 		n.awake()
 		r := m.Changer.Change(cx, o)
 		n.awake()
@@ -332,7 +350,7 @@
 	}
 	s := Sheet()
 	for {
-		r, ok := w.Order(ctx, w.Of("mind")[w.Rand(w.Shape.Minds)], commands.Order{Token: "first", Edits: []spec.Edit{{Op: spec.Replace, Sheet: &s}}})
+		r, ok := w.Order(ctx, w.Of("mind")[w.Draw("form", w.Shape.Minds)], commands.Order{Token: "first", Edits: []spec.Edit{{Op: spec.Replace, Sheet: &s}}})
 		if ok && r.Outcome == commands.InForce {
 			break
 		}
@@ -369,7 +387,7 @@
 		o.Err = "no ready node"
 		return
 	}
-	n := ready[w.Rand(len(ready))]
+	n := ready[w.Draw("calls", len(ready))]
 	o.Flow = n.ID
 	f, up := n.Flow(), n.Host.up()
 	if f == nil || up == nil {
@@ -378,7 +396,7 @@
 	}
 	ch := make(chan *passage.Trip, 1)
 	go func() {
-		time.Sleep(w.Net.delay())
+		time.Sleep(w.Net.delay("op", n.ID))
 		n.awake()
 		if up.Err() != nil {
 			return
@@ -431,8 +449,9 @@
 	var wg sync.WaitGroup
 	for ctx.Err() == nil {
 		w.rmu.Lock()
-		d := time.Duration(w.rnd.ExpFloat64() / rate * float64(time.Second))
-		k := kinds[w.rnd.IntN(len(kinds))]
+		r := w.stream("callers")
+		d := time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+		k := kinds[r.IntN(len(kinds))]
 		w.rmu.Unlock()
 		time.Sleep(d)
 		wg.Go(func() { w.Call(k) })
