--- a/internal/mate/court.go
+++ b/internal/mate/court.go
@@ -163,6 +163,12 @@
 	// During warm-up leases are granted, for they harm nobody; only the table,
 	// which might lack some, is withheld, and so are duties.
 	c.by[a.Member.ID] = grant{a.Member, now.Add(Lease)}
+	for n, d := range c.duties {
+		// A duty that its holder no longer asks for is given back.
+		if d.by == a.Member.ID && !slices.Contains(a.Duties, n) {
+			delete(c.duties, n)
+		}
+	}
 	if !now.Before(c.warm) {
 		for _, n := range a.Duties {
 			d, taken := c.duties[n]
--- a/internal/mate/tenant.go
+++ b/internal/mate/tenant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	tables map[string]table // by disk
 	wanted map[string]bool
 	duties map[string]time.Time
+	rest   map[string]time.Time // until when a duty is not asked for
 }
 
 // lease is an unbroken lease: when it was first granted, and its end. The two are
@@ -110,7 +112,7 @@
 	me := t.Me()
 	sent := t.Clock.Now()
 	t.mu.Lock()
-	want := lo.Keys(t.wanted)
+	want := lo.Filter(lo.Keys(t.wanted), func(n string, _ int) bool { return !sent.Before(t.rest[n]) })
 	seen := lo.MapValues(t.tables, func(x table, _ string) uint64 { return x.version })
 	t.mu.Unlock()
 	slices.Sort(want)
@@ -174,6 +176,7 @@
 			take(<-ch)
 		}
 		t.merge(core)
+		t.yield(want, held, core.Quorum())
 	}()
 	cx2, end2 := context.WithTimeout(ctx, Renew)
 	defer end2()
@@ -183,6 +186,21 @@
 	}
 }
 
+// yield gives up, for a time drawn at random, what only a minority granted: else
+// several nodes could each keep a part of a duty and none ever hold it.
+func (t *Tenant) yield(want []string, held map[string]int, quorum int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rest == nil {
+		t.rest = map[string]time.Time{}
+	}
+	for _, n := range want {
+		if k := held[n]; k > 0 && k < quorum {
+			t.rest[n] = t.Clock.Now().Add(time.Duration(rand.Int64N(int64(4 * Renew))))
+		}
+	}
+}
+
 func (t *Tenant) granted(sent time.Time) {
 	n := lease{until: sent.Add(Lease - margin)}
 	for {
--- /dev/null
+++ b/internal/mate/tenant_test.go
@@ -0,0 +1,206 @@
+package mate
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/keep"
+	"walkrudder/internal/link"
+	"walkrudder/internal/pulse"
+)
+
+// mem is a disk that keeps nothing beyond the test.
+type mem map[string][]byte
+
+func (m mem) Load() (map[string][]byte, error) { return m, nil }
+func (m mem) Commit(ps []keep.Put) error {
+	for _, p := range ps {
+		m[p.Key] = p.Value
+	}
+	return nil
+}
+func (m mem) Close() error { return nil }
+
+// lab is three courts with a way to each that can be slow or shut.
+type lab struct {
+	mu    sync.Mutex
+	desks map[string]*link.Desk
+	slow  map[string]time.Duration
+	core  accord.Core
+}
+
+var errShut = errors.New("no way")
+
+func (l *lab) Call(ctx context.Context, addr string, ask any) (any, error) {
+	l.mu.Lock()
+	d, w := l.desks[addr], l.slow[addr]
+	l.mu.Unlock()
+	if w < 0 {
+		return nil, errShut
+	}
+	if (pulse.Wall{}).Sleep(ctx, time.Millisecond+w) != nil {
+		return nil, ctx.Err()
+	}
+	return d.Answer(ctx, link.Who{ID: "t"}, ask)
+}
+
+// pace sets the way to a court: below 0 it is shut.
+func (l *lab) pace(id string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slow[id] = d
+}
+
+func newLab(ctx context.Context, t *testing.T) *lab {
+	l := &lab{desks: map[string]*link.Desk{}, slow: map[string]time.Duration{}, core: accord.Core{Epoch: 1}}
+	var vs []*accord.Voter
+	for _, id := range []string{"a", "b", "c"} {
+		v, err := accord.NewVoter(accord.Seat{ID: id, Addr: id}, mem{}, "disk-"+id, l, nil, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := link.NewDesk()
+		v.Serve(d)
+		NewCourt(v, pulse.Wall{}).Serve(d)
+		l.desks[id] = d
+		l.core.Seats = append(l.core.Seats, v.Seat())
+		vs = append(vs, v)
+		go v.Run(ctx)
+	}
+	for i := range vs {
+		for _, seal := range []bool{false, true} {
+			if _, err := link.Ask[accord.FormTold](ctx, l, l.core.Seats[i].Addr, accord.FormAsk{By: "a", Core: l.core, Seal: seal}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return l
+}
+
+func has(ms []Member, id string) bool {
+	return slices.ContainsFunc(ms, func(m Member) bool { return m.ID == id })
+}
+
+func (l *lab) tenant(id string, line link.Line) *Tenant {
+	p := accord.NewProposer(id, line, pulse.Wall{})
+	p.Learn(l.core)
+	return &Tenant{Line: line, Clock: pulse.Wall{}, Core: p, Me: func() Member { return Member{ID: id, Inc: 1, Kind: "flow"} }}
+}
+
+// A lease that moves from one majority of courts to another must be in every
+// table read meanwhile, however far apart in time the courts answer.
+func TestTableNeverMissesALeaseThatMovesBetweenCourts(t *testing.T) {
+	for late := time.Duration(0); late < time.Second; late += 20 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, end := context.WithCancel(t.Context())
+			defer end()
+			l := newLab(ctx, t)
+			ways := &lab{desks: l.desks, slow: map[string]time.Duration{"c": -1}}
+			f, r := l.tenant("f", ways), l.tenant("r", l)
+			go f.Run(ctx)
+			go r.Run(ctx)
+			time.Sleep(3 * time.Second) // the courts' warm-up
+			// f renews at a and b; then b and c take it over from a. The reader is
+			// refused by b, has c's answer at once and a's late.
+			l.pace("b", -1)
+			l.pace("a", late)
+			time.AfterFunc(10*time.Millisecond, func() {
+				ways.pace("a", -1)
+				ways.pace("c", 0)
+			})
+			ms, err := r.Table(ctx)
+			if err == nil && f.Held() && !has(ms, "f") {
+				t.Errorf("a's answer %s late: the table lacks a flow whose lease stands", late)
+			}
+			if late == 0 && (err != nil || !has(ms, "f")) {
+				t.Errorf("prompt answers: %v %v", ms, err)
+			}
+		})
+	}
+}
+
+func TestHeldEndsBeforeTheCourtsForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		l := newLab(ctx, t)
+		ways := &lab{desks: l.desks, slow: map[string]time.Duration{}}
+		f, r := l.tenant("f", ways), l.tenant("r", l)
+		f.Seek("duty")
+		go f.Run(ctx)
+		go r.Run(ctx)
+		time.Sleep(4 * time.Second)
+		since, ok := f.HeldSince()
+		if !ok || !f.Holds("duty") {
+			t.Fatal("no lease or duty after four seconds")
+		}
+		for _, c := range []string{"a", "b", "c"} {
+			ways.pace(c, -1)
+		}
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			ms, err := r.Table(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if f.Held() && !has(ms, "f") {
+				t.Fatal("the courts forgot a lease that its holder still trusts")
+			}
+		}
+		if f.Held() || f.Holds("duty") {
+			t.Fatal("lease or duty outlived the courts' silence")
+		}
+		for _, c := range []string{"a", "b", "c"} {
+			ways.pace(c, 0)
+		}
+		time.Sleep(time.Second)
+		if again, ok := f.HeldSince(); !ok || !again.After(since) {
+			t.Fatal("a broken lease passed for an unbroken one")
+		}
+	})
+}
+
+// Several nodes that ask at once may each get a part of a duty; one must come to
+// hold it all the same, and never two.
+func TestOneOfManyComesToHoldADuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		l := newLab(ctx, t)
+		var all []*Tenant
+		for i, id := range []string{"x", "y", "z"} {
+			// Each is nearest to another court: its ask is there first.
+			w := &lab{desks: l.desks, slow: map[string]time.Duration{}}
+			for j, c := range []string{"a", "b", "c"} {
+				w.pace(c, time.Duration((j-i+3)%3)*5*time.Millisecond)
+			}
+			x := l.tenant(id, w)
+			x.Seek("duty")
+			all = append(all, x)
+			go x.Run(ctx)
+		}
+		got := 0
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			n := 0
+			for _, x := range all {
+				if x.Holds("duty") {
+					n++
+				}
+			}
+			if n > 1 {
+				t.Fatalf("%d nodes hold one duty", n)
+			}
+			got += n
+		}
+		if got < 500 {
+			t.Fatalf("the duty was held for %d of 1000 looks", got)
+		}
+	})
+}
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -57,13 +57,7 @@
 		healed := time.Now()
 		<-done
 		<-ops
-		v := w.Rec.Check()
-		for _, b := range v.Broken {
-			t.Errorf("seed %d: %s", seed, b)
-		}
-		if w.twice > 0 {
-			t.Errorf("seed %d: %d orders done twice by their resend", seed, w.twice)
-		}
+		v := judge(t, w)
 		bad := 0
 		for _, o := range w.Rec.Outcomes {
 			if o.Sent.Sub(healed) > 15*time.Second && (o.Status >= 300 || o.Err != "") {
@@ -73,13 +67,6 @@
 		if bad > 0 {
 			t.Errorf("seed %d: %d calls failed later than 15 s after all came back", seed, bad)
 		}
-		pc, fin := context.WithTimeout(w.ctx, 5*time.Second)
-		defer fin()
-		for _, n := range w.Of("mind") {
-			for _, b := range w.Picture(pc, n) {
-				t.Errorf("seed %d: %s", seed, b)
-			}
-		}
 		t.Logf("seed %d: %d calls, %d ok, %d refused, %d unknown, %v, %v, %d changes, %d extra, worst %.0f, slowest change %.0f ms, slip %.0f ms",
 			seed, v.Calls, v.Successes, v.Refusals, v.Unknown, v.Whys, v.Other, len(w.Rec.Changes), v.Extra, v.WorstExtra, v.SlowestMS, v.SlipMS)
 	})
