--- /dev/null
+++ b/internal/flow/door_test.go
@@ -0,0 +1,300 @@
+package flow
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"walkrudder/internal/face"
+	"walkrudder/internal/home"
+	"walkrudder/internal/liveness"
+	"walkrudder/internal/passage"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/spec"
+)
+
+// open is a gate that is always open.
+type open struct{ t *spec.Table }
+
+func (o open) Gate() (*spec.Table, bool)                { return o.t, true }
+func (o open) Wait(context.Context) (*spec.Table, bool) { return o.t, true }
+
+// stand is one real target behind a real door.
+type stand struct {
+	door string
+	ran  atomic.Int64
+}
+
+// stamp writes the stamp that the target owes to r.
+func stamp(w http.ResponseWriter, r *http.Request, length int) {
+	w.Header().Set(face.StampField, face.Stamp{ID: "a", Service: "svc", Inc: 1, Request: r.Header.Get(face.RequestField), Length: length}.String())
+}
+
+func newStand(t *testing.T, serve http.HandlerFunc) *stand {
+	t.Helper()
+	s := &stand{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.ran.Add(1)
+		serve(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	s.raise(t, srv.Listener.Addr().String())
+	return s
+}
+
+// raise opens a door whose only target stands at addr.
+func (s *stand) raise(t *testing.T, addr string) {
+	t.Helper()
+	tab := spec.NewTable(1, spec.Sheet{Services: []spec.Service{{Name: "svc"}}, Bindings: []spec.Binding{
+		{Name: "once", Service: "svc", Methods: []string{"POST"}, Path: "/once/*", ExpiryMS: 1500, MaxBody: 6 << 20},
+		{Name: "again", Service: "svc", Methods: []string{"GET", "HEAD", "PUT"}, Path: "/again/*", ExpiryMS: 1500, Repeatable: true},
+	}}.Sorted())
+	ctx, end := context.WithCancel(context.Background())
+	r := &home.Roster{Clock: pulse.Wall{}, Pause: liveness.NewPauses(pulse.Wall{}), Minds: nil, Every: time.Second}
+	r.Init()
+	go r.Alone(ctx)
+	if err := r.Learn(ctx, "svc", []home.Entry{{Beat: face.Beat{ID: "a", Service: "svc", Addr: addr, Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
+		t.Fatal(err)
+	}
+	// The test lasts longer than a proof does.
+	r.Proved(r.Of("svc")[0], time.Now().Add(time.Hour))
+	p := &passage.Passage{Clock: pulse.Wall{}, Rack: open{tab}, Roster: r, Courier: passage.NewHTTP(), ID: "f", Inc: 1, Flows: func() int { return 1 }}
+	p.Init()
+	done := make(chan struct{})
+	go func() { p.Run(ctx); close(done) }()
+	f := &Flow{Passage: p}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	app := f.Door(nil)
+	go func() { _ = app.Listener(ln) }()
+	t.Cleanup(func() { _ = app.Shutdown(); end(); <-done })
+	s.door = ln.Addr().String()
+}
+
+func (s *stand) call(t *testing.T, method, path string, body io.Reader, head ...string) (*http.Response, string) {
+	t.Helper()
+	q, err := http.NewRequest(method, "http://"+s.door+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(head); i += 2 {
+		q.Header.Set(head[i], head[i+1])
+	}
+	r, err := http.DefaultTransport.RoundTrip(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, string(b)
+}
+
+func TestDoorPassesOnWhatItShould(t *testing.T) {
+	var got *http.Request
+	var in string
+	s := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		got, in = r.Clone(context.Background()), string(b)
+		stamp(w, r, 5)
+		w.Header().Set("X-Mine", "yes")
+		w.Header().Add("Set-Cookie", "a=1")
+		w.Header().Add("Set-Cookie", "b=2")
+		w.Header().Set("Content-Type", "text/x-thing")
+		w.WriteHeader(201)
+		_, _ = w.Write([]byte("hello"))
+	})
+	r, b := s.call(t, "POST", "/once/a%2Fb?x=1&y=%20z", strings.NewReader("body"), "X-Theirs", "1", "Connection", "X-Local", "X-Local", "2", "Te", "trailers", "Cookie", "c=3")
+	if r.StatusCode != 201 || b != "hello" || r.Header.Get("X-Mine") != "yes" || len(r.Header.Values("Set-Cookie")) != 2 || r.Header.Get("Content-Type") != "text/x-thing" {
+		t.Errorf("answer: %d %q %v", r.StatusCode, b, r.Header)
+	}
+	if got.RequestURI != "/once/a%2Fb?x=1&y=%20z" || in != "body" || got.Header.Get("X-Theirs") != "1" || got.Header.Get("Cookie") != "c=3" || got.Host != s.door {
+		t.Errorf("request: %s %q %v %s", got.RequestURI, in, got.Header, got.Host)
+	}
+	if got.Header.Get("X-Local") != "" || got.Header.Get("Te") != "" || got.Header.Get(face.TargetField) != "a;svc;1" {
+		t.Errorf("fields of one link were passed on: %v", got.Header)
+	}
+	if r, _ := s.call(t, "GET", "/nowhere", nil); r.StatusCode != 404 {
+		t.Errorf("unknown path: %d", r.StatusCode)
+	}
+	if r, _ := s.call(t, "DELETE", "/again/x", nil); r.StatusCode != 405 || r.Header.Get("Allow") != "GET, HEAD, PUT" {
+		t.Errorf("wrong method: %d %v", r.StatusCode, r.Header)
+	}
+	if r, _ := s.call(t, "PUT", "/again/x", bytes.NewReader(make([]byte, 1<<20+1))); r.StatusCode != 413 {
+		t.Errorf("body over the limit: %d", r.StatusCode)
+	}
+	if s.ran.Load() != 1 {
+		t.Errorf("%d requests reached the target, want 1", s.ran.Load())
+	}
+	c, err := net.Dial("tcp", s.door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = c.Write([]byte("NO SUCH\r\n\r\n"))
+	if l, _ := bufio.NewReader(c).ReadString('\n'); !strings.Contains(l, "400") {
+		t.Errorf("malformed request: %q", l)
+	}
+}
+
+func TestDoorBodiesOfEveryKind(t *testing.T) {
+	big := bytes.Repeat([]byte("0123456789abcdef"), 5<<16)
+	s := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		switch r.URL.Path {
+		case "/once/echo":
+			stamp(w, r, len(b))
+			_, _ = w.Write(b)
+		case "/again/none":
+			stamp(w, r, 0)
+			w.WriteHeader(204)
+		case "/again/chunks":
+			stamp(w, r, -1)
+			for range 3 {
+				_, _ = w.Write([]byte("part"))
+				w.(http.Flusher).Flush()
+			}
+		default:
+			stamp(w, r, 7)
+			w.Header().Set("Content-Length", "7")
+			if r.Method != "HEAD" {
+				_, _ = w.Write([]byte("seven__"))
+			}
+		}
+	})
+	if r, b := s.call(t, "POST", "/once/echo", bytes.NewReader(big)); r.StatusCode != 200 || b != string(big) {
+		t.Errorf("large body: %d, %d bytes of %d", r.StatusCode, len(b), len(big))
+	}
+	if r, b := s.call(t, "GET", "/again/none", nil); r.StatusCode != 204 || b != "" {
+		t.Errorf("204: %d %q", r.StatusCode, b)
+	}
+	if r, b := s.call(t, "GET", "/again/chunks", nil); r.StatusCode != 200 || b != "partpartpart" {
+		t.Errorf("chunks: %d %q", r.StatusCode, b)
+	}
+	if r, b := s.call(t, "HEAD", "/again/x", nil); r.StatusCode != 200 || b != "" || r.ContentLength != 7 {
+		t.Errorf("HEAD: %d %q %d", r.StatusCode, b, r.ContentLength)
+	}
+}
+
+// raw is a target that writes bytes of its own making.
+func raw(t *testing.T, answer func(c net.Conn, number string)) *stand {
+	t.Helper()
+	s := &stand{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for br := bufio.NewReader(c); ; {
+					q, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, q.Body)
+					s.ran.Add(1)
+					answer(c, q.Header.Get(face.RequestField))
+					return
+				}
+			}()
+		}
+	}()
+	s.raise(t, ln.Addr().String())
+	return s
+}
+
+func line(number, id string, inc, length int) string {
+	return face.StampField + ": " + id + ";svc;" + strconv.Itoa(inc) + ";" + number + ";" + strconv.Itoa(length) + "\r\n"
+}
+
+// What is no proper answer is never a success; a request that may not be repeated
+// is sent once, and its outcome told as unknown.
+func TestDoorImproperAnswers(t *testing.T) {
+	for name, answer := range map[string]func(net.Conn, string){
+		"closed":   func(net.Conn, string) {},
+		"garbage":  func(c net.Conn, _ string) { _, _ = c.Write([]byte("zonk zonk\r\n\r\n")) },
+		"no stamp": func(c net.Conn, _ string) { _, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")) },
+		"cut short": func(c net.Conn, n string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 9\r\n\r\nhi", line(n, "a", 1, 9))
+		},
+		"cut in chunks": func(c net.Conn, n string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", line(n, "a", 1, -1))
+		},
+		"no end known": func(c net.Conn, n string) { _, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nhi", line(n, "a", 1, 2)) },
+		"other length": func(c net.Conn, n string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nhi", line(n, "a", 1, 3))
+		},
+		"other target": func(c net.Conn, n string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nhi", line(n, "b", 1, 2))
+		},
+		"other run": func(c net.Conn, n string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nhi", line(n, "a", 2, 2))
+		},
+		"other request": func(c net.Conn, n string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nhi", line(n+"1", "a", 1, 2))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := raw(t, answer)
+			r, b := s.call(t, "POST", "/once/x", strings.NewReader("order"))
+			if r.StatusCode != 502 || !strings.Contains(b, face.Unknown) || s.ran.Load() != 1 {
+				t.Errorf("POST: %d %s after %d sends", r.StatusCode, b, s.ran.Load())
+			}
+			if r, b := s.call(t, "GET", "/again/x", nil); r.StatusCode != 502 || strings.Contains(b, face.BusyNotRun) {
+				t.Errorf("GET: %d %s", r.StatusCode, b)
+			}
+		})
+	}
+}
+
+func TestDoorSaysNotRunOnlyWhenTrue(t *testing.T) {
+	busy := newStand(t, func(w http.ResponseWriter, r *http.Request) {
+		stamp(w, r, 0)
+		w.Header().Set(face.NotRunField, "1")
+		w.WriteHeader(503)
+	})
+	gone := &stand{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	_ = ln.Close()
+	gone.raise(t, addr)
+	for name, s := range map[string]*stand{"target says not run": busy, "nobody listens": gone} {
+		r, b := s.call(t, "POST", "/once/x", strings.NewReader("order"))
+		if r.StatusCode != 503 || !strings.Contains(b, face.BusyNotRun) || r.Header.Get("Retry-After") == "" {
+			t.Errorf("%s: %d %s %v", name, r.StatusCode, b, r.Header)
+		}
+	}
+	// A target that takes the request and stays silent: nobody knows.
+	ends := make(chan struct{})
+	defer close(ends)
+	silent := newStand(t, func(_ http.ResponseWriter, r *http.Request) { <-ends })
+	r, b := silent.call(t, "POST", "/once/x", strings.NewReader("order"))
+	if r.StatusCode != 502 || !strings.Contains(b, face.Unknown) || silent.ran.Load() != 1 {
+		t.Errorf("silent target: %d %s after %d sends", r.StatusCode, b, silent.ran.Load())
+	}
+}
--- a/internal/home/roster.go
+++ b/internal/home/roster.go
@@ -146,6 +146,12 @@
 	return now.Sub(r.epoch.Add(time.Duration(p)))
 }
 
+// Alone runs the owner alone, for a roster that follows no home.
+func (r *Roster) Alone(ctx context.Context) {
+	r.ctx = ctx
+	r.own.Run(ctx)
+}
+
 // Run follows the wanted services until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	r.ctx = ctx
@@ -215,19 +221,7 @@
 				}
 			})
 		} else {
-			_ = r.own.Do(ctx, func() {
-				for _, e := range t.Entries {
-					r.merge(e)
-				}
-				r.publish()
-				if h := *r.heard.Load(); !h[service] {
-					n := map[string]bool{service: true}
-					for k := range h {
-						n[k] = true
-					}
-					r.heard.Store(&n)
-				}
-			})
+			_ = r.Learn(ctx, service, t.Entries)
 			run, seen = t.Run, t.Version
 		}
 		// Now and then the nearest home is tried again.
@@ -237,6 +231,23 @@
 	}
 }
 
+// Learn takes in what a home tells of a service.
+func (r *Roster) Learn(ctx context.Context, service string, es []Entry) error {
+	return r.own.Do(ctx, func() {
+		for _, e := range es {
+			r.merge(e)
+		}
+		r.publish()
+		if h := *r.heard.Load(); !h[service] {
+			n := map[string]bool{service: true}
+			for k := range h {
+				n[k] = true
+			}
+			r.heard.Store(&n)
+		}
+	})
+}
+
 // merge takes an entry in if it is news.
 func (r *Roster) merge(e Entry) {
 	b := e.Beat
--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -16,7 +16,6 @@
 	"walkrudder/internal/fault"
 	"walkrudder/internal/home"
 	"walkrudder/internal/pulse"
-	"walkrudder/internal/roll"
 	"walkrudder/internal/spec"
 )
 
@@ -36,10 +35,16 @@
 	maxClients  = 10000
 )
 
+// Gate tells under which sheet work may be sent now.
+type Gate interface {
+	Gate() (*spec.Table, bool)
+	Wait(ctx context.Context) (*spec.Table, bool)
+}
+
 // Passage leads requests through a flow.
 type Passage struct {
 	Clock   pulse.Clock
-	Rack    *roll.Rack
+	Rack    Gate
 	Roster  *home.Roster
 	Courier Courier
 	Zone    string
--- /dev/null
+++ b/internal/startup/startup_test.go
@@ -0,0 +1,68 @@
+package startup
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var fine = []string{"--id", "m1", "--zone", "z1", "--inner", "127.0.0.1:1", "--door", "127.0.0.1:2", "--seed", "127.0.0.1:1"}
+
+func write(t *testing.T, s string) string {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), "s.yaml")
+	if err := os.WriteFile(p, []byte(s), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestReadNamesWhatIsWrong(t *testing.T) {
+	for want, args := range map[string][]string{
+		"id: is missing":                   nil,
+		"inner: \"host:1\" is not IP:port": append(fine[:4:4], "--inner", "host:1", "--door", "127.0.0.1:2", "--seed", "127.0.0.1:1"),
+		"seeds[0]":                         append(fine[:8:8], "--seed", "127.0.0.1:99999"),
+		"data: stat":                       append(fine[:10:10], "--data", "/nowhere/at/all"),
+		"is no folder":                     append(fine[:10:10], "--data", os.Args[0]),
+		"core: 2":                          append(fine[:10:10], "--core", "2"),
+		"level: loud":                      append(fine[:10:10], "--level", "loud"),
+		"unknown argument --what":          {"--what"},
+		"startup file":                     {"--startup", "/nowhere.yaml"},
+		"unknown field":                    {"--startup", write(t, "zonk: 1\n")},
+		"cannot unmarshal":                 {"--startup", write(t, "core: [1]\n")},
+		"door: 127.0.0.1:1 is also":        append(fine[:6:6], "--door", "127.0.0.1:1", "--seed", "127.0.0.1:1"),
+	} {
+		var m Mind
+		err := Read(&m, "mind", args, &bytes.Buffer{})
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: %v, want %q named", args, err, want)
+		}
+	}
+}
+
+func TestFlagsGoBeforeTheFile(t *testing.T) {
+	p := write(t, "id: m1\nzone: z1\ninner: 127.0.0.1:1\ndoor: 127.0.0.1:2\nseeds: [\"127.0.0.1:1\", \"127.0.0.1:3\"]\nlevel: warn\n")
+	var m Mind
+	if err := Read(&m, "mind", []string{"--startup", p, "--zone", "z9"}, &bytes.Buffer{}); err != nil {
+		t.Fatal(err)
+	}
+	if m.Zone != "z9" || m.Level != "warn" || len(m.Seeds) != 2 || m.Core != 3 {
+		t.Errorf("%+v", m)
+	}
+	m = Mind{}
+	if err := Read(&m, "mind", []string{"--startup", p, "--seed", "127.0.0.9:9"}, &bytes.Buffer{}); err != nil || len(m.Seeds) != 1 || m.Seeds[0] != "127.0.0.9:9" {
+		t.Errorf("%v %v", err, m.Seeds)
+	}
+}
+
+func TestHelpAndVersionRunNothing(t *testing.T) {
+	for _, a := range []string{"--help", "--version"} {
+		var out bytes.Buffer
+		if err := Read(&Flow{}, "flow", []string{a}, &out); !errors.Is(err, ErrShown) || !strings.Contains(out.String(), "flow") {
+			t.Errorf("%s: %v %q", a, err, out.String())
+		}
+	}
+}
