--- a/internal/accord/proposer.go
+++ b/internal/accord/proposer.go
@@ -77,17 +77,20 @@
 }
 
 // gather asks all seats at once and returns the good answers as soon as enough
-// says so, or when all have answered. It learns newer cores on the way.
+// says so, or when all have answered or ctx ends. Asks still under way go on: a
+// third copy is written although nobody waits for it. It learns newer cores on
+// the way.
 func gather[R any](ctx context.Context, p *Proposer, seats []Seat, ask func(Seat) any, told func(R) Told, enough func([]heard[R]) bool) []heard[R] {
-	ctx, end := context.WithTimeout(ctx, askTime)
+	cx, end := context.WithTimeout(context.WithoutCancel(ctx), askTime)
 	type back struct {
 		h  heard[R]
 		ok bool
 	}
 	ch := make(chan back, len(seats))
+	var wg sync.WaitGroup
 	for _, s := range seats {
-		go func() {
-			r, err := link.Ask[R](ctx, p.Line, s.Addr, ask(s))
+		wg.Go(func() {
+			r, err := link.Ask[R](cx, p.Line, s.Addr, ask(s))
 			if err != nil {
 				ch <- back{}
 				return
@@ -97,17 +100,24 @@
 				p.Learn(t.Core)
 			}
 			ch <- back{heard[R]{s, r}, t.OK && t.Disk == s.Disk}
-		}()
+		})
 	}
-	defer end()
+	go func() {
+		wg.Wait()
+		end()
+	}()
 	var got []heard[R]
 	for range seats {
-		b := <-ch
-		if b.ok {
-			got = append(got, b.h)
-			if enough(got) {
-				break
+		select {
+		case b := <-ch:
+			if b.ok {
+				got = append(got, b.h)
+				if enough(got) {
+					return got
+				}
 			}
+		case <-ctx.Done():
+			return got
 		}
 	}
 	return got
@@ -159,18 +169,18 @@
 		func(r PrepareTold) Told { return r.Told },
 		func(h []heard[PrepareTold]) bool { return yes(h) >= core.Quorum() })
 	var best Item
-	var with []Seat
+	n := 0
 	for _, h := range got {
 		*over = max(*over, h.R.Item.Promised.N, h.R.Item.Accepted.N)
 		if !h.R.Yes {
 			continue
 		}
-		with = append(with, h.Seat)
+		n++
 		if h.R.Item.Accepted.Compare(best.Accepted) > 0 {
 			best = h.R.Item
 		}
 	}
-	if len(with) < core.Quorum() {
+	if n < core.Quorum() {
 		return nil, true, ErrNoQuorum
 	}
 	val, err = f(best.Value)
@@ -180,16 +190,19 @@
 		if best.Accepted.Zero() {
 			return nil, false, err
 		}
-		if _, again, _ := p.finish(ctx, core, key, b, with, best.Value); again {
+		if _, again, _ := p.finish(ctx, core, key, b, best.Value); again {
 			return nil, true, nil
 		}
 		return best.Value, false, err
 	}
-	return p.finish(ctx, core, key, b, with, val)
+	return p.finish(ctx, core, key, b, val)
 }
 
-func (p *Proposer) finish(ctx context.Context, core Core, key string, b Ballot, with []Seat, val []byte) ([]byte, bool, error) {
-	acc := gather(ctx, p, with, func(s Seat) any { return AcceptAsk{Mark{core.Epoch, s.Disk}, key, b, val} },
+// finish has a value accepted. All seats are asked, also those whose promise was
+// not waited for: one that has promised nothing higher may accept, and its copy is
+// then as new as the others'.
+func (p *Proposer) finish(ctx context.Context, core Core, key string, b Ballot, val []byte) ([]byte, bool, error) {
+	acc := gather(ctx, p, core.Seats, func(s Seat) any { return AcceptAsk{Mark{core.Epoch, s.Disk}, key, b, val} },
 		func(r AcceptTold) Told { return r.Told },
 		func(h []heard[AcceptTold]) bool {
 			n := 0
--- /dev/null
+++ b/internal/home/roster_test.go
@@ -0,0 +1,215 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/face"
+	"walkrudder/internal/link"
+	"walkrudder/internal/liveness"
+	"walkrudder/internal/mate"
+	"walkrudder/internal/pulse"
+)
+
+// lab is two homes in two zones and a way to each that can be shut.
+type lab struct {
+	mu    sync.Mutex
+	desks map[string]*link.Desk
+	shut  map[string]bool
+}
+
+func (l *lab) Call(ctx context.Context, addr string, ask any) (any, error) {
+	l.mu.Lock()
+	d, shut := l.desks[addr], l.shut[addr]
+	l.mu.Unlock()
+	if d == nil || shut {
+		return nil, errors.New("no way")
+	}
+	if err := (pulse.Wall{}).Sleep(ctx, time.Millisecond); err != nil {
+		return nil, err
+	}
+	v, err := d.Answer(ctx, link.Who{}, ask)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.shut[addr] {
+		return nil, errors.New("no way")
+	}
+	return v, err
+}
+
+func (l *lab) set(addr string, shut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shut[addr] = shut
+}
+
+func beat(id string, seq, inc uint64, leaving bool) face.Beat {
+	return face.Beat{ID: id, Service: "s", Addr: "127.0.0.1:" + id, Capacity: 1, Seq: seq, Inc: inc, EveryMS: 1000, Leaving: leaving}
+}
+
+func TestFlowKeepsItsTargetsWhileHomesChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		l := &lab{desks: map[string]*link.Desk{}, shut: map[string]bool{}}
+		p := liveness.NewPauses(pulse.Wall{})
+		go p.Run(ctx)
+		house := func(addr string, run uint64) *House {
+			h := &House{Clock: pulse.Wall{}, Pause: p, Run: run}
+			h.Init()
+			go h.Start(ctx)
+			d := link.NewDesk()
+			h.Serve(d)
+			l.mu.Lock()
+			l.desks[addr] = d
+			l.mu.Unlock()
+			return h
+		}
+		h1, h2 := house("m1", 1), house("m2", 1)
+		both := func(b face.Beat) {
+			for _, h := range []*House{h1, h2} {
+				if _, err := h.Take(ctx, b); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+		r := &Roster{Line: l, Clock: pulse.Wall{}, Pause: p, Zone: "z1", Every: time.Second, Minds: func() []mate.Member {
+			return []mate.Member{{ID: "m1", Kind: "mind", Inner: "m1", Zone: "z1"}, {ID: "m2", Kind: "mind", Inner: "m2", Zone: "z2"}}
+		}}
+		r.Init()
+		r.Want([]string{"s"})
+		go r.Run(ctx)
+		both(beat("1", 1, 1, false))
+		both(beat("2", 1, 1, false))
+		time.Sleep(time.Second)
+		if n := len(r.Of("s")); n != 2 {
+			t.Fatalf("%d targets known", n)
+		}
+		look := func(when string) {
+			t.Helper()
+			if n := len(r.Of("s")); n != 2 {
+				t.Errorf("%s: %d targets known, want 2", when, n)
+			}
+		}
+		// The near home is lost; leaving is still heard of through the other.
+		l.set("m1", true)
+		both(beat("1", 2, 1, true))
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			look("near home lost")
+		}
+		find := func(id string) *Stand {
+			for _, s := range r.Of("s") {
+				if s.ID == id {
+					return s
+				}
+			}
+			return nil
+		}
+		if !find("1").Leaving.Load() || find("2").Leaving.Load() {
+			t.Error("leaving was not heard through the other home")
+		}
+		// The near home comes back empty and knows only an old beat: no step back.
+		house("m1", 2)
+		l.set("m1", false)
+		l.set("m2", true)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			look("home back and empty")
+		}
+		if err := r.Learn(ctx, "s", []Entry{{Beat: beat("1", 1, 1, false)}}); err != nil {
+			t.Fatal(err)
+		}
+		if !find("1").Leaving.Load() {
+			t.Error("an old beat took back a leaving")
+		}
+		// A later run is another target, and not leaving.
+		old := find("1")
+		if err := r.Learn(ctx, "s", []Entry{{Beat: beat("1", 1, 2, false)}}); err != nil {
+			t.Fatal(err)
+		}
+		if n := find("1"); n == old || n.Leaving.Load() || n.Inc != 2 {
+			t.Error("the later run was taken for the one that left")
+		}
+		if err := r.Learn(ctx, "s", []Entry{{Beat: beat("1", 9, 1, false)}}); err != nil {
+			t.Fatal(err)
+		}
+		if find("1").Inc != 2 {
+			t.Error("a beat of the earlier run took the later one's place")
+		}
+		// Word of a leaving that came before the run was known binds it.
+		if err := r.Drain(ctx, "s", "3", 5, false); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Learn(ctx, "s", []Entry{{Beat: beat("3", 1, 5, false)}, {Beat: beat("4", 1, 5, false)}}); err != nil {
+			t.Fatal(err)
+		}
+		if !find("3").Leaving.Load() || find("4").Leaving.Load() {
+			t.Error("word that came early was lost")
+		}
+		end()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+func TestHomesAreOneAZoneAndMoveLittle(t *testing.T) {
+	var ms []mate.Member
+	for _, id := range []string{"m1", "m2", "m3", "m4", "m5", "m6"} {
+		ms = append(ms, mate.Member{ID: id, Kind: "mind", Zone: "z" + string('1'+(id[1]-'1')%3)})
+	}
+	moved, kept := 0, 0
+	for i := range 200 {
+		s := "svc" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		all := Homes(s, ms)
+		if len(all) != 3 || all[0].Zone != "z1" || all[2].Zone != "z3" {
+			t.Fatalf("%s: %v", s, all)
+		}
+		less := Homes(s, ms[1:])
+		for j := range all {
+			if all[j].ID == "m1" {
+				moved++
+			} else if less[j].ID != all[j].ID {
+				t.Errorf("%s: the home in %s moved from %s to %s though it stayed", s, all[j].Zone, all[j].ID, less[j].ID)
+			} else {
+				kept++
+			}
+		}
+	}
+	if moved < 60 || moved > 140 || kept == 0 {
+		t.Errorf("m1 was home to %d of 200 services in a zone of two", moved)
+	}
+}
+
+func TestHouseMergesByLargestNumberOfTheLatestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		p := liveness.NewPauses(pulse.Wall{})
+		go p.Run(ctx)
+		h := &House{Clock: pulse.Wall{}, Pause: p, Run: 1}
+		h.Init()
+		go h.Start(ctx)
+		for _, b := range []face.Beat{beat("1", 5, 2, false), beat("1", 4, 2, true), beat("1", 9, 1, true), beat("1", 5, 2, true)} {
+			if _, err := h.Take(ctx, b); err != nil {
+				t.Fatal(err)
+			}
+		}
+		all, err := h.All(ctx)
+		if err != nil || len(all) != 1 || all[0].Beat.Seq != 5 || all[0].Beat.Inc != 2 || all[0].Beat.Leaving {
+			t.Errorf("%+v %v", all, err)
+		}
+		if _, err := h.Take(ctx, beat("1", 6, 2, true)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := h.Take(ctx, beat("1", 7, 2, false)); err != nil {
+			t.Fatal(err)
+		}
+		if all, _ = h.All(ctx); !all[0].Beat.Leaving {
+			t.Error("a run took its leaving back")
+		}
+		end()
+		time.Sleep(time.Second)
+	})
+}
--- /dev/null
+++ b/internal/liveness/detector_test.go
@@ -0,0 +1,181 @@
+package liveness
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/pulse"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func sec(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+// fed has seen n arrivals a second apart, give or take jitter.
+func fed(o Options, n int, jitter float64) (*Detector, time.Time) {
+	r := rand.New(rand.NewPCG(7, 7))
+	d := New(o, nil, t0)
+	t := t0
+	for j := range n {
+		t = t.Add(time.Duration((1 + jitter*(r.Float64()-0.5)) * float64(time.Second)))
+		d.Arrive(uint64(j+1), t)
+	}
+	return d, t
+}
+
+func TestSuspicionRisesWithSilenceAndFallsWithAnArrival(t *testing.T) {
+	d, last := fed(Defaults(time.Second), 50, 0.2)
+	was := -1.0
+	for ms := 0; ms < 5000; ms += 50 {
+		w := d.Suspicion(last.Add(time.Duration(ms) * time.Millisecond))
+		if w < was || w < 0 || w > 1 {
+			t.Fatalf("w %v after %v at %d ms", w, was, ms)
+		}
+		was = w
+	}
+	if was < 0.99 {
+		t.Errorf("w %v after 5 s of silence", was)
+	}
+	at := last.Add(5 * time.Second)
+	if d.Arrive(50, at) || d.Arrive(3, at) {
+		t.Error("an old number counted as news")
+	}
+	if !d.Arrive(51, at) || d.Suspicion(at) > 0.01 {
+		t.Errorf("w %v right after an arrival", d.Suspicion(at))
+	}
+}
+
+// Gaps that hardly differ make the plain fit take one late per cent for death.
+func TestNearConstantGapsDoNotMakeATrigger(t *testing.T) {
+	o := Defaults(time.Second)
+	d, last := fed(o, 150, 0.001)
+	plain := o
+	plain.Plain = true
+	p, _ := fed(plain, 150, 0.001)
+	late := last.Add(1050 * time.Millisecond)
+	if w := p.Suspicion(late); w < 0.99 {
+		t.Errorf("the plain detector was expected to suspect at 5%% late: %v", w)
+	}
+	if w := d.Suspicion(late); w > 0.9 {
+		t.Errorf("w %v at 5%% late", w)
+	}
+	if w := d.Suspicion(last.Add(2500 * time.Millisecond)); w < 0.99 {
+		t.Errorf("w %v after 2.5 intervals", w)
+	}
+}
+
+func TestWarmUpJudgesByThePrior(t *testing.T) {
+	d := New(Defaults(time.Second), nil, t0)
+	if w := d.Suspicion(sec(0.5)); w > 0.5 {
+		t.Errorf("w %v half an interval after the first word", w)
+	}
+	if w := d.Suspicion(sec(4)); w < 0.99 {
+		t.Errorf("w %v after four intervals without a beat", w)
+	}
+	o := Defaults(time.Second)
+	o.Plain = true
+	if w := New(o, nil, t0).Suspicion(sec(100)); w != 0 {
+		t.Errorf("the plain detector judges before its window is full: %v", w)
+	}
+}
+
+func TestLostArrivalsAreFilledIn(t *testing.T) {
+	o := Defaults(time.Second)
+	d, last := fed(o, 120, 0.1)
+	before, _ := d.Fitted()
+	o.NoFill = true
+	n, _ := fed(o, 120, 0.1)
+	// Three beats were lost: one gap of 4 s.
+	d.Arrive(124, last.Add(4*time.Second))
+	n.Arrive(124, last.Add(4*time.Second))
+	after, _ := d.Fitted()
+	raw, _ := n.Fitted()
+	if m := after.After(0.99) / before.After(0.99); m > 1.05 || m < 0.95 {
+		t.Errorf("filled: the time to suspect changed by %v", m)
+	}
+	if raw.Beta > after.Beta {
+		t.Errorf("unfilled gap left beta at %v, filled %v", raw.Beta, after.Beta)
+	}
+}
+
+func TestOwnPauseRaisesNoSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		c := &frozen{}
+		p := NewPauses(c)
+		go p.Run(ctx)
+		var ds []*Detector
+		for range 20 {
+			ds = append(ds, New(Defaults(time.Second), p, time.Now()))
+		}
+		for j := range 30 {
+			time.Sleep(time.Second)
+			for _, d := range ds {
+				d.Arrive(uint64(j+1), time.Now())
+			}
+		}
+		fit, _ := ds[0].Fitted()
+		c.till = time.Now().Add(10 * time.Second)
+		time.Sleep(10 * time.Second)
+		// The first look after waking, before any tick has noticed.
+		for i, d := range ds {
+			if w := d.Suspicion(time.Now()); w > 0.5 {
+				t.Fatalf("target %d suspected at %v after our own pause", i, w)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, d := range ds {
+			d.Arrive(40, time.Now())
+		}
+		if f, _ := ds[0].Fitted(); f != fit {
+			t.Errorf("our own pause was learnt as a gap: %v, was %v", f, fit)
+		}
+		time.Sleep(3 * time.Second)
+		if w := ds[0].Suspicion(time.Now()); w < 0.99 {
+			t.Errorf("a real silence after the pause: %v", w)
+		}
+	})
+}
+
+// frozen is a clock whose sleepers wake late while the process is frozen.
+type frozen struct {
+	pulse.Wall
+	till time.Time
+}
+
+func (f *frozen) Sleep(ctx context.Context, d time.Duration) error {
+	err := f.Wall.Sleep(ctx, d)
+	if w := time.Until(f.till); w > 0 {
+		err = f.Wall.Sleep(ctx, w+time.Millisecond)
+	}
+	return err
+}
+
+func BenchmarkArrive(b *testing.B) {
+	for _, n := range []int{50, 100, 250, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			o := Defaults(time.Second)
+			o.Size = n
+			d, t := fed(o, n, 0.2)
+			r := rand.New(rand.NewPCG(1, 1))
+			b.ResetTimer()
+			for i := range b.N {
+				t = t.Add(time.Duration((0.9 + 0.2*r.Float64()) * float64(time.Second)))
+				d.Arrive(uint64(n+i+1), t)
+			}
+		})
+	}
+}
+
+func BenchmarkSuspicion(b *testing.B) {
+	d, t := fed(Defaults(time.Second), 100, 0.2)
+	t = t.Add(time.Second)
+	for range b.N {
+		_ = d.Suspicion(t)
+	}
+}
--- /dev/null
+++ b/tools/fleet/failures.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"walkrudder/tools/stand"
+)
+
+// failures brings mixed failures about, one after the other, until ctx ends; what
+// it ended it starts again.
+func failures(ctx context.Context, t *stand.Town, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	say := func(format string, args ...any) {
+		fmt.Printf("%s "+format+"\n", append([]any{time.Now().Format("15:04:05.000")}, args...)...)
+	}
+	wait := func(least, most int) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(least+rnd.IntN(most-least)) * time.Millisecond):
+		}
+	}
+	node := func() *stand.Node { return t.Fleet.Nodes[rnd.IntN(len(t.Fleet.Nodes))] }
+	start := func(ns ...*stand.Node) {
+		for _, n := range ns {
+			if !n.Up() {
+				if err := n.Start(); err != nil {
+					say("start %s: %v", n.ID, err)
+				}
+			}
+		}
+	}
+	acts := []func(){
+		func() {
+			n := node()
+			say("kill %s", n.ID)
+			n.Kill()
+			wait(300, 2500)
+			start(n)
+		},
+		func() {
+			n := node()
+			say("freeze %s", n.ID)
+			n.Freeze()
+			wait(200, 4000)
+			n.Thaw()
+		},
+		func() {
+			n := node()
+			if ok := func() bool { say("stop %s as planned", n.ID); return n.Term() }(); !ok {
+				say("%s had to be killed", n.ID)
+			}
+			start(n)
+		},
+		func() {
+			var core []*stand.Node
+			for _, n := range t.Fleet.Of("mind") {
+				if n.Disk {
+					core = append(core, n)
+				}
+			}
+			say("kill the whole core")
+			for _, n := range core {
+				n.Kill()
+			}
+			wait(500, 3000)
+			start(core...)
+		},
+		func() {
+			var disks []*stand.Node
+			for _, n := range t.Fleet.Of("mind") {
+				if n.Disk {
+					disks = append(disks, n)
+				}
+			}
+			n := disks[rnd.IntN(len(disks))]
+			say("lose the disk of %s", n.ID)
+			n.Kill()
+			_ = n.Wipe()
+			wait(300, 2000)
+			start(n)
+			wait(8000, 9000)
+		},
+		func() {
+			x := t.Targets[rnd.IntN(len(t.Targets))]
+			m := []stand.Mode{stand.Slow, stand.Silent, stand.Losing, stand.Garbling, stand.Cutting, stand.Refusing, stand.Swapping, stand.Vanished}[rnd.IntN(8)]
+			say("%s behaves %d", x.ID, m)
+			x.Set(m, 50)
+			wait(1000, 4000)
+			x.Set(stand.Good, 100)
+		},
+		func() {
+			x := t.Targets[rnd.IntN(len(t.Targets))]
+			say("%s crashes", x.ID)
+			x.Crash()
+			wait(2000, 4000)
+			if err := x.Start(ctx); err != nil {
+				say("start %s: %v", x.ID, err)
+			}
+		},
+		func() {
+			x := t.Targets[rnd.IntN(len(t.Targets))]
+			cx, end := context.WithTimeout(ctx, 15*time.Second)
+			defer end()
+			say("%s leaves", x.ID)
+			if _, err := x.Leave(cx); err != nil {
+				return
+			}
+			wait(3000, 4000)
+			x.Crash()
+			wait(2000, 2500)
+			if err := x.Start(ctx); err != nil {
+				say("start %s: %v", x.ID, err)
+			}
+		},
+	}
+	for ctx.Err() == nil {
+		acts[rnd.IntN(len(acts))]()
+		wait(500, 2500)
+	}
+}
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -20,6 +20,8 @@
 	For  time.Duration `arg:"--for" default:"20s" help:"how long callers call"`
 	Bin  string        `arg:"--bin,required" help:"folder with the programs flow and mind"`
 	Dir  string        `arg:"--dir" help:"folder for logs and data; a new one by default"`
+	Fail bool          `arg:"--failures" help:"kill, freeze, stop and empty nodes and misuse targets meanwhile"`
+	Seed uint64        `arg:"--seed" default:"1" help:"of the failures"`
 	Net  uint8         `arg:"--net" default:"20" help:"second number of the 127.x addresses"`
 }
 
@@ -63,6 +65,12 @@
 	defer stop()
 	go t.Platform.Run(cx)
 	go changes(cx, t)
+	if a.Fail {
+		// The last seconds are for coming back.
+		fx, fin := context.WithTimeout(cx, a.For-20*time.Second)
+		defer fin()
+		go failures(fx, t, a.Seed)
+	}
 	t.Callers.Go(cx)
 	v := t.Rec.Check()
 	e := json.NewEncoder(os.Stdout)
