--- a/internal/commands/warden.go
+++ b/internal/commands/warden.go
@@ -50,7 +50,6 @@
 	Faults  *fault.Set
 	Log     *log.Logger
 
-	mu      sync.Mutex
 	suspect map[ledger.Target]bool
 	absent  map[string]time.Time // by disk
 }
--- a/internal/home/roster.go
+++ b/internal/home/roster.go
@@ -33,7 +33,6 @@
 	Det    *liveness.Detector
 	beat   face.Beat // owned by the roster
 	listed atomic.Int64
-	probed atomic.Uint64
 }
 
 // Key names the target run.
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -20,7 +20,6 @@
 	N      uint64
 	Sheet  spec.Sheet
 	tokens map[string]uint64
-	first  uint64
 }
 
 // Token finds the change that carried a token.
@@ -86,7 +85,7 @@
 	if f.N > 0 {
 		after = ChangeKey(f.N)
 	}
-	n := &Fold{N: f.N, Sheet: f.Sheet, tokens: map[string]uint64{}, first: f.first}
+	n := &Fold{N: f.N, Sheet: f.Sheet, tokens: map[string]uint64{}}
 	for t, k := range f.tokens {
 		n.tokens[t] = k
 	}
@@ -108,7 +107,6 @@
 func (f *Fold) take(c Change) error {
 	switch {
 	case f.N == 0 && c.Sheet != nil:
-		f.first = c.N
 		f.Sheet = *c.Sheet
 	case c.N != f.N+1:
 		return fmt.Errorf("change %d after %d: the ledger has a gap", c.N, f.N)
--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -98,8 +98,8 @@
 func (p *Passage) Flying() int64 { return p.flying.Load() }
 
 // Enter is the door: it takes a call in, waits for its end or its expiry, and
-// returns the trip with Answer or Out set. patience is the most a call may wait
-// before its binding is known.
+// returns the trip with Answer or Out set. key is the caller's own name for the
+// request, "" where he gave none.
 func (p *Passage) Enter(ctx context.Context, client, key string, r *Request) *Trip {
 	p.flying.Add(1)
 	defer p.flying.Add(-1)
--- a/internal/roll/roller.go
+++ b/internal/roll/roller.go
@@ -182,10 +182,11 @@
 // all asks every leased flow until each has agreed, or its lease has lapsed, and
 // names those that agreed.
 func (r *Roller) all(ctx context.Context, step string, ask any) ([]string, error) {
+	var told sync.Map
 	ids, err := Everyone(ctx, r.Tenant, r.Clock, func(cx context.Context, m mate.Member) bool {
 		t, err := link.Ask[FlowTold](cx, r.Line, m.Inner, ask)
-		if err != nil && r.Log != nil {
-			r.Log.Warn("flow not reached", "step", step, "mate", m.ID, "err", err)
+		if _, again := told.LoadOrStore(m.ID, true); err != nil && !again && r.Log != nil {
+			r.Log.Warn("flow not reached, waiting for its lease to lapse", "step", step, "mate", m.ID, "err", err)
 		}
 		return err == nil && t.OK
 	})
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -96,8 +96,8 @@
 	return ch
 }
 
-// Incarnation is this run's number: later runs have larger ones as long as the
-// machine's date does not go back; NotBefore keeps it above a known one.
+// Incarnation is this run's number: later runs of a node have larger ones, as long
+// as the machine's date does not go back between them.
 func Incarnation() uint64 { return uint64(time.Now().UnixMilli()) }
 
 // Fresh is a name that no other run has.
--- a/tools/fleet/failures.go
+++ b/tools/fleet/failures.go
@@ -121,3 +121,23 @@
 		wait(500, 2500)
 	}
 }
+
+// rolling stops every node in turn as planned, and starts it again, until ctx
+// ends.
+func rolling(ctx context.Context, t *stand.Town) {
+	for {
+		for _, n := range t.Fleet.Nodes {
+			from := time.Now()
+			ok := n.Term()
+			fmt.Printf("%s stopped as planned: %v, after %.1f s\n", n.ID, ok, time.Since(from).Seconds())
+			if err := n.Start(); err != nil {
+				fmt.Printf("start %s: %v\n", n.ID, err)
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(1500 * time.Millisecond):
+			}
+		}
+	}
+}
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -21,6 +21,7 @@
 	Bin  string        `arg:"--bin,required" help:"folder with the programs flow and mind"`
 	Dir  string        `arg:"--dir" help:"folder for logs and data; a new one by default"`
 	Fail bool          `arg:"--failures" help:"kill, freeze, stop and empty nodes and misuse targets meanwhile"`
+	Roll bool          `arg:"--rolling" help:"stop every node in turn as planned and start it again, with slow targets"`
 	Seed uint64        `arg:"--seed" default:"1" help:"of the failures"`
 	Net  uint8         `arg:"--net" default:"20" help:"second number of the 127.x addresses"`
 }
@@ -65,6 +66,12 @@
 	defer stop()
 	go t.Platform.Run(cx)
 	go changes(cx, t)
+	if a.Roll {
+		for _, x := range t.Targets {
+			x.Work = 400 * time.Millisecond
+		}
+		go rolling(cx, t)
+	}
 	if a.Fail {
 		// The last seconds are for coming back.
 		fx, fin := context.WithTimeout(cx, a.For-20*time.Second)
--- a/tools/stand/target.go
+++ b/tools/stand/target.go
@@ -58,7 +58,6 @@
 	ln   net.Listener
 	srv  *http.Server
 	stop context.CancelFunc
-	acks []time.Time
 	last string // an earlier answer's stamp
 	body []byte
 }
