Refusals are logged with their reason; stand-in targets no longer stop beating

Cause of 692 refusals in a rolling restart (all 'no target can take it', flows that restarted after 30 s knew none): the stand-ins beat only as long as the start-up's time limit. Ruled out by a log of what an election found: proofs, leaving. Flows that had known the targets served on by their own probes all the while.

--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -63,6 +63,7 @@
 	budgets map[string]*Budget
 	clients map[string]*client
 	born    time.Time
+	told    atomic.Int64
 	flying  atomic.Int64
 }
 
@@ -182,6 +183,9 @@
 // refuse ends a trip that has not run. Where a byte may have left already that
 // would be a lie, and the outcome is unknown.
 func (p *Passage) refuse(t *Trip, why string) {
+	if p.Log != nil {
+		p.Log.Info("call given up", "step", "refuse", "call", t.Call, "why", why, "tries", t.Tries, "sends", t.Sends, "loose", t.Loose)
+	}
 	switch {
 	case t.Loose > 0 && !t.Bound.Repeatable:
 		t.Out = &face.Verdict{Status: 502, Code: face.Unknown, Why: why}
@@ -256,6 +260,7 @@
 	t.Stand = p.elect(s.Name, s.Suspect, t.Tried)
 	if t.Stand == nil {
 		p.refuse(t, "no target of "+s.Name+" can take it now")
+		p.tell(s.Name, now)
 		return
 	}
 	t.Tries++
@@ -267,6 +272,24 @@
 	}
 }
 
+// tell logs, at most once a second, why no target of a service could be elected.
+func (p *Passage) tell(service string, now time.Time) {
+	if l := p.told.Load(); p.Log == nil || now.UnixNano()-l < int64(time.Second) || !p.told.CompareAndSwap(l, now.UnixNano()) {
+		return
+	}
+	all := p.Roster.Of(service)
+	left, old, oldest := 0, 0, time.Duration(0)
+	for _, s := range all {
+		if s.Leaving.Load() || s.Gone.Load() {
+			left++
+		} else if a := p.Roster.Age(s, now); a >= Fresh {
+			old++
+			oldest = max(oldest, a)
+		}
+	}
+	p.Log.Warn("no target to elect", "step", "elect", "service", service, "known", len(all), "leaving", left, "unproved", old, "oldest", oldest.String())
+}
+
 // budget finds or makes the budget of a service.
 func (p *Passage) budget(service string) *Budget {
 	p.mu.Lock()
--- a/tools/stand/town.go
+++ b/tools/stand/town.go
@@ -70,7 +70,8 @@
 		return err
 	}
 	for _, x := range t.Targets {
-		if err := x.Start(ctx); err != nil {
+		// They outlive the raising: ctx is only its time limit.
+		if err := x.Start(context.WithoutCancel(ctx)); err != nil {
 			return err
 		}
 	}
