--- a/internal/flow/door_test.go
+++ b/internal/flow/door_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -298,3 +299,33 @@
 		t.Errorf("silent target: %d %s after %d sends", r.StatusCode, b, silent.ran.Load())
 	}
 }
+
+func TestDoorLimitsOnlyTheClientThatHammers(t *testing.T) {
+	s := newStand(t, func(w http.ResponseWriter, r *http.Request) { stamp(w, r, 0) })
+	var wg sync.WaitGroup
+	var limited, served atomic.Int64
+	for range 10 {
+		wg.Go(func() {
+			for range 80 {
+				r, _ := s.call(t, "GET", "/again/x", nil, face.ClientField, "hammer")
+				switch {
+				case r.StatusCode == 429 && r.Header.Get("Retry-After") != "":
+					limited.Add(1)
+				case r.StatusCode == 200:
+					served.Add(1)
+				default:
+					t.Errorf("status %d", r.StatusCode)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for range 20 {
+		if r, _ := s.call(t, "GET", "/again/x", nil, face.ClientField, "proper"); r.StatusCode != 200 {
+			t.Fatalf("a proper client got %d beside one that hammers", r.StatusCode)
+		}
+	}
+	if limited.Load() == 0 || served.Load() < 100 {
+		t.Errorf("of 800 hammering calls %d were limited, %d served", limited.Load(), served.Load())
+	}
+}
