--- /dev/null
+++ b/internal/passage/elect_test.go
@@ -0,0 +1,106 @@
+package passage
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/face"
+	"walkrudder/internal/home"
+	"walkrudder/internal/liveness"
+	"walkrudder/internal/pulse"
+)
+
+// crowd is a passage with n proved targets, each heard of every 400 ms so far.
+func crowd(ctx context.Context, t *testing.T, n int) (*Passage, []*home.Stand) {
+	t.Helper()
+	pz := liveness.NewPauses(pulse.Wall{})
+	go pz.Run(ctx)
+	r := &home.Roster{Clock: pulse.Wall{}, Pause: pz, Every: 400 * time.Millisecond}
+	r.Init()
+	go r.Alone(ctx)
+	var es []home.Entry
+	for i := range n {
+		es = append(es, home.Entry{Beat: face.Beat{ID: fmt.Sprint("t", i), Service: "s", Zone: "z1", Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Capacity: 4, Seq: 1, Inc: 1}})
+	}
+	if err := r.Learn(ctx, "s", es); err != nil {
+		t.Fatal(err)
+	}
+	p := &Passage{Clock: pulse.Wall{}, Roster: r, Zone: "z1"}
+	p.Init()
+	return p, r.Of("s")
+}
+
+// hear lets the first k targets answer for a while; the rest stay silent.
+func hear(p *Passage, ss []*home.Stand, k int, from uint64, times int) {
+	for j := range times {
+		time.Sleep(400 * time.Millisecond)
+		for _, s := range ss[:k] {
+			s.Det.Arrive(from+uint64(j), time.Now())
+		}
+		for _, s := range ss {
+			p.Roster.Proved(s, time.Now())
+		}
+	}
+}
+
+func TestElectPassesOverTheSuspectedButNeverAllAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		p, ss := crowd(ctx, t, 10)
+		hear(p, ss, 10, 1, 20)
+		hear(p, ss, 7, 100, 5)
+		for range 300 {
+			s := p.elect("s", 0, nil)
+			if s == nil {
+				t.Fatal("nobody elected")
+			}
+			for _, bad := range ss[7:] {
+				if s == bad {
+					t.Fatalf("%s was elected after 2 s of silence", s.ID)
+				}
+			}
+		}
+		// All go silent together: that says more of this side than of them.
+		hear(p, ss, 0, 0, 10)
+		seen := map[string]bool{}
+		for range 300 {
+			if s := p.elect("s", 0, nil); s != nil {
+				seen[s.ID] = true
+			}
+		}
+		if len(seen) == 0 || len(seen) > 5 {
+			t.Errorf("with all suspected, %d of 10 were elected: want some, half at most", len(seen))
+		}
+		end()
+		time.Sleep(time.Second)
+	})
+}
+
+func TestElectTakesNoTargetWithoutAFreshProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		p, ss := crowd(ctx, t, 2)
+		if p.elect("s", 0, nil) != nil {
+			t.Error("elected a target that never proved who it is")
+		}
+		hear(p, ss, 2, 1, 5)
+		ss[0].Leaving.Store(true)
+		for range 50 {
+			if s := p.elect("s", 0, nil); s != ss[1] {
+				t.Fatal("elected a target that is leaving, or none")
+			}
+		}
+		if p.elect("s", 0, []*home.Stand{ss[1]}) != nil {
+			t.Error("elected a target that was tried before")
+		}
+		time.Sleep(Fresh)
+		if p.elect("s", 0, nil) != nil {
+			t.Error("elected on a proof that has run out")
+		}
+		end()
+		time.Sleep(time.Second)
+	})
+}
--- a/tools/fleet/failures.go
+++ b/tools/fleet/failures.go
@@ -115,6 +115,32 @@
 				say("start %s: %v", x.ID, err)
 			}
 		},
+		func() {
+			// An address passes to a target of another service, 2 s after its holder
+			// vanished.
+			x := t.Targets[rnd.IntN(len(t.Targets))]
+			svc := x.Service
+			for n := range t.Plan.Targets {
+				if n != x.Service {
+					svc = n
+				}
+			}
+			say("%s vanishes, its address passes to %s", x.ID, svc)
+			x.Crash()
+			wait(2000, 2100)
+			n := &stand.Target{ID: fmt.Sprintf("%s-in-%s", x.ID, svc), Service: svc, Zone: x.Zone, Addr: x.Addr, Capacity: x.Capacity,
+				Every: x.Every, Work: x.Work, Minds: x.Minds, Rec: x.Rec}
+			if err := n.Start(ctx); err != nil {
+				say("start %s: %v", n.ID, err)
+				return
+			}
+			wait(4000, 6000)
+			n.Crash()
+			wait(2000, 2100)
+			if err := x.Start(ctx); err != nil {
+				say("start %s: %v", x.ID, err)
+			}
+		},
 	}
 	for ctx.Err() == nil {
 		acts[rnd.IntN(len(acts))]()
