--- a/internal/liveness/detector_test.go
+++ b/internal/liveness/detector_test.go
@@ -181,3 +181,46 @@
 		_ = d.Suspicion(t)
 	}
 }
+
+// jumpy is a clock that can be set.
+type jumpy struct {
+	pulse.Wall
+	off atomic.Int64
+}
+
+func (j *jumpy) Now() time.Time { return time.Now().Add(time.Duration(j.off.Load())) }
+
+// A clock that jumps, ahead or back, raises no suspicion and teaches no gap.
+func TestClockJumpsAreNoGaps(t *testing.T) {
+	for _, jump := range []time.Duration{time.Hour, -time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, end := context.WithCancel(t.Context())
+			defer end()
+			c := &jumpy{}
+			p := NewPauses(c)
+			go p.Run(ctx)
+			d := New(Defaults(time.Second), p, c.Now())
+			beat := func(from, n int) {
+				for j := range n {
+					time.Sleep(time.Second)
+					d.Arrive(uint64(from+j), c.Now())
+				}
+			}
+			beat(1, 30)
+			fit, _ := d.Fitted()
+			c.off.Store(int64(jump))
+			if w := d.Suspicion(c.Now()); w > 0.5 {
+				t.Errorf("suspected at %v right after a jump of %s", w, jump)
+			}
+			beat(31, 1)
+			if f, _ := d.Fitted(); f != fit {
+				t.Errorf("a jump of %s was learnt as a gap: %v, was %v", jump, f, fit)
+			}
+			beat(32, 5)
+			time.Sleep(4 * time.Second)
+			if w := d.Suspicion(c.Now()); w < 0.99 {
+				t.Errorf("four intervals of silence after a jump of %s: %v", jump, w)
+			}
+		})
+	}
+}
