--- a/internal/sim/history_test.go
+++ b/internal/sim/history_test.go
@@ -158,6 +158,7 @@
 
 // TestHistories checks that every item behaves as one register, whatever fails.
 func TestHistories(t *testing.T) {
+	t.Parallel()
 	// Both shapes: with a disk that stands by, and without.
 	for i := range max(2, *seeds) {
 		seed := *first + uint64(i)
--- a/internal/sim/orders_test.go
+++ b/internal/sim/orders_test.go
@@ -29,6 +29,7 @@
 }
 
 func TestOrdersOfTwoOperators(t *testing.T) {
+	t.Parallel()
 	raised(t, func(ctx context.Context, w *World) {
 		m1, m2, m4 := w.Node("m1"), w.Node("m2"), w.Node("m4")
 		one := uint64(1)
@@ -89,6 +90,7 @@
 
 // A flow that starts late, and one that restarts, come up with what is in force.
 func TestLateAndRestartedFlows(t *testing.T) {
+	t.Parallel()
 	raised(t, func(ctx context.Context, w *World) {
 		f := w.Node("f2")
 		f.Kill()
--- a/internal/sim/points_test.go
+++ b/internal/sim/points_test.go
@@ -16,6 +16,7 @@
 // TestPoints kills, or freezes for a while, whichever node first reaches each
 // numbered point, with calls, changes and a leaving target under way.
 func TestPoints(t *testing.T) {
+	t.Parallel()
 	for n := 1; n <= fault.Points; n++ {
 		for _, how := range []string{"kill", "freeze"} {
 			t.Run(fmt.Sprintf("%d-%s", n, how), func(t *testing.T) {
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -102,7 +102,11 @@
 	if m == nil || up == nil {
 		return r, false, false
 	}
-	ch := make(chan bool, 1)
+	type back struct {
+		r  home.BeatTold
+		ok bool
+	}
+	ch := make(chan back, 1)
 	go func() {
 		time.Sleep(t.w.Net.delay(t.ID, n.ID))
 		n.awake()
@@ -111,13 +115,12 @@
 		x, err := m.Beater.Take(cx, b)
 		n.awake()
 		if up.Err() == nil {
-			r = x
-			ch <- err == nil
+			ch <- back{x, err == nil}
 		}
 	}()
 	select {
-	case ok = <-ch:
-		return r, b.Leaving, ok
+	case k := <-ch:
+		return k.r, b.Leaving, k.ok
 	case <-time.After(4500 * time.Millisecond):
 	case <-ctx.Done():
 	}
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -89,6 +89,7 @@
 }
 
 func sweep(t *testing.T, d Defects) {
+	t.Parallel()
 	for i := range *seeds {
 		t.Run(fmt.Sprint(*first+uint64(i)), func(t *testing.T) {
 			t.Parallel()
