Flows that came after the last roll-out count too

Ruled out: leases, elections. The mind that watches roll-outs now lets new flows count: more than half of those that count already are told the longer list before it is written.

--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -181,6 +181,17 @@
 	})
 }
 
+// Join adds flows to those that count, as long as n is in force.
+func (b *Book) Join(ctx context.Context, n uint64, flows []string) error {
+	_, err := b.force(ctx, func(o Force) Force {
+		if o.N == n {
+			o.Flows = lo.Union(o.Flows, flows)
+		}
+		return o
+	})
+	return err
+}
+
 // Part takes a flow that stopped as planned off those that count.
 func (b *Book) Part(ctx context.Context, id string) error {
 	_, err := b.force(ctx, func(o Force) Force {
--- a/internal/roll/rack.go
+++ b/internal/roll/rack.go
@@ -157,6 +157,9 @@
 	})
 	link.On(d, func(ctx context.Context, _ link.Who, a FlipAsk) (r FlowTold, err error) {
 		return owner.Get(ctx, k.own, func() (r FlowTold) {
+			if a.N == k.N() && len(a.Flows) > len(k.flows) {
+				k.flows = a.Flows
+			}
 			if t := k.staged[a.N]; a.N > k.N() && t != nil {
 				k.confirmed, k.flows = true, a.Flows
 				k.set(func(s *state) { s.table, s.open = t, !s.since.IsZero() })
@@ -238,7 +241,7 @@
 				t = spec.NewTable(r.N, *r.Sheet)
 			}
 			k.confirmed = true
-			if r.N >= t.N {
+			if r.N > k.N() || r.N == k.N() && len(r.Flows) > len(k.flows) {
 				k.flows = r.Flows
 			}
 			k.set(func(s *state) {
@@ -314,7 +317,8 @@
 			// what others once knew may be long past.
 			if r.Confirmed {
 				ids[r.ID] = true
-				if best == nil || r.N > best.N {
+				// Of two lists of flows at one version the longer is the later.
+				if best == nil || r.N > best.N || r.N == best.N && len(r.Flows) > len(best.Flows) {
 					best = r
 				}
 			}
@@ -327,7 +331,9 @@
 			if best.N > t.N {
 				t = spec.NewTable(best.N, *best.Sheet)
 			}
-			k.flows = best.Flows
+			if best.N > k.N() || len(best.Flows) > len(k.flows) {
+				k.flows = best.Flows
+			}
 		}
 		n := 0
 		for _, id := range k.flows {
--- a/internal/roll/roller.go
+++ b/internal/roll/roller.go
@@ -163,6 +163,25 @@
 	}
 }
 
+// join lets flows count that took a lease after the last roll-out. More than half
+// of those that count already must know the longer list before it is written: so
+// no group that may serve without a lease can be without a member that knows it.
+func (r *Roller) join(ctx context.Context, fo ledger.Force) {
+	here := lo.Map(r.Tenant.Kind("flow"), func(m mate.Member, _ int) string { return m.ID })
+	if fo.N == 0 || len(lo.Without(here, fo.Flows...)) == 0 {
+		return
+	}
+	all := lo.Union(fo.Flows, here)
+	slices.Sort(all)
+	ids, err := r.all(ctx, "join", FlipAsk{fo.N, all})
+	if err == nil && fo.More(ids) {
+		err = r.Book.Join(ctx, fo.N, all)
+	}
+	if err != nil && ctx.Err() == nil && r.Log != nil {
+		r.Log.Warn("flows not joined", "step", "join", "err", err)
+	}
+}
+
 // most is all, repeated until more than half of the flows that count agreed.
 func (r *Roller) most(ctx context.Context, step string, was ledger.Force, ask any) ([]string, error) {
 	for {
@@ -298,6 +317,7 @@
 		if err == nil && f.N > 0 {
 			if fo, err := r.Book.Flipped(cx); err == nil {
 				r.note(fo.Flows)
+				r.join(cx, fo)
 			}
 			r.mu.Lock()
 			behind := r.done < f.N
