--- a/internal/accord/proposer.go
+++ b/internal/accord/proposer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -329,7 +330,7 @@
 				}
 			}
 		}
-		sortStrings(keys)
+		slices.Sort(keys)
 		for _, k := range keys {
 			v := by[k].it.Value
 			if by[k].n < core.Quorum() {
--- a/internal/accord/types.go
+++ b/internal/accord/types.go
@@ -2,10 +2,7 @@
 // register for each item, with no log and no leader (design 4).
 package accord
 
-import (
-	"cmp"
-	"slices"
-)
+import "cmp"
 
 // Ballot orders the attempts at one item. By makes it unique: it holds the
 // proposing process and its incarnation.
@@ -167,5 +164,3 @@
 		Items int
 	}
 )
-
-func sortStrings(s []string) { slices.Sort(s) }
