Test disk: a write to its fail switch raced with a straggling accept

Cause: TestFailedSyncIsNeverAnswered set the switch with a plain write while the third voter, whose accept the quorum no longer waited for, was still in its commit. Ruled out: a race in the voter itself; the write came from the test's own line. Conclusion: fakes shared with running voters change under their own lock.

--- a/internal/accord/lab_test.go
+++ b/internal/accord/lab_test.go
@@ -49,6 +49,13 @@
 
 func (d *mem) Close() error { return nil }
 
+// breaks makes every sync fail from now on, or none.
+func (d *mem) breaks(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fail = on
+}
+
 // lab is a core whose voters can be reached or not, one by one, and by kind of
 // question.
 type lab struct {
--- a/internal/accord/voter_test.go
+++ b/internal/accord/voter_test.go
@@ -66,11 +66,11 @@
 	in(t, func(ctx context.Context, t *testing.T) {
 		l, ds := newLab(ctx, t)
 		l.set(l.prop("p"), "k", "1")
-		ds["a"].fail = true
+		ds["a"].breaks(true)
 		if _, err := link.Ask[PrepareTold](ctx, l, "a", PrepareAsk{Mark{Epoch: 1}, "k", Ballot{9, "p"}}); !errors.Is(err, ErrBad) {
 			t.Errorf("answered %v on a disk that failed", err)
 		}
-		ds["a"].fail = false
+		ds["a"].breaks(false)
 		if _, err := link.Ask[ReadTold](ctx, l, "a", ReadAsk{Mark{Epoch: 1}, "k"}); !errors.Is(err, ErrBad) {
 			t.Errorf("voted on after a failed sync: %v", err)
 		}
