--- a/internal/face/reply.go
+++ b/internal/face/reply.go
@@ -15,6 +15,8 @@
 	// Retry tells when to come back; 0 says nothing of it.
 	Retry time.Duration
 	Allow []string
+	// Sent says that this very call may have reached a target.
+	Sent bool
 }
 
 // The codes of verdicts.
@@ -36,7 +38,8 @@
 		Error string `json:"error"`
 		Why   string `json:"why,omitempty"`
 		Call  string `json:"call,omitempty"`
-	}{v.Code, v.Why, call})
+		Sent  bool   `json:"sent"`
+	}{v.Code, v.Why, call, v.Sent})
 	return append(b, '\n')
 }
 
--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -148,7 +148,7 @@
 			cut = true
 			t.over.Store(true)
 			// A stage may still hold the trip; the caller gets one of his own.
-			return &Trip{Call: t.Call, Out: &face.Verdict{Status: 502, Code: face.Unknown, Why: "this node was ended"}}
+			return &Trip{Call: t.Call, Out: &face.Verdict{Status: 502, Code: face.Unknown, Why: "this node was ended", Sent: true}}
 		}
 		if t.drop() {
 			t.Out = p.notRun(t, "no target could take it before its expiry")
@@ -188,9 +188,9 @@
 	}
 	switch {
 	case t.Loose > 0 && !t.Bound.Repeatable:
-		t.Out = &face.Verdict{Status: 502, Code: face.Unknown, Why: why}
+		t.Out = &face.Verdict{Status: 502, Code: face.Unknown, Why: why, Sent: true}
 	case t.Loose > 0:
-		t.Out = &face.Verdict{Status: 502, Code: face.BadAnswer, Why: why, Retry: time.Second}
+		t.Out = &face.Verdict{Status: 502, Code: face.BadAnswer, Why: why, Retry: time.Second, Sent: true}
 	case t.drop() || t.state.Load() == sent:
 		// Sent without a byte that left, or answered "not run" by the target.
 		t.Out = p.notRun(t, why)
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// Join restores the ways between two.
+func (n *Net) Join(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, [2]string{a, b})
+	delete(n.cut, [2]string{b, a})
+}
+
+// Lose makes a share of all messages vanish.
+func (n *Net) Lose(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = share
+}
+
 func (n *Net) host(addr string) *Host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,7 @@
 	"walkrudder/internal/flow"
 	"walkrudder/internal/mind"
 	"walkrudder/internal/passage"
+	"walkrudder/internal/shell"
 	"walkrudder/internal/spec"
 	"walkrudder/internal/startup"
 	"walkrudder/tools/stand"
@@ -28,12 +31,15 @@
 type Shape struct {
 	Zones, Disks, Minds, Flows int
 	Targets                    map[string]int
-	Log                        io.Writer
+	// Spares is how many control machines stand by to be swapped in; the n-th of
+	// them may take the place of the n-th mind.
+	Spares int
+	Log    io.Writer
 }
 
 // Small is a world that a run in CI can afford.
 func Small() Shape {
-	return Shape{Zones: 3, Disks: 3, Minds: 4, Flows: 4, Targets: map[string]int{"orders": 5, "records": 5}}
+	return Shape{Zones: 3, Disks: 3, Minds: 4, Flows: 4, Targets: map[string]int{"orders": 5, "records": 5}, Spares: 1}
 }
 
 // Tiny is a world for tests that need few of everything.
@@ -43,12 +49,12 @@
 
 // Alcazar and Grachtwerk are the deployments of today.
 func Alcazar() Shape {
-	return Shape{Zones: 3, Disks: 3, Minds: 5, Flows: 8, Targets: map[string]int{"orders": 14, "records": 16}}
+	return Shape{Zones: 3, Disks: 3, Minds: 5, Flows: 8, Targets: map[string]int{"orders": 14, "records": 16}, Spares: 1}
 }
 
 // Grachtwerk has a fourth disk that stands by.
 func Grachtwerk() Shape {
-	return Shape{Zones: 4, Disks: 4, Minds: 6, Flows: 8, Targets: map[string]int{"orders": 20, "records": 20}}
+	return Shape{Zones: 4, Disks: 4, Minds: 6, Flows: 8, Targets: map[string]int{"orders": 20, "records": 20}, Spares: 2}
 }
 
 // Node is one node of the world.
@@ -67,6 +73,10 @@
 	inc  uint64
 	// looked is what the platform last saw: ready or not.
 	looked atomic.Bool
+	// out says that the machine is not part of the deployment: not yet, or no more.
+	out atomic.Bool
+	// came says that a spare machine was swapped in.
+	came bool
 }
 
 // World is a whole deployment on a virtual clock.
@@ -119,6 +129,14 @@
 			w.seeds = append(w.seeds, n.Addr)
 		}
 	}
+	for i := range s.Spares {
+		old := w.Nodes[i]
+		n := &Node{w: w, Kind: "mind", Faults: &fault.Set{}, Disk: newDisk(sub()),
+			Host: &Host{net: w.Net, ID: old.ID + "b", Zone: old.Zone, Addr: fmt.Sprintf("10.0.2.%d:7000", i+1)}}
+		n.out.Store(true)
+		w.Net.at[n.Addr] = n.Host
+		w.Nodes = append(w.Nodes, n)
+	}
 	i := 0
 	for _, svc := range []string{"orders", "records"} {
 		for k := range s.Targets[svc] {
@@ -153,9 +171,19 @@
 // Rand draws below n for the failures.
 func (w *World) Rand(n int) int { return w.Draw("chaos", n) }
 
+// In lists the nodes that are part of the deployment.
+func (w *World) In() []*Node {
+	return lo.Filter(w.Nodes, func(n *Node, _ int) bool { return !n.out.Load() })
+}
+
 // Of lists the nodes of a kind.
 func (w *World) Of(kind string) []*Node {
-	return lo.Filter(w.Nodes, func(n *Node, _ int) bool { return n.Kind == kind })
+	return lo.Filter(w.In(), func(n *Node, _ int) bool { return n.Kind == kind })
+}
+
+// Disks lists the nodes with a disk.
+func (w *World) Disks() []*Node {
+	return lo.Filter(w.In(), func(n *Node, _ int) bool { return n.Disk != nil })
 }
 
 // Node finds a node.
@@ -217,7 +245,7 @@
 		}
 	}
 	defer n.mu.Unlock()
-	if n.end != nil || n.w.ctx.Err() != nil {
+	if n.end != nil || n.w.ctx.Err() != nil || n.out.Load() {
 		return
 	}
 	ctx, end := context.WithCancel(context.Background())
@@ -271,6 +299,48 @@
 	n.Thaw()
 }
 
+// linger and whole are the times of a planned stop, as the programs keep them.
+const (
+	linger = shell.Linger
+	whole  = shell.Whole
+)
+
+// Retire stops the process as planned; the platform kills it 6 s after its
+// warning. What was cut off by it is for the checker to find.
+func (n *Node) Retire() {
+	f, m, up := n.Flow(), n.Mind(), n.Host.up()
+	if up == nil || n.Frozen() {
+		return
+	}
+	from := time.Now()
+	kill := from.Add(6 * time.Second)
+	switch {
+	case f != nil:
+		f.Stop()
+		time.Sleep(linger)
+		for f.Passage.Flying() > 0 && time.Since(from) < whole-200*time.Millisecond {
+			time.Sleep(10 * time.Millisecond)
+		}
+		cx, end := context.WithTimeout(up, 300*time.Millisecond)
+		f.Part(cx)
+		end()
+	case m != nil:
+		m.Stop()
+		time.Sleep(linger / 2)
+		cx, end := context.WithTimeout(up, 150*time.Millisecond)
+		m.Tenant.Leave(cx)
+		end()
+	}
+	n.awake()
+	// Another failure may have come first.
+	if up.Err() == nil && time.Now().Before(kill) && f != nil {
+		n.w.Rec.Stop(stand.Stop{Flow: n.ID, From: from, End: time.Now()})
+	}
+	if up.Err() == nil {
+		n.Kill()
+	}
+}
+
 // Up tells whether the process runs.
 func (n *Node) Up() bool { return n.Host.up() != nil }
 
@@ -405,7 +475,7 @@
 	o = stand.Outcome{Order: order, Path: k.Path, Service: k.Service, Repeatable: k.Repeatable, Proper: true, Sent: time.Now()}
 	defer func() { o.Done = time.Now(); w.Rec.Outcome(o) }()
 	if len(ready) == 0 {
-		o.Err = "no ready node"
+		o.Err = stand.NoNode
 		return o
 	}
 	n := ready[w.Draw("calls", len(ready))]
@@ -444,7 +514,7 @@
 	}
 	if t.Out != nil {
 		o.Call = t.Call
-		o.Status, o.Code, o.Why = t.Out.Status, t.Out.Code, t.Out.Why
+		o.Status, o.Code, o.Why, o.SentOn = t.Out.Status, t.Out.Code, t.Out.Why, t.Out.Sent
 		if t.Out.Retry > 0 {
 			o.Retry = t.Out.RetryAfter()
 		}
@@ -460,6 +530,25 @@
 	return o
 }
 
+// timeline tells, for each second, what callers got.
+func (w *World) timeline() {
+	by := map[int64]map[string]int{}
+	for _, o := range w.Rec.Outcomes {
+		k := "ok"
+		if o.Err != "" || o.Status >= 300 {
+			k = o.Err + o.Code + " " + o.Why
+		}
+		n := o.Sent.Unix()
+		if by[n] == nil {
+			by[n] = map[string]int{}
+		}
+		by[n][k]++
+	}
+	for _, n := range slices.Sorted(maps.Keys(by)) {
+		w.tell("calls sent in second %d: %v", n%60, by[n])
+	}
+}
+
 // Platform asks every flow once a second whether it is ready.
 func (w *World) Platform(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -471,6 +560,27 @@
 	}
 }
 
+// Rush is a crowd: n calls within d, of whom nobody waits for another. Those who
+// are refused come again at once and then every 100 ms, five times.
+func (w *World) Rush(n int, d time.Duration) {
+	for range n {
+		k, at := kinds[w.Draw("rush", len(kinds))], w.pause("rush", 0, int(d.Milliseconds()))
+		w.Go(func(ctx context.Context) {
+			time.Sleep(at)
+			w.rmu.Lock()
+			w.orders++
+			order := fmt.Sprintf("o%d", w.orders)
+			w.rmu.Unlock()
+			for range 5 {
+				if o := w.call(k, order); ctx.Err() != nil || o.Err == "" && o.Status < 500 {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+}
+
 // Callers calls at rate a second until ctx ends, then waits for what is open.
 func (w *World) Callers(ctx context.Context, rate float64) {
 	var wg sync.WaitGroup
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -71,6 +71,13 @@
 		time.Sleep(2 * time.Second)
 		w.Chaos(cx, d)
 		healed := time.Now()
+		if d.Day {
+			defer func() {
+				if v := w.Rec.Check(); v.Refused {
+					t.Errorf("seed %d: %d of %d calls refused", seed, v.Refusals, v.Calls)
+				}
+			}()
+		}
 		<-done
 		<-ops
 		v := judge(t, w)
@@ -83,6 +90,9 @@
 		if bad > 0 {
 			t.Errorf("seed %d: %d calls failed later than 15 s after all came back", seed, bad)
 		}
+		if *loud || *dump != "" {
+			w.timeline()
+		}
 		t.Logf("seed %d: %d calls, %d ok, %d refused, %d unknown, %v, %v, %d changes, %d extra, worst %.0f, slowest change %.0f ms, slip %.0f ms",
 			seed, v.Calls, v.Successes, v.Refusals, v.Unknown, v.Whys, v.Other, len(w.Rec.Changes), v.Extra, v.WorstExtra, v.SlowestMS, v.SlipMS)
 	})
@@ -98,11 +108,11 @@
 	}
 }
 
-func TestCalm(t *testing.T) {
-	sweep(t, Defects{Targets: false, Nodes: false, Net: false, Disks: false})
-}
+func TestCrowds(t *testing.T)  { sweep(t, Defects{Crowds: true}) }
 func TestTargets(t *testing.T) { sweep(t, Defects{Targets: true}) }
 func TestNodes(t *testing.T)   { sweep(t, Defects{Nodes: true}) }
 func TestDisks(t *testing.T)   { sweep(t, Defects{Disks: true, Nodes: true}) }
 func TestNet(t *testing.T)     { sweep(t, Defects{Net: true}) }
-func TestAll(t *testing.T)     { sweep(t, Defects{Nodes: true, Disks: true, Net: true, Targets: true}) }
+func TestAll(t *testing.T) {
+	sweep(t, Defects{Nodes: true, Disks: true, Net: true, Targets: true, Crowds: true})
+}
--- a/tools/stand/caller.go
+++ b/tools/stand/caller.go
@@ -156,7 +156,7 @@
 	o := Outcome{Order: order, Path: k.Path, Service: k.Service, Repeatable: k.Repeatable, Proper: true, Sent: time.Now(), Flow: door}
 	defer func() { o.Done = time.Now(); c.Rec.Outcome(o) }()
 	if door == "" {
-		o.Err = "no ready node"
+		o.Err = NoNode
 		return o
 	}
 	u := "http://" + door + k.Path
@@ -200,8 +200,11 @@
 		}
 		return o
 	}
-	var v struct{ Error, Why string }
+	var v struct {
+		Error, Why string
+		Sent       bool
+	}
 	_ = json.Unmarshal(raw, &v)
-	o.Code, o.Why = v.Error, v.Why
+	o.Code, o.Why, o.SentOn = v.Error, v.Why, v.Sent
 	return o
 }
--- a/tools/stand/checker.go
+++ b/tools/stand/checker.go
@@ -12,6 +12,9 @@
 	"walkrudder/internal/face"
 )
 
+// NoNode is the outcome of a call when no node says that it is ready.
+const NoNode = "no ready node"
+
 // Verdict is what the checker found.
 type Verdict struct {
 	Calls      int            `json:"calls"`
@@ -42,8 +45,11 @@
 	extraSpan     = 10 * time.Second
 	extraRatio    = 0.2
 	extraCommon   = 70
-	refuseCommon  = 5
-	refuseRatio   = 1.0 / 500
+	// lookEvery is how long the platform may still send calls to a flow that is
+	// no longer ready.
+	lookEvery    = time.Second
+	refuseCommon = 5
+	refuseRatio  = 1.0 / 500
 )
 
 // Check judges the records. Only what targets and callers wrote down counts.
@@ -57,6 +63,7 @@
 	r.services(&v)
 	r.changes(&v)
 	r.leaves(&v)
+	r.stops(&v)
 	r.extras(&v)
 	return v
 }
@@ -77,6 +84,9 @@
 		switch {
 		case o.Err != "":
 			v.Other[short(o.Err)]++
+			if o.Err == NoNode {
+				v.Refusals++
+			}
 		case o.Status < 300:
 			v.Successes++
 			took = append(took, o.Done.Sub(o.Sent))
@@ -96,6 +106,12 @@
 			}
 		case o.Code == face.Unknown:
 			v.Unknown++
+			// A call that was never sent was refused, whatever it is called; 409 tells of
+			// an earlier call.
+			if !o.SentOn && o.Status != 409 {
+				v.Refusals++
+				v.Whys[o.Why]++
+			}
 		default:
 			v.Other[fmt.Sprintf("%d %s", o.Status, o.Code)]++
 		}
@@ -111,7 +127,7 @@
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func short(e string) string {
-	for _, s := range []string{"connection refused", "connection reset", "EOF", "Timeout", "no ready node"} {
+	for _, s := range []string{"connection refused", "connection reset", "EOF", "Timeout", NoNode} {
 		if strings.Contains(e, s) {
 			return s
 		}
@@ -221,6 +237,18 @@
 	}
 }
 
+// stops finds calls that a planned stop cut off. The platform may send some until
+// its next look; those count.
+func (r *Records) stops(v *Verdict) {
+	for _, s := range r.Stops {
+		for _, o := range r.Outcomes {
+			if o.Flow == s.Flow && o.Err != "" && o.Done.After(s.From) && o.Sent.Before(s.From.Add(lookEvery)) && !o.Done.After(s.End.Add(lookEvery)) {
+				v.broke("call %s of order %s was cut off by the planned stop of %s (%s): %s", o.Call, o.Order, s.Flow, s.From.Format("05.000"), o.Err)
+			}
+		}
+	}
+}
+
 // extras slides a window over each service's runs: those beyond an order's first
 // against the orders first seen in the same window.
 func (r *Records) extras(v *Verdict) {
--- a/tools/stand/records.go
+++ b/tools/stand/records.go
@@ -33,6 +33,7 @@
 	Status     int
 	Code       string // of our own verdicts
 	Why        string
+	SentOn     bool // our verdict says that the call may have reached a target
 	Retry      string
 	Stamp      string
 	BodyOrder  string // order named in the answer's body
@@ -57,6 +58,13 @@
 	Acked  time.Time
 }
 
+// Stop is a planned stop of a flow, from the warning to the end of its process,
+// which no other failure hit.
+type Stop struct {
+	Flow      string
+	From, End time.Time
+}
+
 // Records is all that was written down in a run.
 type Records struct {
 	mu       sync.Mutex
@@ -64,6 +72,7 @@
 	Outcomes []Outcome
 	Changes  []Change
 	Leaves   []Leave
+	Stops    []Stop
 	// Asks are all changes asked for, acknowledged or not: what one that was never
 	// acknowledged brought about is no fault of the one before.
 	Asks []Change
@@ -115,3 +124,10 @@
 	defer r.mu.Unlock()
 	r.Leaves = append(r.Leaves, l)
 }
+
+// Stop notes a planned stop.
+func (r *Records) Stop(s Stop) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Stops = append(r.Stops, s)
+}
