Roll-out: told before opened, so that a core lost in its middle stops nobody

Cause: a held flow cannot know whether the flip was decided, so it refused until the core was back. An outage that began within the 12 ms of a hold stopped the whole fleet: in a storm of changes no rare case. Ruled out: letting held flows go on under the old protocol (some flows may show the new sheet already: a slip); flipping back (versions never go back). Change: after the flip is decided flows are told and stay shut; only when more than half of those that count know is the sheet opened, and that is written down, too. A group of half the flows that knows nothing of a flip may serve the old sheet: more than half know before anybody shows the new one. The list of flows that count has rounds of its own. Conclusion: the hold costs one round more; an outage of the core costs no serving.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -21,10 +21,11 @@
 	AfterSend       = 13 // passage: request written, no answer read
 	AfterSeal       = 14 // swap: former voters sealed, nothing pulled
 	AfterPull       = 15 // swap: items pulled, not yet voting
+	AfterTold       = 16 // roll: flows know of the flip, none shows it
 )
 
 // Points is the number of fault points.
-const Points = 15
+const Points = 16
 
 // Set holds what is armed at one node. A nil Set is never armed.
 type Set struct {
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -146,11 +146,14 @@
 	return err
 }
 
-// Force is what is in force: the version, and the flows that count when it is to
-// be known whether more than half of them took part (design 8.4).
+// Force is what is in force: the version decided, the version that more than half
+// of the flows that count were told of and that may show, and the flows that count
+// (design 8.4). Round numbers their list.
 type Force struct {
 	N     uint64   `json:"version"`
+	Open  uint64   `json:"open"`
 	Flows []string `json:"flows"`
+	Round uint64   `json:"round"`
 }
 
 // More tells whether ids hold more than half of the flows that count.
@@ -170,32 +173,43 @@
 	return Decode[Force](v)
 }
 
-// SetFlipped records that f is in force; the version never goes back. It returns
-// what then stands.
-func (b *Book) SetFlipped(ctx context.Context, f Force) (Force, error) {
+// SetFlipped records that n comes into force; the version never goes back. Flows
+// are those that count where none did. It returns what then stands.
+func (b *Book) SetFlipped(ctx context.Context, n uint64, flows []string) (Force, error) {
 	return b.force(ctx, func(o Force) Force {
-		if o.N >= f.N {
-			return o
+		o.N = max(o.N, n)
+		if len(o.Flows) == 0 {
+			o.Flows, o.Round = flows, o.Round+1
 		}
-		return f
+		return o
 	})
 }
 
-// Join adds flows to those that count, as long as n is in force.
-func (b *Book) Join(ctx context.Context, n uint64, flows []string) error {
+// SetOpened records that version n may show.
+func (b *Book) SetOpened(ctx context.Context, n uint64) error {
 	_, err := b.force(ctx, func(o Force) Force {
-		if o.N == n {
-			o.Flows = lo.Union(o.Flows, flows)
-		}
+		o.Open = max(o.Open, min(n, o.N))
 		return o
 	})
 	return err
 }
 
+// Recount makes flows those that count, if the list is still that of round.
+func (b *Book) Recount(ctx context.Context, round uint64, flows []string) (Force, error) {
+	return b.force(ctx, func(o Force) Force {
+		if o.Round == round {
+			o.Flows, o.Round = flows, round+1
+		}
+		return o
+	})
+}
+
 // Part takes a flow that stopped as planned off those that count.
 func (b *Book) Part(ctx context.Context, id string) error {
 	_, err := b.force(ctx, func(o Force) Force {
-		o.Flows = lo.Without(o.Flows, id)
+		if n := lo.Without(o.Flows, id); len(n) < len(o.Flows) {
+			o.Flows, o.Round = n, o.Round+1
+		}
 		return o
 	})
 	return err
--- a/internal/roll/rack.go
+++ b/internal/roll/rack.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/samber/lo"
 
 	"walkrudder/internal/link"
 	"walkrudder/internal/mate"
@@ -68,7 +70,11 @@
 	heldAt time.Time
 	// confirmed says that a majority has told this run what is in force.
 	confirmed bool
-	flows     []string // those that count
+	flows     []string // those that count, by the list of round
+	round     uint64
+	sure      bool // the list is decided
+	// shut is a version that is decided and not known here to be open.
+	shut uint64
 }
 
 type counts struct {
@@ -85,9 +91,12 @@
 	return nil, false
 }
 
-// learn notes what others are to read; only own calls it.
-func (k *Rack) learn(flows []string, confirmed bool) {
-	k.flows, k.confirmed = flows, k.confirmed || confirmed
+// count takes over a list of flows that count, unless an older one; only own
+// calls it. Of two lists of one round the decided one stays.
+func (k *Rack) count(round uint64, flows []string, sure bool) {
+	if round > k.round || round == k.round && (sure || !k.sure) {
+		k.flows, k.round, k.sure = flows, round, sure
+	}
 	k.counts.Store(&counts{k.flows, k.confirmed})
 }
 
@@ -138,8 +147,8 @@
 	n := *old
 	n.wake = make(chan struct{})
 	f(&n)
-	if k.held > n.table.N {
-		n.open, n.loose = false, time.Time{}
+	if k.held > n.table.N || k.shut == n.table.N && k.shut > 0 {
+		n.open = false
 	}
 	k.cur.Store(&n)
 	close(old.wake)
@@ -172,7 +181,9 @@
 			// its confirmation.
 			if a.N > k.N() && a.N > k.held {
 				k.held, k.heldAt = a.N, k.Clock.Now()
-				k.set(func(s *state) { s.open = false })
+				// Without a lease the hold binds as little as it does the others that serve
+				// so; the next look decides (design 8.4).
+				k.set(func(s *state) { s.open, s.loose = false, time.Time{} })
 			}
 			r = FlowTold{OK: true, N: k.N()}
 			return r
@@ -180,20 +191,30 @@
 	})
 	link.On(d, func(ctx context.Context, _ link.Who, a FlipAsk) (r FlowTold, err error) {
 		return owner.Get(ctx, k.own, func() (r FlowTold) {
-			if a.N == k.N() && len(a.Flows) > len(k.flows) {
-				k.learn(a.Flows, false)
-			}
 			if t := k.staged[a.N]; a.N > k.N() && t != nil {
-				k.learn(a.Flows, true)
-				k.set(func(s *state) { s.table, s.open = t, !s.since.IsZero() })
+				k.confirmed, k.shut = true, a.N
+				k.set(func(s *state) { s.table, s.loose = t, time.Time{} })
+			}
+			if a.N <= k.N() {
+				k.count(a.Round, a.Flows, true)
+			}
+			if a.Open && a.N == k.N() && a.N == k.shut {
+				k.shut = 0
+				k.set(func(s *state) { s.open = !s.since.IsZero() })
 			}
 			r = FlowTold{OK: a.N <= k.N(), N: k.N()}
 			return r
 		})
 	})
+	link.On(d, func(ctx context.Context, _ link.Who, a CountAsk) (r FlowTold, err error) {
+		return owner.Get(ctx, k.own, func() (r FlowTold) {
+			k.count(a.Round, a.Flows, a.Sure)
+			return FlowTold{OK: k.round == a.Round && slices.Equal(k.flows, a.Flows), N: k.N()}
+		})
+	})
 	link.On(d, func(ctx context.Context, _ link.Who, a LastAsk) (r LastTold, err error) {
 		return owner.Get(ctx, k.own, func() (r LastTold) {
-			r = LastTold{ID: k.ID, Held: k.Tenant.Held(), Confirmed: k.confirmed, Hold: k.held, N: k.N(), Flows: k.flows}
+			r = LastTold{ID: k.ID, Held: k.Tenant.Held(), Confirmed: k.confirmed, Shut: k.shut == k.N() && k.shut > 0, N: k.N(), Round: k.round, Flows: k.flows}
 			if s := k.cur.Load().table.Sheet; r.Confirmed && a.Have != r.N {
 				r.Sheet = &s
 			}
@@ -263,10 +284,14 @@
 				}
 				t = spec.NewTable(r.N, *r.Sheet)
 			}
-			if r.N > k.N() || r.N == k.N() && len(r.Flows) > len(k.flows) {
-				k.learn(r.Flows, true)
+			k.confirmed = true
+			k.count(r.Round, r.Flows, true)
+			switch {
+			case r.Open && k.shut == r.N:
+				k.shut = 0
+			case !r.Open && r.N > k.N():
+				k.shut = r.N
 			}
-			k.learn(k.flows, true)
 			k.set(func(s *state) {
 				s.table = t
 				if r.Settled {
@@ -329,33 +354,36 @@
 	good, _ = owner.Get(ctx, k.own, func() (good bool) {
 		var best *LastTold
 		ids := map[string]bool{}
-		hold, held := k.held, false
+		held := false
 		if k.confirmed {
 			ids[k.ID] = true
 		}
 		for _, r := range rs {
 			held = held || r.Held
-			hold = max(hold, r.Hold)
 			// Only a run that was confirmed knows what is, or is about to be, in force;
 			// what others once knew may be long past.
-			if r.Confirmed {
-				ids[r.ID] = true
-				// Of two lists of flows at one version the longer is the later.
-				if best == nil || r.N > best.N || r.N == best.N && len(r.Flows) > len(best.Flows) {
-					best = r
-				}
+			if !r.Confirmed {
+				continue
+			}
+			ids[r.ID] = true
+			if r.Round > k.round {
+				k.count(r.Round, r.Flows, false)
+			}
+			if best == nil || r.N > best.N || r.N == best.N && !r.Shut {
+				best = r
 			}
 		}
 		t := k.cur.Load().table
+		shut := k.shut == t.N && k.shut > 0
 		if best != nil && best.N >= t.N {
-			if best.N > t.N && best.Sheet == nil {
+			switch {
+			case best.N > t.N && best.Sheet == nil:
 				return false
-			}
-			if best.N > t.N {
-				t = spec.NewTable(best.N, *best.Sheet)
-			}
-			if best.N > k.N() || len(best.Flows) > len(k.flows) {
-				k.learn(best.Flows, false)
+			case best.N > t.N:
+				t, shut = spec.NewTable(best.N, *best.Sheet), best.Shut
+				k.shut = lo.Ternary(shut, best.N, 0)
+			default:
+				shut = shut && best.Shut
 			}
 		}
 		n := 0
@@ -364,10 +392,14 @@
 				n++
 			}
 		}
-		good = !held && hold <= t.N && len(k.flows) > 0 && 2*n >= len(k.flows)
+		// Of what may not be open yet, two groups of half the flows each might know
+		// differently.
+		good = !held && len(k.flows) > 0 && (2*n > len(k.flows) || 2*n == len(k.flows) && !shut)
 		if good && allow || t != k.cur.Load().table {
 			k.set(func(s *state) {
-				s.table = t
+				if s.table != t {
+					s.table, s.loose = t, time.Time{}
+				}
 				if good && allow {
 					s.loose = from.Add(looseTime)
 				}
--- a/internal/roll/register.go
+++ b/internal/roll/register.go
@@ -6,6 +6,7 @@
 	link.Pair[StageAsk, FlowTold]()
 	link.Register[HoldAsk]()
 	link.Register[FlipAsk]()
+	link.Register[CountAsk]()
 	link.Pair[ConfirmAsk, ConfirmTold]()
 	link.Pair[LastAsk, LastTold]()
 	link.Pair[PartAsk, PartTold]()
--- a/internal/roll/roller.go
+++ b/internal/roll/roller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -38,6 +39,7 @@
 	done uint64        // highest version known to be in force everywhere
 	// absent is since when a flow that counts has had no lease.
 	absent map[string]time.Time
+	told   uint64 // last list of those that was told to all; Watch's alone
 }
 
 // Settle brings into force all that is decided, up to at least n, and returns
@@ -106,42 +108,65 @@
 			return 0, err
 		}
 		r.Faults.At(fault.AfterHeld)
-		if now, err = r.Book.SetFlipped(ctx, ledger.Force{N: f.N, Flows: r.count(was.Flows, ids)}); err != nil {
+		slices.Sort(ids)
+		if now, err = r.Book.SetFlipped(ctx, f.N, ids); err != nil {
 			return 0, err
 		}
 		r.Faults.At(fault.AfterFlipped)
 	}
-	// Told again even where the flip was found decided: who decided it may not
-	// have come so far.
-	if _, err := r.all(ctx, "flip", FlipAsk{f.N, now.Flows}); err != nil {
-		return 0, err
-	}
-	if was.N < f.N {
-		note := ledger.Note{Kind: ledger.NoteFlip, N: f.N, At: r.Book.WallMS()}
-		if _, err := r.Book.Once(ctx, fmt.Sprintf("%sflip-%012d", ledger.NotePrefix, f.N), note); err != nil {
+	if now.Open < f.N {
+		// Flows that are cut off with at least half of those that count may serve on
+		// under the old sheet as long as none of them knows of the flip. So nobody
+		// shows the new one before more than half know.
+		if _, err := r.most(ctx, "flip", now, FlipAsk{f.N, false, now.Round, now.Flows}); err != nil {
 			return 0, err
 		}
+		r.Faults.At(fault.AfterTold)
+	}
+	// Told again even where it was found open: who opened it may not have come so
+	// far.
+	note := make(chan error, 1)
+	go func() { note <- r.opened(ctx, now, f.N) }()
+	_, err = r.all(ctx, "open", FlipAsk{f.N, true, now.Round, now.Flows})
+	if err = errors.Join(err, <-note); err != nil {
+		return 0, err
 	}
 	r.Faults.At(fault.BeforeAck)
 	return f.N, nil
 }
 
-// forgetAfter is how long a flow that counts may be without a lease before the
-// next roll-out leaves it out.
+// opened writes down that version n may show.
+func (r *Roller) opened(ctx context.Context, now ledger.Force, n uint64) error {
+	if now.Open >= n {
+		return nil
+	}
+	if err := r.Book.SetOpened(ctx, n); err != nil {
+		return err
+	}
+	_, err := r.Book.Once(ctx, fmt.Sprintf("%sflip-%012d", ledger.NotePrefix, n), ledger.Note{Kind: ledger.NoteFlip, N: n, At: r.Book.WallMS()})
+	return err
+}
+
+// forgetAfter is how long a flow that counts may be without a lease before it is
+// left out.
 const forgetAfter = time.Minute
 
-// count lists the flows that count from now on: those that did, less those that
-// have long had no lease, and those that take part.
-func (r *Roller) count(was, ids []string) []string {
+// wanted lists the flows that are to count: those that do, less those that have
+// long had no lease, and those that have one.
+func (r *Roller) wanted(ctx context.Context, was []string) ([]string, error) {
+	ms, err := r.Tenant.Table(ctx)
+	if err != nil {
+		return nil, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	out := lo.Union(lo.Filter(was, func(id string, _ int) bool {
 		t, ok := r.absent[id]
 		return !ok || now.Sub(t) < forgetAfter
-	}), ids)
+	}), lo.FilterMap(ms, func(m mate.Member, _ int) (string, bool) { return m.ID, m.Kind == "flow" }))
 	slices.Sort(out)
-	return out
+	return out, nil
 }
 
 // note follows which flows that count hold no lease.
@@ -163,22 +188,27 @@
 	}
 }
 
-// join lets flows count that took a lease after the last roll-out. More than half
-// of those that count already must know the longer list before it is written: so
-// no group that may serve without a lease can be without a member that knows it.
-func (r *Roller) join(ctx context.Context, fo ledger.Force) {
-	here := lo.Map(r.Tenant.Kind("flow"), func(m mate.Member, _ int) string { return m.ID })
-	if fo.N == 0 || len(lo.Without(here, fo.Flows...)) == 0 {
+// recount brings the list of flows that count up to date. More than half of those
+// that count by the old list must know the new one before it is decided: so no
+// group that may serve without a lease can be without a member that knows it.
+func (r *Roller) recount(ctx context.Context, fo ledger.Force) {
+	if fo.N == 0 {
 		return
 	}
-	all := lo.Union(fo.Flows, here)
-	slices.Sort(all)
-	ids, err := r.all(ctx, "join", FlipAsk{fo.N, all})
-	if err == nil && fo.More(ids) {
-		err = r.Book.Join(ctx, fo.N, all)
+	all, err := r.wanted(ctx, fo.Flows)
+	if err == nil && !slices.Equal(all, fo.Flows) {
+		var ids []string
+		if ids, err = r.all(ctx, "count", CountAsk{Round: fo.Round + 1, Flows: all}); err == nil && fo.More(ids) {
+			fo, err = r.Book.Recount(ctx, fo.Round, all)
+		}
+	}
+	if err == nil && r.told != fo.Round {
+		if _, err = r.all(ctx, "count", CountAsk{Round: fo.Round, Flows: fo.Flows, Sure: true}); err == nil {
+			r.told = fo.Round
+		}
 	}
 	if err != nil && ctx.Err() == nil && r.Log != nil {
-		r.Log.Warn("flows not joined", "step", "join", "err", err)
+		r.Log.Warn("flows not counted anew", "step", "count", "err", err)
 	}
 }
 
@@ -269,12 +299,13 @@
 			return t, err
 		}
 		n := fo.N
-		t.Flows = fo.Flows
+		t.Flows, t.Round = fo.Flows, fo.Round
 		if t.Leaves, err = leaves(ctx); err != nil {
 			return t, err
 		}
-		t.OK, t.N, t.Settled = true, n, n == f.N
-		if n < f.N {
+		t.OK, t.N, t.Open = true, n, fo.Open >= n
+		t.Settled = t.Open && n == f.N
+		if !t.Settled && n <= f.N {
 			go func() {
 				cx, end := context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
 				defer end()
@@ -317,7 +348,7 @@
 		if err == nil && f.N > 0 {
 			if fo, err := r.Book.Flipped(cx); err == nil {
 				r.note(fo.Flows)
-				r.join(cx, fo)
+				r.recount(cx, fo)
 			}
 			r.mu.Lock()
 			behind := r.done < f.N
--- a/internal/roll/types.go
+++ b/internal/roll/types.go
@@ -12,12 +12,23 @@
 	}
 	// HoldAsk stops new sends under versions below N.
 	HoldAsk struct{ N uint64 }
-	// FlipAsk puts N in force; the flip is decided. Flows are those that count.
+	// FlipAsk says that the flip to N is decided: nothing below it is served any
+	// more. Open lets it be served. Flows are those that count, by the list of
+	// Round.
 	FlipAsk struct {
 		N     uint64
+		Open  bool
+		Round uint64
 		Flows []string
 	}
-	// FlowTold answers the three; N is the version in force there.
+	// CountAsk tells which flows count. Sure says that the list is decided; else it
+	// is about to be, and holds already for whoever agrees.
+	CountAsk struct {
+		Round uint64
+		Flows []string
+		Sure  bool
+	}
+	// FlowTold answers the four; N is the version in force there.
 	FlowTold struct {
 		OK bool
 		N  uint64
@@ -28,12 +39,14 @@
 		ID   string
 		Have uint64 // version the asker has the sheet of
 	}
-	// ConfirmTold answers it. Settled says that no decided change waits for its
-	// flip. Sheet is sent where Have differs from N.
+	// ConfirmTold answers it. Settled says that no decided change waits to come into
+	// force, Open that N may be served. Sheet is sent where Have differs from N.
 	ConfirmTold struct {
 		OK      bool
 		Settled bool
+		Open    bool
 		N       uint64
+		Round   uint64
 		Flows   []string
 		Sheet   *spec.Sheet
 		Leaves  []Leave
@@ -49,13 +62,15 @@
 	// last sheet that it had confirmed.
 	LastAsk struct{ Have uint64 }
 	// LastTold answers it. Confirmed says that this run of a flow has had word
-	// from a majority of what is in force; Hold is the version it holds work for.
+	// from a majority of what is in force; Shut, that N is decided and not known here
+	// to be open.
 	LastTold struct {
 		ID        string
 		Held      bool
 		Confirmed bool
-		Hold      uint64
+		Shut      bool
 		N         uint64
+		Round     uint64
 		Flows     []string
 		Sheet     *spec.Sheet
 	}
