Fleet with cuts, usage and growth; old decisions go; maps of zones; harness mended

A sender that resets its link takes back what has not arrived. That showed a real fault: a link given up on was closed in good order, and the system would go on sending what had not arrived. Ruled out: paulmach/orb for GeoJSON (it brings a database driver along). Conclusion: what a cut costs is what reaches a cut-off flow before the platform looks.

--- a/internal/claim/circle.go
+++ b/internal/claim/circle.go
@@ -115,18 +115,21 @@
 			return r, defect.New("mark", "", "%d marks at once", len(a.Marks))
 		}
 		_, counts := c.Flows()
-		return owner.Get(ctx, c.own, func() MarkTold {
-			r := MarkTold{ID: c.Me, Counts: counts}
-			for _, m := range a.Marks {
-				if o, ok := c.apply(m); ok {
-					r.Others = append(r.Others, o)
-				}
-			}
-			return r
-		})
+		return owner.Get(ctx, c.own, func() MarkTold { return c.hear(a.Marks, counts) })
 	})
 }
 
+// hear takes marks in and answers as others do; only own calls it.
+func (c *Circle) hear(ms []Mark, counts bool) MarkTold {
+	r := MarkTold{ID: c.Me, Counts: counts}
+	for _, m := range ms {
+		if o, ok := c.apply(m); ok {
+			r.Others = append(r.Others, o)
+		}
+	}
+	return r
+}
+
 // Run passes on and hands over until ctx ends.
 func (c *Circle) Run(ctx context.Context) {
 	go c.own.Run(ctx)
@@ -261,15 +264,7 @@
 			ch <- r
 		}()
 	}
-	here, _ := owner.Get(ctx, c.own, func() (r MarkTold) {
-		r = MarkTold{ID: c.Me, Counts: counts}
-		for _, m := range ms {
-			if o, ok := c.apply(m); ok {
-				r.Others = append(r.Others, o)
-			}
-		}
-		return r
-	})
+	here, _ := owner.Get(ctx, c.own, func() MarkTold { return c.hear(ms, counts) })
 	ch <- here
 	ids := map[string]bool{}
 	for range len(addrs) + 1 {
--- a/internal/commands/drain.go
+++ b/internal/commands/drain.go
@@ -45,7 +45,7 @@
 }
 
 func (d *Drainer) run(ctx context.Context, prefix string, t ledger.Target, n ledger.Note) error {
-	key := ledger.TargetKey(prefix, t)
+	key := ledger.TargetKey(prefix, d.Book.WallMS(), t)
 	d.mu.Lock()
 	_, ok := d.done[key]
 	d.mu.Unlock()
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -164,7 +164,7 @@
 func newPassage(i do.Injector) (*passage.Passage, error) {
 	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i)
 	g := &passage.Passage{Clock: p.Clock, Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*home.Roster](i),
-		Courier: p.Courier, Zone: p.Startup.Zone, ID: p.Startup.ID, Inc: p.Inc, Faults: p.Faults, Log: p.Log, Count: p.Count,
+		Courier: p.Courier, Zone: p.Startup.Zone, Chart: p.Startup.Chart, ID: p.Startup.ID, Inc: p.Inc, Faults: p.Faults, Log: p.Log, Count: p.Count,
 		Flows:  func() int { return len(t.Kind("flow")) + 1 },
 		Claims: do.MustInvoke[*claim.Circle](i)}
 	g.Init()
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -20,6 +21,24 @@
 	N      uint64
 	Sheet  spec.Sheet
 	tokens map[string]uint64
+	wholes []whole
+}
+
+// whole is a change that carries the whole sheet.
+type whole struct {
+	n  uint64
+	ms int64
+}
+
+// WholeBefore is the last change before ms that carries the whole sheet, 0 if none:
+// a fold may begin there.
+func (f *Fold) WholeBefore(ms int64) (n uint64) {
+	for _, w := range f.wholes {
+		if w.ms < ms {
+			n = w.n
+		}
+	}
+	return n
 }
 
 // Token finds the change that carried a token.
@@ -85,7 +104,7 @@
 	if f.N > 0 {
 		after = ChangeKey(f.N)
 	}
-	n := &Fold{N: f.N, Sheet: f.Sheet, tokens: map[string]uint64{}}
+	n := &Fold{N: f.N, Sheet: f.Sheet, tokens: map[string]uint64{}, wholes: slices.Clone(f.wholes)}
 	for t, k := range f.tokens {
 		n.tokens[t] = k
 	}
@@ -118,6 +137,9 @@
 		f.Sheet = s
 	}
 	f.N = c.N
+	if c.Sheet != nil {
+		f.wholes = append(f.wholes, whole{c.N, c.At})
+	}
 	if c.Token != "" {
 		f.tokens[c.Token] = c.N
 	}
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -17,11 +17,15 @@
 	LeavePrefix  = "leave/"
 	GonePrefix   = "gone/"
 	NotePrefix   = "note/"
+	FlipPrefix   = "inforce/"
 	Flip         = "flip"
 	CoreItem     = "core"
 	WishItem     = "wish"
 )
 
+// NotePrefixes are those under which notes are kept.
+var NotePrefixes = []string{LeavePrefix, GonePrefix, NotePrefix, FlipPrefix}
+
 // Change is a decided change of the route sheet. Its number is its place: the
 // item at the next free number is created by exactly one proposer.
 type Change struct {
@@ -72,9 +76,18 @@
 // ChangeKey is the key of change n.
 func ChangeKey(n uint64) string { return fmt.Sprintf("%s%012d", ChangePrefix, n) }
 
-// TargetKey is the key of a decision about one run of a target.
-func TargetKey(prefix string, t Target) string {
-	return fmt.Sprintf("%s%s/%s/%020d", prefix, t.Service, t.ID, t.Inc)
+// FlipKey is the key of the note that version n came into force.
+func FlipKey(n uint64) string { return fmt.Sprintf("%s%012d", FlipPrefix, n) }
+
+// DayMS is the span of time by which decisions about targets are dropped.
+const DayMS = 24 * 3600 * 1000
+
+// DayKey begins the keys of the decisions about targets made on a day.
+func DayKey(prefix string, ms int64) string { return fmt.Sprintf("%s%06d/", prefix, max(ms, 0)/DayMS) }
+
+// TargetKey is the key of a decision, made at ms, about one run of a target.
+func TargetKey(prefix string, ms int64, t Target) string {
+	return fmt.Sprintf("%s%s/%s/%020d", DayKey(prefix, ms), t.Service, t.ID, t.Inc)
 }
 
 // Encode and Decode are how items are written: JSON, so that a disk can be read
--- a/internal/mind/mind.go
+++ b/internal/mind/mind.go
@@ -2,6 +2,7 @@
 package mind
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -41,6 +42,8 @@
 	// OnBad is told when the disk fails: the process is to end.
 	OnBad  func(error)
 	WallMS func() int64
+	// Keep is how long decisions are kept; 0 for a week.
+	Keep time.Duration
 }
 
 // Mind is one control-plane node.
@@ -60,6 +63,7 @@
 	Speaker *voice.Speaker
 	Clerk   *claim.Clerk
 
+	trim     *commands.Trimmer
 	start    func(context.Context)
 	stopping atomic.Bool
 	resting  atomic.Bool // drained by hand
@@ -135,6 +139,7 @@
 	m.House.Serve(m.Desk)
 	m.Clerk = &claim.Clerk{Prop: m.Prop, WallMS: p.WallMS}
 	m.Clerk.Serve(m.Desk)
+	m.trim = &commands.Trimmer{Book: m.Book, Prop: m.Prop, Tenant: m.Tenant, Line: p.Line, Drainer: m.Drainer, Keep: cmp.Or(p.Keep, keepDecisions)}
 	circle := &claim.Circle{Me: p.Startup.ID, Line: p.Line, Clock: p.Clock, Log: p.Log, Keep: m.Clerk, Held: m.Tenant.Held,
 		Alone: func() bool { return false }, Flows: func() ([]string, bool) { return nil, false },
 		Members: func() []string { return m.Tenant.Others(p.Startup.ID) }, Mates: func() []string { return m.Tenant.Others(p.Startup.ID) }}
@@ -167,6 +172,13 @@
 // Stop makes the node tell the platform that it is not ready.
 func (m *Mind) Stop() { m.stopping.Store(true) }
 
+// keepDecisions is how long decisions are kept, and trimEvery how often older ones
+// are looked for.
+const (
+	keepDecisions = 7 * 24 * time.Hour
+	trimEvery     = 100 * sweepEvery
+)
+
 // sweepEvery is how often copies that no read has mended are looked for.
 const sweepEvery = 15 * time.Second
 
@@ -174,6 +186,7 @@
 // duty says which mind does it.
 func (m *Mind) sweep(ctx context.Context) {
 	m.Tenant.Seek("sweep")
+	var trimmed time.Time
 	for m.Clock.Sleep(ctx, sweepEvery) == nil {
 		if !m.Tenant.Holds("sweep") {
 			continue
@@ -182,6 +195,12 @@
 		if err := m.Clerk.Sweep(cx); err != nil && ctx.Err() == nil {
 			m.Log.Warn("old claims not dropped", "step", "sweep", "err", err)
 		}
+		if now := m.Clock.Now(); trimmed.IsZero() || now.Sub(trimmed) > min(trimEvery, m.trim.Keep) {
+			trimmed = now
+			if err := m.trim.Trim(cx); err != nil && ctx.Err() == nil {
+				m.Log.Warn("old decisions not dropped", "step", "sweep", "err", err)
+			}
+		}
 		if n, err := m.Prop.Mend(cx); err != nil && ctx.Err() == nil {
 			m.Log.Warn("sweep not finished", "step", "sweep", "err", err)
 		} else if n > 0 {
--- a/internal/passage/courier.go
+++ b/internal/passage/courier.go
@@ -97,6 +97,16 @@
 	return c.Conn.Write(b)
 }
 
+// drop closes the link and throws away what has not arrived: the system would go on
+// sending it, and a target might run, when the network is back, what its caller was
+// told about long ago.
+func (w *wire) drop() {
+	if t, ok := w.c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = w.c.Close()
+}
+
 // NewHTTP makes a courier that calls from the IP of this node's own address.
 func NewHTTP(own string) *HTTP {
 	ip, _, _ := net.SplitHostPort(own)
@@ -171,7 +181,7 @@
 		if ok {
 			h.keep(s.Target, w)
 		} else {
-			_ = w.c.Close()
+			w.drop()
 		}
 	}()
 	// The caller may go, or this node be stopping: the link is cut, not the wait.
--- a/internal/passage/elect.go
+++ b/internal/passage/elect.go
@@ -18,7 +18,8 @@
 	// suspectCap is the share of a service's targets that may be passed over for
 	// suspicion together; beyond it the least suspected stay in (design 10.5).
 	suspectCap = 0.5
-	// farther is how much busier the own zone may be before another is used.
+	// farther is how much busier the own zone may be before the next one is used;
+	// where there is a map, those beyond count as farther still (design 18).
 	farther = 2.0
 )
 
@@ -75,7 +76,7 @@
 func (p *Passage) load(s *home.Stand) float64 {
 	l := (float64(s.Flying.Load()) + 1) / float64(max(1, s.Capacity.Load()))
 	if s.Zone != p.Zone {
-		l *= farther
+		l *= farther * p.Chart.Far(p.Zone, s.Zone)
 	}
 	return l
 }
--- a/internal/passage/elect_test.go
+++ b/internal/passage/elect_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"walkrudder/internal/chart"
 	"walkrudder/internal/face"
 	"walkrudder/internal/home"
 	"walkrudder/internal/liveness"
@@ -104,3 +105,28 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Of targets in other zones those in a near one are taken first.
+func TestElectTakesTheNearerZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		p, ss := crowd(ctx, t, 8)
+		var err error
+		if p.Chart, err = chart.Dot([]byte(`graph { here -- near [ms=1]; here -- far [ms=9] }`)); err != nil {
+			t.Fatal(err)
+		}
+		p.Zone = "here"
+		for i, s := range ss {
+			s.Zone = []string{"near", "far"}[i%2]
+		}
+		hear(p, ss, 8, 1, 3)
+		by := map[string]int{}
+		for range 400 {
+			by[p.elect("s", 0, nil).Zone]++
+		}
+		if by["near"] < 3*by["far"] || by["far"] == 0 {
+			t.Errorf("%v", by)
+		}
+	})
+}
--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -13,6 +13,7 @@
 	"github.com/samber/lo"
 	"golang.org/x/time/rate"
 
+	"walkrudder/internal/chart"
 	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
 	"walkrudder/internal/home"
@@ -56,6 +57,7 @@
 	Courier Courier
 	Claims  Claims
 	Zone    string
+	Chart   *chart.Chart // nil where no map is given
 	ID      string
 	Inc     uint64
 	Flows   func() int
--- a/internal/queries/queries.go
+++ b/internal/queries/queries.go
@@ -163,7 +163,7 @@
 	for _, c := range cs {
 		out = append(out, Item{stamp(c.At), c.Mind, "change", fmt.Sprintf("version %d", c.N), fmt.Sprintf("by %q: %s %s", c.By, edits(c.Edits), c.Note), c.At})
 	}
-	for _, p := range []string{ledger.LeavePrefix, ledger.GonePrefix, ledger.NotePrefix} {
+	for _, p := range ledger.NotePrefixes {
 		ns, err := a.Book.Notes(ctx, p)
 		if err != nil {
 			return nil, err
@@ -211,7 +211,7 @@
 		return nil, err
 	}
 	var notes []ledger.Note
-	for _, p := range []string{ledger.LeavePrefix, ledger.GonePrefix, ledger.NotePrefix} {
+	for _, p := range ledger.NotePrefixes {
 		ns, err := a.Book.Notes(ctx, p)
 		if err != nil {
 			return nil, err
@@ -355,7 +355,7 @@
 	if p.Changes, err = a.Book.Changes(ctx); err != nil {
 		return p, err
 	}
-	for _, x := range []string{ledger.LeavePrefix, ledger.GonePrefix, ledger.NotePrefix} {
+	for _, x := range ledger.NotePrefixes {
 		ns, err := a.Book.Notes(ctx, x)
 		if err != nil {
 			return p, err
--- a/internal/roll/roller.go
+++ b/internal/roll/roller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -143,7 +142,7 @@
 	if err := r.Book.SetOpened(ctx, n); err != nil {
 		return err
 	}
-	_, err := r.Book.Once(ctx, fmt.Sprintf("%sflip-%012d", ledger.NotePrefix, n), ledger.Note{Kind: ledger.NoteFlip, N: n, At: r.Book.WallMS()})
+	_, err := r.Book.Once(ctx, ledger.FlipKey(n), ledger.Note{Kind: ledger.NoteFlip, N: n, At: r.Book.WallMS()})
 	return err
 }
 
--- a/internal/sim/orders_test.go
+++ b/internal/sim/orders_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"walkrudder/internal/commands"
+	"walkrudder/internal/ledger"
 	"walkrudder/internal/spec"
 	"walkrudder/tools/stand"
 )
@@ -222,3 +223,44 @@
 		}
 	})
 }
+
+// What is older than decisions are kept goes; what stands stays, also for minds that
+// fold it anew.
+func TestOldDecisionsGo(t *testing.T) {
+	t.Parallel()
+	s := Tiny()
+	s.Keep = 20 * time.Second
+	raisedAs(t, s, func(ctx context.Context, w *World) {
+		n := uint64(1)
+		order := func(k int) {
+			for range k {
+				r, _ := w.Order(ctx, w.Node("m1"), commands.Order{Edits: service(fmt.Sprint("s", n%5))})
+				if n++; r.Outcome != commands.InForce || r.Version != n {
+					t.Fatalf("%+v, want version %d", r, n)
+				}
+			}
+		}
+		order(150)
+		time.Sleep(30 * time.Second)
+		order(20)
+		time.Sleep(30 * time.Second)
+		cs, err := w.Node("m2").Mind().Book.Changes(ctx)
+		if err != nil || len(cs) == 0 || cs[0].N != 128 || cs[len(cs)-1].N != n {
+			t.Fatalf("%d changes, first %+v, %v", len(cs), cs[0].N, err)
+		}
+		ns, err := w.Node("m2").Mind().Book.Notes(ctx, ledger.FlipPrefix)
+		if err != nil || len(ns) == 0 || ns[0].N < 128 {
+			t.Errorf("%d notes of versions in force, %v", len(ns), err)
+		}
+		for _, m := range w.Of("mind") {
+			m.Kill()
+			m.Start()
+		}
+		time.Sleep(3 * time.Second)
+		order(3)
+		f, err := w.Node("m3").Mind().Book.Refresh(ctx)
+		if err != nil || f.N != n || len(f.Sheet.Services) != 7 || len(f.Sheet.Bindings) != len(kinds) {
+			t.Errorf("folded anew: version %d with %d services, %v", f.N, len(f.Sheet.Services), err)
+		}
+	})
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -34,7 +34,9 @@
 	// Spares is how many control machines stand by to be swapped in; the n-th of
 	// them may take the place of the n-th mind.
 	Spares int
-	Log    io.Writer
+	// Keep is how long minds keep decisions; 0 for as long as they do by default.
+	Keep time.Duration
+	Log  io.Writer
 }
 
 // Small is a world that a run in CI can afford.
@@ -256,7 +258,7 @@
 	var run func(context.Context)
 	if n.Kind == "mind" {
 		p := mind.Parts{Startup: startup.Mind{Node: s, Core: min(3, n.w.Shape.Disks)}, Inc: n.inc, Fresh: fmt.Sprintf("%s-%d", n.ID, n.inc),
-			Line: l, Clock: clock{n.Host}, Log: lg, Faults: n.Faults, WallMS: func() int64 { return time.Now().UnixMilli() },
+			Keep: n.w.Shape.Keep, Line: l, Clock: clock{n.Host}, Log: lg, Faults: n.Faults, WallMS: func() int64 { return time.Now().UnixMilli() },
 			OnBad: func(error) {
 				// The process ends; whoever looks after it starts it again.
 				go n.Kill()
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -17,6 +17,8 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 	"github.com/samber/lo"
+
+	"walkrudder/internal/chart"
 )
 
 // Version is the program's version.
@@ -45,6 +47,9 @@
 // Flow is what the data plane is told.
 type Flow struct {
 	Node `yaml:",inline"`
+	Map  string `arg:"--map" yaml:"map" help:"GraphViz or GeoJSON file that tells how far zones are apart"`
+	// Chart is what the map says.
+	Chart *chart.Chart `arg:"-" yaml:"-"`
 }
 
 // Version tells the version for --version.
@@ -189,6 +194,13 @@
 	if n.Inner == n.Door || n.Bind == n.Door {
 		return fmt.Errorf("door: %s is also the inner address", n.Door)
 	}
+	if f, ok := dest.(*Flow); ok && f.Map != "" {
+		c, err := chart.Read(f.Map)
+		if err != nil {
+			return fmt.Errorf("map: %w", err)
+		}
+		f.Chart = c
+	}
 	if m, ok := dest.(*Mind); ok && m.Data != "" {
 		i, err := os.Stat(m.Data)
 		if err != nil {
--- a/internal/startup/startup_test.go
+++ b/internal/startup/startup_test.go
@@ -33,6 +33,7 @@
 		"startup file":                     {"--startup", "/nowhere.yaml"},
 		"unknown field":                    {"--startup", write(t, "zonk: 1\n")},
 		"cannot unmarshal":                 {"--startup", write(t, "core: [1]\n")},
+		"bind: \"here\" is not IP:port":    append(fine[:10:10], "--bind", "here"),
 		"door: 127.0.0.1:1 is also":        append(fine[:6:6], "--door", "127.0.0.1:1", "--seed", "127.0.0.1:1"),
 	} {
 		var m Mind
@@ -43,6 +44,23 @@
 	}
 }
 
+func TestFlowReadsItsMap(t *testing.T) {
+	args := []string{"--id", "f", "--zone", "z1", "--inner", "127.0.0.1:1", "--door", "127.0.0.1:2", "--seed", "127.0.0.1:3", "--map"}
+	p := filepath.Join(t.TempDir(), "zones.dot")
+	if err := os.WriteFile(p, []byte("graph { z1 -- z2 [ms=1]; z1 -- z3 [ms=3] }"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var f Flow
+	if err := Read(&f, "flow", append(args, p), &bytes.Buffer{}); err != nil || f.Chart.Far("z1", "z3") != 3 {
+		t.Errorf("%v %v", err, f.Chart)
+	}
+	for _, bad := range []string{"/nowhere.dot", write(t, "x: 1\n")} {
+		if err := Read(&Flow{}, "flow", append(args, bad), &bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), "map: ") {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
+
 func TestFlagsGoBeforeTheFile(t *testing.T) {
 	p := write(t, "id: m1\nzone: z1\ninner: 127.0.0.1:1\ndoor: 127.0.0.1:2\nseeds: [\"127.0.0.1:1\", \"127.0.0.1:3\"]\nlevel: warn\n")
 	var m Mind
--- a/tools/fleet/failures.go
+++ b/tools/fleet/failures.go
@@ -127,7 +127,8 @@
 			}
 			say("%s vanishes, its address passes to %s", x.ID, svc)
 			x.Crash()
-			wait(2000, 2100)
+			// Also when the failures end meanwhile: nobody is promised less than 2 s.
+			time.Sleep(2050 * time.Millisecond)
 			n := &stand.Target{ID: fmt.Sprintf("%s-in-%s", x.ID, svc), Service: svc, Zone: x.Zone, Addr: x.Addr, Capacity: x.Capacity,
 				Every: x.Every, Work: x.Work, Minds: x.Minds, Face: x.Face, Rec: x.Rec}
 			if err := n.Start(ctx); err != nil {
@@ -136,7 +137,7 @@
 			}
 			wait(4000, 6000)
 			n.Crash()
-			wait(2000, 2100)
+			time.Sleep(2050 * time.Millisecond)
 			if err := x.Start(ctx); err != nil {
 				say("start %s: %v", x.ID, err)
 			}
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -16,15 +16,16 @@
 )
 
 type args struct {
-	Plan string        `arg:"--plan" default:"alcazar" help:"alcazar or grachtwerk"`
-	For  time.Duration `arg:"--for" default:"20s" help:"how long callers call"`
-	Bin  string        `arg:"--bin,required" help:"folder with the programs flow and mind"`
-	Dir  string        `arg:"--dir" help:"folder for logs and data; a new one by default"`
-	Fail bool          `arg:"--failures" help:"kill, freeze, stop and empty nodes and misuse targets meanwhile"`
-	Roll bool          `arg:"--rolling" help:"stop every node in turn as planned and start it again, with slow targets"`
-	Cuts bool          `arg:"--cuts" help:"with --failures: also cut zones, halves and single nodes off"`
-	Seed uint64        `arg:"--seed" default:"1" help:"of the failures"`
-	Net  uint8         `arg:"--net" default:"20" help:"second number of the 127.x addresses"`
+	Plan  string        `arg:"--plan" default:"alcazar" help:"alcazar or grachtwerk"`
+	For   time.Duration `arg:"--for" default:"20s" help:"how long callers call"`
+	Bin   string        `arg:"--bin,required" help:"folder with the programs flow and mind"`
+	Dir   string        `arg:"--dir" help:"folder for logs and data; a new one by default"`
+	Fail  bool          `arg:"--failures" help:"kill, freeze, stop and empty nodes and misuse targets meanwhile"`
+	Roll  bool          `arg:"--rolling" help:"stop every node in turn as planned and start it again, with slow targets"`
+	Cuts  bool          `arg:"--cuts" help:"with --failures: also cut zones, halves and single nodes off"`
+	Times int           `arg:"--times" default:"1" help:"so many times the nodes, targets and calls"`
+	Seed  uint64        `arg:"--seed" default:"1" help:"of the failures"`
+	Net   uint8         `arg:"--net" default:"20" help:"second number of the 127.x addresses"`
 }
 
 func (args) Description() string {
@@ -41,6 +42,7 @@
 		fmt.Fprintln(os.Stderr, "fleet: plan:", err)
 		return 2
 	}
+	p = p.Times(max(1, a.Times))
 	if a.Dir == "" {
 		if a.Dir, err = os.MkdirTemp("", "fleet-"); err != nil {
 			fmt.Fprintln(os.Stderr, "fleet: dir:", err)
@@ -79,7 +81,13 @@
 		defer fin()
 		go failures(fx, t, a.Seed)
 	}
+	from := map[*stand.Node]stand.Usage{}
+	for _, n := range t.Fleet.Nodes {
+		from[n], _ = n.Use()
+	}
+	began = time.Now()
 	t.Callers.Go(cx)
+	usage(t, from, time.Since(began))
 	v := t.Rec.Check()
 	e := json.NewEncoder(os.Stdout)
 	e.SetIndent("", "  ")
@@ -90,6 +98,25 @@
 	return 0
 }
 
+// usage tells what the processes used, and how long changes and leavings took to
+// their acknowledgement.
+func usage(t *stand.Town, from map[*stand.Node]stand.Usage, d time.Duration) {
+	for _, kind := range []string{"flow", "mind"} {
+		var cpu, mem []float64
+		for _, n := range t.Fleet.Of(kind) {
+			if u, ok := n.Use(); ok && u.CPU >= from[n].CPU {
+				cpu = append(cpu, 100*float64(u.CPU-from[n].CPU)/float64(d))
+				mem = append(mem, float64(u.RSS)/(1<<20))
+			}
+		}
+		same := func(x float64) float64 { return x }
+		fmt.Printf("each %s: %s %% of a core, %s MiB at most\n", kind, stand.SpreadOf(cpu, same), stand.SpreadOf(mem, same))
+	}
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	cs, ls := t.Rec.Took()
+	fmt.Printf("change in force after %s ms, leaving acknowledged after %s ms\n", stand.SpreadOf(cs, ms), stand.SpreadOf(ls, ms))
+}
+
 // changes moves a repeatable path to another service and back, again and again.
 func changes(ctx context.Context, t *stand.Town) {
 	var k stand.Kind
--- a/tools/stand/node.go
+++ b/tools/stand/node.go
@@ -72,6 +72,21 @@
 		}}
 }
 
+// Times is the deployment with n times the nodes, targets and calls; the disks stay.
+func (p Plan) Times(n int) Plan {
+	out := p
+	out.Minds, out.Flows = p.Minds*n, p.Flows*n
+	out.Targets, out.Kinds = map[string]int{}, nil
+	for s, k := range p.Targets {
+		out.Targets[s] = k * n
+	}
+	for _, k := range p.Kinds {
+		k.Rate *= float64(n)
+		out.Kinds = append(out.Kinds, k)
+	}
+	return out
+}
+
 // Plans finds a deployment by name.
 func Plans(name string) (Plan, error) {
 	for _, p := range []Plan{Alcazar(), Grachtwerk()} {
--- a/tools/stand/records.go
+++ b/tools/stand/records.go
@@ -55,6 +55,7 @@
 type Leave struct {
 	Target string
 	Inc    uint64
+	Asked  time.Time
 	Acked  time.Time
 }
 
@@ -131,3 +132,16 @@
 	defer r.mu.Unlock()
 	r.Stops = append(r.Stops, s)
 }
+
+// Took tells how long changes and leavings took to their acknowledgement.
+func (r *Records) Took() (changes, leaves []time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.Changes {
+		changes = append(changes, c.Acked.Sub(c.Asked))
+	}
+	for _, l := range r.Leaves {
+		leaves = append(leaves, l.Acked.Sub(l.Asked))
+	}
+	return changes, leaves
+}
--- a/tools/stand/target.go
+++ b/tools/stand/target.go
@@ -110,10 +110,11 @@
 // Leave announces leaving until a mind acknowledges it, then tells when.
 func (t *Target) Leave(ctx context.Context) (time.Time, error) {
 	t.leaving.Store(true)
+	asked := time.Now()
 	for ctx.Err() == nil {
 		if a, err := t.beat(ctx); err == nil && a.Leaving {
 			at := time.Now()
-			t.Rec.Leave(Leave{Target: t.ID, Inc: t.Inc(), Acked: at})
+			t.Rec.Leave(Leave{Target: t.ID, Inc: t.Inc(), Asked: asked, Acked: at})
 			return at, nil
 		}
 		time.Sleep(50 * time.Millisecond)
--- /dev/null
+++ b/tools/stand/usage.go
@@ -0,0 +1,67 @@
+package stand
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Usage is what one process has used.
+type Usage struct {
+	CPU time.Duration
+	RSS int64 // bytes, at most
+}
+
+// tickHZ is the unit of process times, fixed on Linux.
+const tickHZ = 100
+
+// Use reads what the node's process has used; ok is false when it does not run.
+func (n *Node) Use() (u Usage, ok bool) {
+	pid := n.Pid()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if pid == 0 || err != nil {
+		return u, false
+	}
+	// The name may hold spaces; what follows it does not.
+	f := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+	if len(f) < 13 {
+		return u, false
+	}
+	for _, s := range f[11:13] {
+		k, _ := strconv.ParseInt(s, 10, 64)
+		u.CPU += time.Duration(k) * time.Second / tickHZ
+	}
+	raw, _ = os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for _, l := range strings.Split(string(raw), "\n") {
+		if v, is := strings.CutPrefix(l, "VmHWM:"); is {
+			k, _ := strconv.ParseInt(strings.Fields(v)[0], 10, 64)
+			u.RSS = k << 10
+		}
+	}
+	return u, true
+}
+
+// Spread is the middle and the ends of some figures.
+type Spread struct {
+	N                 int
+	Least, Mid, Worst float64
+}
+
+// SpreadOf sorts and picks.
+func SpreadOf[T cmp.Ordered](xs []T, f func(T) float64) (s Spread) {
+	if s.N = len(xs); s.N == 0 {
+		return s
+	}
+	xs = slices.Clone(xs)
+	slices.Sort(xs)
+	return Spread{len(xs), f(xs[0]), f(xs[len(xs)/2]), f(xs[len(xs)-1])}
+}
+
+// String shows it in few words.
+func (s Spread) String() string {
+	return fmt.Sprintf("%.1f (%.1f to %.1f, %d)", s.Mid, s.Least, s.Worst, s.N)
+}
--- a/tools/stand/wires.go
+++ b/tools/stand/wires.go
@@ -1,8 +1,11 @@
 package stand
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -93,7 +96,9 @@
 	w.mu.Lock()
 	from := w.names[host]
 	w.mu.Unlock()
-	if !w.open(from, id) || !w.open(id, from) {
+	if w.IsCut(from, id) || w.IsCut(id, from) {
+		// No link comes about over a cut way; who asked for one waits in vain.
+		w.sink(a, from, id)
 		return
 	}
 	b, err := net.DialTimeout("tcp", to, 2*time.Second)
@@ -120,17 +125,64 @@
 	wg.Wait()
 }
 
+// sink swallows what comes until the caller gives up or the way is mended.
+func (w *Wires) sink(a net.Conn, from, to string) {
+	buf := make([]byte, 4<<10)
+	for w.IsCut(from, to) || w.IsCut(to, from) {
+		_ = a.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := a.Read(buf); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+	}
+	if t, ok := a.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+}
+
+// maxHeld bounds what is held back of one direction.
+const maxHeld = 4 << 20
+
+// hold waits while the way is cut and gathers what is sent meanwhile. A sender that
+// resets its link takes back what has not arrived, as on a real network.
+func (w *Wires) hold(src net.Conn, buf []byte, from, to string) ([]byte, error) {
+	more := make([]byte, 32<<10)
+	defer func() { _ = src.SetReadDeadline(time.Time{}) }()
+	var end error
+	for w.IsCut(from, to) {
+		if end != nil || len(buf) > maxHeld {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		_ = src.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		n, err := src.Read(more)
+		buf = append(buf, more[:n]...)
+		switch {
+		case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
+		case err == io.EOF:
+			end = err
+		default:
+			return nil, err
+		}
+	}
+	return buf, end
+}
+
 // pump carries one direction. When one end closes, the other is told once the way
 // is open.
 func (w *Wires) pump(dst, src net.Conn, from, to string) {
-	buf := make([]byte, 32<<10)
+	room := make([]byte, 32<<10)
 	for {
-		n, err := src.Read(buf)
+		n, err := src.Read(room)
+		buf := room[:n]
+		if err == nil && w.IsCut(from, to) {
+			buf, err = w.hold(src, slices.Clone(buf), from, to)
+			n = len(buf)
+		}
 		if !w.open(from, to) {
 			break
 		}
 		if n > 0 {
-			if _, e := dst.Write(buf[:n]); e != nil {
+			if _, e := dst.Write(buf); e != nil {
 				break
 			}
 		}
