voice: what was expected is told in words that can be typed

Cause: tried as a new user would: 'put bindng x' was answered '(expected Put)', a name from the code. Ruled out: a grammar without parts (unreadable).

--- a/internal/voice/grammar.go
+++ b/internal/voice/grammar.go
@@ -163,13 +163,36 @@
 	if err != nil {
 		if p, ok := err.(participle.Error); ok {
 			at := p.Position()
-			return nil, fmt.Errorf("%d:%d: %s", at.Line, at.Column, p.Message())
+			return nil, fmt.Errorf("%d:%d: %s", at.Line, at.Column, plain(p))
 		}
 		return nil, err
 	}
 	return x, nil
 }
 
+// parts says what the grammar's parts begin with.
+var parts = strings.NewReplacer("Put", `"service" or "binding"`, "Remove", `"service" or "binding"`, "Show", `"nodes", "targets", "services", "bindings", "core", "sheet", "change", "ledger" or "picture"`,
+	"Why", `"target" or "call"`, "Drain", `"target" or "node"`, "Which", `<number> or "token"`, "Edit", `"put", "remove" or "roll back"`,
+	"(<word> | <string>)", "<name>")
+
+// plain says an error in words that can be typed.
+func plain(p participle.Error) string {
+	m := strings.ReplaceAll(p.Message(), `token "<EOF>"`, "end")
+	i := strings.Index(m, " (expected ")
+	if i < 0 {
+		return m
+	}
+	want := m[i+len(" (expected ") : len(m)-1]
+	switch {
+	case p.Position().Offset == 0:
+		want = "a query or a command; try: help"
+	case strings.HasPrefix(want, "Edit"):
+		// What may follow an edit is not what is missing here.
+		want = "Edit"
+	}
+	return m[:i] + ", expected " + parts.Replace(want)
+}
+
 // Help lists what can be said.
 const Help = `queries:
   show nodes | targets [of SERVICE] | services | bindings | core
--- a/internal/voice/grammar_test.go
+++ b/internal/voice/grammar_test.go
@@ -8,8 +8,12 @@
 func TestParseTellsPositionAndWhatWasExpected(t *testing.T) {
 	for text, want := range map[string]string{
 		"":                      "1:1",
-		"show nods":             "1:6",
-		"put binding x takes":   "expected",
+		"show nods":             `1:6: unexpected token "nods", expected "nodes", "targets"`,
+		"put binding x takes":   "1:20: unexpected end, expected",
+		"drain Put":             `unexpected token "Put", expected "target" or "node"`,
+		"remove x":              `expected "service" or "binding"`,
+		"put service a and":     `expected "put", "remove" or "roll back"`,
+		"hello":                 "1:1: unexpected token \"hello\", expected a query or a command",
 		"show nodes and more":   "1:12",
 		"put service \"a":       "1:13",
 		"diff 1":                "<number>",
