Flows work with 24 targets of a service, not all: probes grew with the square

Change: of a service with more than 24 targets a flow keeps 24 that are well, up to half from its own zone, by rendezvous; those that fall silent stay besides and are replaced. Ruled out: probing less often (a proof may be 1.5 s old at most), and proofs handed from flow to flow. Nothing changes at today's sizes (14 to 20 targets a service).

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -114,7 +114,7 @@
 
 func newRoster(i do.Injector) (*home.Roster, error) {
 	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i)
-	r := &home.Roster{Line: p.Line, Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Zone: p.Startup.Zone,
+	r := &home.Roster{Line: p.Line, Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Me: p.Startup.ID, Zone: p.Startup.Zone,
 		Minds: func() []mate.Member { return t.Kind("mind") }, Every: probeEvery}
 	r.Init()
 	return r, nil
@@ -283,6 +283,12 @@
 	var seq uint64
 	first := true
 	for {
+		if !s.Near() {
+			if f.Clock.Sleep(ctx, probeEvery/8) != nil {
+				return
+			}
+			continue
+		}
 		seq++
 		go f.probe(ctx, s, seq)
 		d := probeEvery
--- a/internal/home/house.go
+++ b/internal/home/house.go
@@ -35,9 +35,7 @@
 		if m.Kind != "mind" {
 			continue
 		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(service + "\x00" + m.ID))
-		s := mix(h.Sum64())
+		s := score(service, m.ID)
 		if _, ok := best[m.Zone]; !ok || s > top[m.Zone] {
 			best[m.Zone], top[m.Zone] = m, s
 		}
@@ -47,8 +45,11 @@
 	return out
 }
 
-// mix spreads the weak low bits of FNV on short names.
-func mix(x uint64) uint64 {
+// score is the rendezvous of two names; FNV's weak low bits are spread.
+func score(a, b string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(a + "\x00" + b))
+	x := h.Sum64()
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/internal/home/roster.go
+++ b/internal/home/roster.go
@@ -33,7 +33,9 @@
 	// nanoseconds of the roster's epoch.
 	proof  atomic.Int64
 	Det    *liveness.Detector
+	near   atomic.Bool
 	beat   face.Beat // owned by the roster
+	nearAt time.Time // owned by the roster
 	listed atomic.Int64
 }
 
@@ -46,6 +48,7 @@
 	Line  link.Line
 	Clock pulse.Clock
 	Pause *liveness.Pauses
+	Me    string
 	Zone  string
 	Minds func() []mate.Member
 	// Every is the interval of probes.
@@ -63,6 +66,7 @@
 	by   map[string]*Stand // by service/id
 	stop map[string]context.CancelFunc
 	left map[string]leave // by service/id
+	many bool             // of some service not all targets are near
 	ctx  context.Context
 }
 
@@ -319,6 +323,16 @@
 	for _, s := range r.by {
 		m[s.Service] = append(m[s.Service], s)
 	}
+	near := map[*Stand]bool{}
+	r.many = false
+	for n, ss := range m {
+		r.many = r.many || len(ss) > nearMost
+		m[n] = r.nearest(ss)
+		for _, s := range m[n] {
+			near[s] = true
+		}
+	}
+	r.settle(near)
 	r.snap.Store(&m)
 }
 
@@ -349,7 +363,7 @@
 			n++
 		}
 	}
-	if n > 0 {
+	if n > 0 || r.many {
 		r.publish()
 	}
 	if len(r.left) > 2*maxStands {
--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -109,6 +109,14 @@
 	return true
 }
 
+// Restart begins the watch anew at t, with what was learnt: nobody looked before.
+func (d *Detector) Restart(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last, d.seen = t, 0
+	d.publish()
+}
+
 // push takes one gap in which lost arrivals were missed. Each of them is placed
 // a mean gap after the one before, d_i = Δ + d_{i-1}, as long as that leaves the
 // last gap longer than nothing; else they share the gap evenly.
