--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -113,6 +113,14 @@
 		fmt.Printf("each %s: %s %% of a core, %s MiB at most\n", kind, stand.SpreadOf(cpu, same), stand.SpreadOf(mem, same))
 	}
 	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	cx, end := context.WithTimeout(context.Background(), 5*time.Second)
+	defer end()
+	if ns, err := t.Suspicions(cx); err != nil {
+		fmt.Println("suspicions not read:", err)
+	} else {
+		bad, after := t.Rec.Suspected(ns)
+		fmt.Printf("suspected by mistake: %d of %d; crashed targets suspected after %s ms\n", bad, len(ns), stand.SpreadOf(after, ms))
+	}
 	cs, ls := t.Rec.Took()
 	fmt.Printf("change in force after %s ms, leaving acknowledged after %s ms\n", stand.SpreadOf(cs, ms), stand.SpreadOf(ls, ms))
 }
--- a/tools/stand/checker_test.go
+++ b/tools/stand/checker_test.go
@@ -38,6 +38,15 @@
 		Stamp: face.Stamp{ID: target, Service: svc, Inc: 1, Request: n}.String()})
 }
 
+func TestSuspicionsAreHeldAgainstCrashes(t *testing.T) {
+	r := NewRecords()
+	r.Down(Down{"a", 1, at(1000)})
+	bad, after := r.Suspected([]Down{{"a", 1, at(3500)}, {"a", 1, at(500)}, {"a", 2, at(4000)}, {"b", 1, at(2000)}})
+	if bad != 3 || len(after) != 1 || after[0] != 2500*time.Millisecond {
+		t.Errorf("%d mistakes, %v", bad, after)
+	}
+}
+
 func TestCheckerPassesACleanRecord(t *testing.T) {
 	if v := clean().Check(); len(v.Broken) > 0 || v.Refused || v.Successes != 40 {
 		t.Fatalf("%+v", v)
--- a/tools/stand/records.go
+++ b/tools/stand/records.go
@@ -66,6 +66,13 @@
 	From, End time.Time
 }
 
+// Down is the crash of a target run.
+type Down struct {
+	Target string
+	Inc    uint64
+	At     time.Time
+}
+
 // Records is all that was written down in a run.
 type Records struct {
 	mu       sync.Mutex
@@ -74,6 +81,7 @@
 	Changes  []Change
 	Leaves   []Leave
 	Stops    []Stop
+	Downs    []Down
 	// Asks are all changes asked for, acknowledged or not: what one that was never
 	// acknowledged brought about is no fault of the one before.
 	Asks []Change
@@ -145,3 +153,31 @@
 	}
 	return changes, leaves
 }
+
+// Down notes a target's crash.
+func (r *Records) Down(d Down) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Downs = append(r.Downs, d)
+}
+
+// Suspected tells, of suspicions that the ledger notes, which were of targets that
+// had not crashed, and how long after their crash the others were noted.
+func (r *Records) Suspected(notes []Down) (mistakes int, after []time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range notes {
+		right := false
+		for _, d := range r.Downs {
+			if d.Target == n.Target && d.Inc == n.Inc && !n.At.Before(d.At) {
+				right = true
+				after = append(after, n.At.Sub(d.At))
+				break
+			}
+		}
+		if !right {
+			mistakes++
+		}
+	}
+	return mistakes, after
+}
--- a/tools/stand/target.go
+++ b/tools/stand/target.go
@@ -104,6 +104,7 @@
 	if end != nil {
 		end()
 		_ = srv.Close()
+		t.Rec.Down(Down{Target: t.ID, Inc: t.Inc(), At: time.Now()})
 	}
 }
 
--- a/tools/stand/town.go
+++ b/tools/stand/town.go
@@ -9,11 +9,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/samber/lo"
 
 	"walkrudder/internal/commands"
+	"walkrudder/internal/ledger"
 	"walkrudder/internal/spec"
 )
 
@@ -195,6 +197,37 @@
 	}
 }
 
+// Suspicions reads from a mind which target runs the ledger notes as suspected.
+func (t *Town) Suspicions(ctx context.Context) (out []Down, err error) {
+	for _, door := range t.Fleet.Doors("mind") {
+		q, e := http.NewRequestWithContext(ctx, "POST", "http://"+door+"/v1/say", strings.NewReader("show picture"))
+		if e != nil {
+			return nil, e
+		}
+		r, e := operator.Do(q)
+		if err = e; err != nil {
+			continue
+		}
+		var p struct {
+			Data struct {
+				Decisions []ledger.Note `json:"decisions"`
+			} `json:"data"`
+		}
+		err = json.NewDecoder(io.LimitReader(r.Body, 256<<20)).Decode(&p)
+		_ = r.Body.Close()
+		if err != nil {
+			continue
+		}
+		for _, n := range p.Data.Decisions {
+			if n.Kind == ledger.NoteSuspect && n.Target != nil {
+				out = append(out, Down{n.Target.ID, n.Target.Inc, time.UnixMilli(n.At)})
+			}
+		}
+		return out, nil
+	}
+	return nil, err
+}
+
 // Lower ends targets and fleet.
 func (t *Town) Lower() {
 	for _, x := range t.Targets {
