Simulator: a process's first sync takes no time; its clock could stand still

Cause: a mind on an empty disk syncs its new incarnation while it is being started, under the node's lock; whoever asked for the node meanwhile waited for that lock, and a bubble's clock stands still as long as anybody waits for a lock. Ruled out: a deadlock in the node code (every other wait in the dump was the clock's).

--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -51,6 +51,9 @@
 	d *Disk
 	h *Host
 	l *line
+	// calm is set while the process starts: its first sync takes no time, for the
+	// world waits under a lock.
+	calm bool
 }
 
 var errDead = errors.New("process ended")
@@ -69,6 +72,12 @@
 // Commit syncs puts. A process killed meanwhile leaves each of them written or
 // not, as chance has it: a torn tail.
 func (x *handle) Commit(puts []keep.Put) error {
+	if x.calm {
+		x.d.mu.Lock()
+		defer x.d.mu.Unlock()
+		x.d.take(puts)
+		return nil
+	}
 	x.h.awake()
 	x.d.mu.Lock()
 	t := x.d.Least + time.Duration(x.d.rnd.Int64N(int64(x.d.Most-x.d.Least)+1))
@@ -87,11 +96,7 @@
 		if dead && x.d.rnd.IntN(2) == 0 {
 			break
 		}
-		if p.Value == nil {
-			delete(x.d.synced, p.Key)
-		} else {
-			x.d.synced[p.Key] = append([]byte(nil), p.Value...)
-		}
+		x.d.take([]keep.Put{p})
 	}
 	if dead {
 		return errDead
@@ -99,5 +104,16 @@
 	return nil
 }
 
+// take writes puts, under the lock.
+func (d *Disk) take(puts []keep.Put) {
+	for _, p := range puts {
+		if p.Value == nil {
+			delete(d.synced, p.Key)
+		} else {
+			d.synced[p.Key] = append([]byte(nil), p.Value...)
+		}
+	}
+}
+
 // Close ends the use.
 func (x *handle) Close() error { return nil }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -264,13 +264,15 @@
 				go n.Kill()
 				n.w.later(time.Second, n.Start)
 			}}
+		d := &handle{d: n.Disk, h: n.Host, l: l, calm: true}
 		if n.Disk != nil {
-			p.Disk = &handle{n.Disk, n.Host, l}
+			p.Disk = d
 		}
 		m, err := mind.New(p)
 		if err != nil {
 			panic(err)
 		}
+		d.calm = false
 		n.mind, run = m, m.Run
 		n.Host.mu.Lock()
 		n.desk = m.Desk
