--- a/cmd/flow/main.go
+++ b/cmd/flow/main.go
@@ -32,8 +32,8 @@
 	if err != nil {
 		return err
 	}
-	line := link.NewTCP(link.Who{ID: s.ID, Kind: "flow"}, s.Own(), lg)
-	courier := passage.NewHTTP(s.Own())
+	line := link.NewTCP(link.Who{ID: s.ID, Kind: "flow"}, s.Bind, lg)
+	courier := passage.NewHTTP(s.Bind)
 	count := tally.New("flow")
 	f := flow.New(flow.Parts{Startup: s, Inc: shell.Incarnation(), Line: line, Clock: pulse.Wall{}, Courier: courier, Log: lg, Count: count.Add})
 	go line.Serve(inner, f.Desk)
--- a/cmd/mind/main.go
+++ b/cmd/mind/main.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	line := link.NewTCP(link.Who{ID: s.ID, Kind: "mind"}, s.Own(), lg)
+	line := link.NewTCP(link.Who{ID: s.ID, Kind: "mind"}, s.Bind, lg)
 	count := tally.New("mind")
 	bad := make(chan error, 1)
 	m, err := mind.New(mind.Parts{Startup: s, Inc: shell.Incarnation(), Fresh: shell.Fresh(), Line: line, Clock: pulse.Wall{}, Disk: disk, Log: lg,
--- a/internal/link/tcp.go
+++ b/internal/link/tcp.go
@@ -42,10 +42,10 @@
 	open  map[net.Conn]bool
 }
 
-// NewTCP makes a line that introduces itself as me and calls from the IP of its own
-// address.
-func NewTCP(me Who, own string, lg *log.Logger) *TCP {
-	ip, _, _ := net.SplitHostPort(own)
+// NewTCP makes a line that introduces itself as me and calls from the IP of bind,
+// where that is given.
+func NewTCP(me Who, bind string, lg *log.Logger) *TCP {
+	ip, _, _ := net.SplitHostPort(bind)
 	return &TCP{Me: me, Log: lg, From: ip, links: map[string]*tcpLink{}, open: map[net.Conn]bool{}}
 }
 
--- a/internal/passage/courier.go
+++ b/internal/passage/courier.go
@@ -107,9 +107,10 @@
 	_ = w.c.Close()
 }
 
-// NewHTTP makes a courier that calls from the IP of this node's own address.
-func NewHTTP(own string) *HTTP {
-	ip, _, _ := net.SplitHostPort(own)
+// NewHTTP makes a courier that calls from the IP of bind, where that is given: not
+// from the inner one else, for targets may be reached over another network.
+func NewHTTP(bind string) *HTTP {
+	ip, _, _ := net.SplitHostPort(bind)
 	return &HTTP{from: ip, idle: map[string][]*wire{}}
 }
 
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -30,7 +30,7 @@
 	ID      string   `arg:"--id" yaml:"id" validate:"required,max=64,name" help:"this node's name, unlike any other's"`
 	Zone    string   `arg:"--zone" yaml:"zone" validate:"required,max=64,name" help:"the zone it stands in"`
 	Inner   string   `arg:"--inner" yaml:"inner" validate:"required,ipport" help:"IP:port for the other nodes"`
-	Bind    string   `arg:"--bind" yaml:"bind" validate:"omitempty,ipport" help:"IP:port to listen at for the other nodes, and IP to call them from, where that is not the inner address, as behind an address translation"`
+	Bind    string   `arg:"--bind" yaml:"bind" validate:"omitempty,ipport" help:"IP:port to listen at for the other nodes, and IP to call from, where that is not the inner address, as behind an address translation"`
 	Door    string   `arg:"--door" yaml:"door" validate:"required,ipport" help:"IP:port for HTTP: callers (flow), targets and operators (mind), the platform"`
 	Seeds   []string `arg:"--seed,separate" yaml:"seeds" validate:"required,min=1,max=9,unique,dive,ipport" help:"inner address of a seed; give it once for each"`
 	Level   string   `arg:"--level" yaml:"level" validate:"omitempty,oneof=debug info warn error" help:"least level logged [default: info]"`
