Fleet: targets that it restarts outlive the failures

Cause: a third of the suspicions in two fleets looked like mistakes. The ledger showed them all at the second in which the failures ended: targets that had been restarted by a failure beat only as long as the failures went on. Ruled out: the detector (each had been silent for 1.5 to 2.2 s by its beats). Before: 8 of 20 and 4 of 13 by mistake.

--- a/tools/fleet/failures.go
+++ b/tools/fleet/failures.go
@@ -96,7 +96,7 @@
 			say("%s crashes", x.ID)
 			x.Crash()
 			wait(2000, 4000)
-			if err := x.Start(ctx); err != nil {
+			if err := x.Start(context.WithoutCancel(ctx)); err != nil {
 				say("start %s: %v", x.ID, err)
 			}
 		},
@@ -111,7 +111,7 @@
 			wait(3000, 4000)
 			x.Crash()
 			wait(2000, 2500)
-			if err := x.Start(ctx); err != nil {
+			if err := x.Start(context.WithoutCancel(ctx)); err != nil {
 				say("start %s: %v", x.ID, err)
 			}
 		},
@@ -131,14 +131,14 @@
 			time.Sleep(2050 * time.Millisecond)
 			n := &stand.Target{ID: fmt.Sprintf("%s-in-%s", x.ID, svc), Service: svc, Zone: x.Zone, Addr: x.Addr, Capacity: x.Capacity,
 				Every: x.Every, Work: x.Work, Minds: x.Minds, Face: x.Face, Rec: x.Rec}
-			if err := n.Start(ctx); err != nil {
+			if err := n.Start(context.WithoutCancel(ctx)); err != nil {
 				say("start %s: %v", n.ID, err)
 				return
 			}
 			wait(4000, 6000)
 			n.Crash()
 			time.Sleep(2050 * time.Millisecond)
-			if err := x.Start(ctx); err != nil {
+			if err := x.Start(context.WithoutCancel(ctx)); err != nil {
 				say("start %s: %v", x.ID, err)
 			}
 		},
