--- a/internal/queries/queries.go
+++ b/internal/queries/queries.go
@@ -153,6 +153,19 @@
 	ms    int64
 }
 
+// notes lists the decisions of every kind but changes, oldest first.
+func (a *Asker) notes(ctx context.Context) (out []ledger.Note, err error) {
+	for _, p := range ledger.NotePrefixes {
+		ns, err := a.Book.Notes(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, ns...)
+	}
+	slices.SortStableFunc(out, func(a, b ledger.Note) int { return cmp.Compare(a.At, b.At) })
+	return out, nil
+}
+
 // Ledger lists all decisions, oldest first; last limits them where above 0.
 func (a *Asker) Ledger(ctx context.Context, last int) ([]Item, error) {
 	var out []Item
@@ -163,18 +176,16 @@
 	for _, c := range cs {
 		out = append(out, Item{stamp(c.At), c.Mind, "change", fmt.Sprintf("version %d", c.N), fmt.Sprintf("by %q: %s %s", c.By, edits(c.Edits), c.Note), c.At})
 	}
-	for _, p := range ledger.NotePrefixes {
-		ns, err := a.Book.Notes(ctx, p)
-		if err != nil {
-			return nil, err
-		}
-		for _, n := range ns {
-			about := fmt.Sprintf("version %d", n.N)
-			if n.Target != nil {
-				about = fmt.Sprintf("%s/%s run %d", n.Target.Service, n.Target.ID, n.Target.Inc)
-			}
-			out = append(out, Item{stamp(n.At), n.Mind, n.Kind, about, n.Why, n.At})
+	ns, err := a.notes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, n := range ns {
+		about := fmt.Sprintf("version %d", n.N)
+		if n.Target != nil {
+			about = fmt.Sprintf("%s/%s run %d", n.Target.Service, n.Target.ID, n.Target.Inc)
 		}
+		out = append(out, Item{stamp(n.At), n.Mind, n.Kind, about, n.Why, n.At})
 	}
 	slices.SortStableFunc(out, func(a, b Item) int { return cmp.Compare(a.ms, b.ms) })
 	if last > 0 && len(out) > last {
@@ -210,23 +221,20 @@
 	if err != nil {
 		return nil, err
 	}
+	all, err := a.notes(ctx)
+	if err != nil {
+		return nil, err
+	}
 	var notes []ledger.Note
-	for _, p := range ledger.NotePrefixes {
-		ns, err := a.Book.Notes(ctx, p)
-		if err != nil {
-			return nil, err
-		}
-		for _, n := range ns {
-			if n.Target != nil && n.Target.Service == service && n.Target.ID == id {
-				notes = append(notes, n)
-			}
+	for _, n := range all {
+		if n.Target != nil && n.Target.Service == service && n.Target.ID == id {
+			notes = append(notes, n)
 		}
 	}
 	now, seen := lo.Find(ts, func(t TargetRow) bool { return t.ID == id })
 	if !seen && len(notes) == 0 {
 		return nil, defect.New("find target", "", "nothing is known of %s/%s", service, id)
 	}
-	slices.SortStableFunc(notes, func(a, b ledger.Note) int { return cmp.Compare(a.At, b.At) })
 	return struct {
 		Seen      bool          `json:"seen_here"`
 		Now       TargetRow     `json:"now"`
@@ -355,14 +363,9 @@
 	if p.Changes, err = a.Book.Changes(ctx); err != nil {
 		return p, err
 	}
-	for _, x := range ledger.NotePrefixes {
-		ns, err := a.Book.Notes(ctx, x)
-		if err != nil {
-			return p, err
-		}
-		p.Decisions = append(p.Decisions, ns...)
+	if p.Decisions, err = a.notes(ctx); err != nil {
+		return p, err
 	}
-	slices.SortStableFunc(p.Decisions, func(a, b ledger.Note) int { return cmp.Compare(a.At, b.At) })
 	if p.Targets, err = a.Targets(ctx, ""); err != nil {
 		return p, err
 	}
--- a/internal/roll/rack.go
+++ b/internal/roll/rack.go
@@ -103,6 +103,9 @@
 	k.counts.Store(&counts{k.flows, k.confirmed})
 }
 
+// isShut tells whether n is decided and not known here to be open; only own calls it.
+func (k *Rack) isShut(n uint64) bool { return n > 0 && k.shut == n }
+
 // Init makes the rack ready; it holds the empty sheet, unconfirmed.
 func (k *Rack) Init() {
 	k.own = owner.New(64)
@@ -153,7 +156,7 @@
 	n := *old
 	n.wake = make(chan struct{})
 	f(&n)
-	if k.held > n.table.N || k.shut == n.table.N && k.shut > 0 {
+	if k.held > n.table.N || k.isShut(n.table.N) {
 		n.open = false
 	}
 	k.cur.Store(&n)
@@ -220,7 +223,7 @@
 	})
 	link.On(d, func(ctx context.Context, _ link.Who, a LastAsk) (r LastTold, err error) {
 		return owner.Get(ctx, k.own, func() (r LastTold) {
-			r = LastTold{ID: k.ID, Held: k.Tenant.Held(), Confirmed: k.confirmed, Shut: k.shut == k.N() && k.shut > 0, N: k.N(), Round: k.round, Flows: k.flows}
+			r = LastTold{ID: k.ID, Held: k.Tenant.Held(), Confirmed: k.confirmed, Shut: k.isShut(k.N()), N: k.N(), Round: k.round, Flows: k.flows}
 			if s := k.cur.Load().table.Sheet; r.Confirmed && a.Have != r.N {
 				r.Sheet = &s
 			}
@@ -381,7 +384,7 @@
 			}
 		}
 		t := k.cur.Load().table
-		shut := k.shut == t.N && k.shut > 0
+		shut := k.isShut(t.N)
 		if best != nil && best.N >= t.N {
 			switch {
 			case best.N > t.N && best.Sheet == nil:
--- a/internal/sim/stop_test.go
+++ b/internal/sim/stop_test.go
@@ -13,7 +13,7 @@
 	raised(t, func(ctx context.Context, w *World) {
 		w.Go(w.Platform)
 		for _, x := range w.Targets {
-			x.lag = 900 * time.Millisecond
+			x.Lag(900 * time.Millisecond)
 		}
 		cx, end := context.WithCancel(ctx)
 		done := make(chan struct{})
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -84,6 +84,13 @@
 	return t.run != nil && t.run.Err() == nil
 }
 
+// Lag adds work to every request from now on.
+func (t *Target) Lag(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lag = d
+}
+
 // Ran tells whether the target ever ran.
 func (t *Target) Ran() bool {
 	t.mu.Lock()
