--- /dev/null
+++ b/internal/item/item.go
@@ -0,0 +1,53 @@
+// Package item holds the shared state as items, each with a version of its own:
+// the highest version of a name stands, whether set or dropped, and copies merge
+// item by item in any order (design 20).
+package item
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Kind says what an item holds.
+type Kind uint8
+
+// The kinds of items.
+const (
+	Route Kind = iota + 1
+	Service
+	Limits
+)
+
+// Key names one item.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// Item is one version of one item. A dropped item is kept as Gone, so that an older
+// version that comes late does not bring it back.
+type Item struct {
+	Key
+	Version uint64
+	Gone    bool
+	Body    []byte // what stands, encoded by its owner; nil where Gone
+}
+
+// Digest tells two contents of one version apart.
+func (i Item) Digest() string {
+	if i.Gone {
+		return ""
+	}
+	s := sha256.Sum256(i.Body)
+	return hex.EncodeToString(s[:8])
+}
+
+// Compare orders two copies of an item: by version, and where two operators gave
+// one version to two contents at once, by content, so that all copies end alike.
+func (i Item) Compare(o Item) int {
+	if c := cmp.Compare(i.Version, o.Version); c != 0 {
+		return c
+	}
+	return cmp.Compare(i.Digest(), o.Digest())
+}
