--- a/cmd/flow/main.go
+++ b/cmd/flow/main.go
@@ -16,9 +16,13 @@
 	"walkrudder/internal/shell"
 	"walkrudder/internal/startup"
 	"walkrudder/internal/tally"
+	"walkrudder/platform"
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "platform" {
+		os.Exit(platform.FlowMain(os.Args[2:], os.Stdout, os.Stderr))
+	}
 	var s startup.Flow
 	os.Exit(shell.Main(&s, "flow", os.Args[1:], os.Stdout, os.Stderr, func(ctx context.Context, lg *log.Logger) error { return run(ctx, lg, s) }))
 }
--- a/cmd/mind/main.go
+++ b/cmd/mind/main.go
@@ -18,12 +18,16 @@
 	"walkrudder/internal/shell"
 	"walkrudder/internal/startup"
 	"walkrudder/internal/tally"
+	"walkrudder/platform"
 )
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "say" {
 		os.Exit(say(os.Args[2:], os.Stdin, os.Stdout, os.Stderr))
 	}
+	if len(os.Args) > 1 && os.Args[1] == "platform" {
+		os.Exit(platform.MindMain(os.Args[2:], os.Stdout, os.Stderr))
+	}
 	var s startup.Mind
 	os.Exit(shell.Main(&s, "mind", os.Args[1:], os.Stdout, os.Stderr, func(ctx context.Context, lg *log.Logger) error { return run(ctx, lg, s) }))
 }
--- a/internal/accord/former.go
+++ b/internal/accord/former.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -11,11 +12,39 @@
 	"walkrudder/internal/pulse"
 )
 
+const (
+	// seekEvery is the pace while no core is known, and recheckEvery once one is.
+	seekEvery    = 150 * time.Millisecond
+	recheckEvery = 2 * time.Second
+	// helloTime bounds the wait for one seed, so that one that has not started does
+	// not hold up the rest.
+	helloTime = 500 * time.Millisecond
+	// knownFor is how long a disk counts as there after it was heard of.
+	knownFor = 5 * time.Second
+	// formPatience is how long a first core waits for its full size and for all of
+	// its seats, from when all seeds first answered that they know no core.
+	formPatience = 3 * time.Second
+	// maxKnown bounds the disks kept in mind.
+	maxKnown = 256
+)
+
 // Former finds the core, or takes part in forming the first one (design 4.5).
+//
+// A first core is formed only if every seed answers that it knows none. The disk
+// node with the lowest ID among those heard of proposes Size seats spread over
+// zones, or, once all seeds answered so for 3 s and there are fewer disks, the
+// largest odd number that there are. Every seed must consent, with a seat or
+// without, with a disk or without: two formations would both need all of them, so
+// one at most is ever sealed, however many disk nodes there are and whichever of
+// them know each other. Then all seats consent, or after those 3 s a majority of
+// them, and it is sealed.
 type Former struct {
 	Seeds []string // inner addresses
 	Self  string   // own inner address
 	Size  int      // seats of a first core
+	// Later says that this is not the first start of the whole system: this node
+	// neither proposes nor consents to a first core.
+	Later bool
 	Line  link.Line
 	Clock pulse.Clock
 	Prop  *Proposer
@@ -23,6 +52,9 @@
 
 	mu    sync.Mutex
 	known map[string]knownSeat
+	empty time.Time // when all seeds first answered that they know no core
+	form  form      // this node's consent, where it has no disk
+	turn  int       // the seed to ask next once a core is known
 }
 
 type knownSeat struct {
@@ -33,46 +65,108 @@
 // Serve teaches d what this node knows of the core.
 func (f *Former) Serve(d *link.Desk) {
 	link.On(d, func(_ context.Context, _ link.Who, a HelloAsk) (CoreTold, error) {
-		f.note(a.Seat)
-		return f.told(), nil
+		f.note(a.Seat, 0)
+		f.Prop.Learn(a.Core)
+		return f.told(a.Epoch), nil
+	})
+	if f.Voter != nil {
+		f.Voter.later.Store(f.Later)
+		return
+	}
+	link.On(d, func(_ context.Context, _ link.Who, a FormAsk) (FormTold, error) {
+		return f.formed(a), nil
 	})
 }
 
-// HelloAsk asks what core a node knows; Seat is the asker's disk, if any.
+// formed answers for a seed without a disk. What it consented to it knows only as
+// long as it lives; seeds with a disk know longer.
+func (f *Former) formed(a FormAsk) FormTold {
+	known := f.Prop.Core()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, c, ok := f.form.next(known, a, !f.Later)
+	f.form = g
+	f.Prop.Learn(c)
+	return FormTold{OK: ok, By: g.By, Core: known}
+}
+
+// HelloAsk asks what core a node knows; Seat is the asker's disk, if any. Epoch is
+// that of the core it knows, and Core that core where the other's is older.
 type HelloAsk struct {
-	From string
-	Seat Seat
+	From  string
+	Seat  Seat
+	Epoch uint64
+	Core  Core
 }
 
-func (f *Former) note(s Seat) {
-	if s.ID == "" || s.Addr == "" {
+// note keeps in mind that s was heard of some time ago.
+func (f *Former) note(s Seat, ago time.Duration) {
+	if s.ID == "" || s.Addr == "" || ago >= knownFor {
 		return
 	}
+	at := f.Clock.Now().Add(-ago)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.known == nil {
 		f.known = map[string]knownSeat{}
 	}
-	f.known[s.ID] = knownSeat{s, f.Clock.Now()}
+	if o, ok := f.known[s.ID]; ok && o.at.After(at) || !ok && len(f.known) >= maxKnown {
+		return
+	}
+	f.known[s.ID] = knownSeat{s, at}
+}
+
+// disks lists the disks heard of lately, by ID.
+func (f *Former) disks() []knownSeat {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []knownSeat
+	for id, k := range f.known {
+		if now.Sub(k.at) >= knownFor {
+			delete(f.known, id)
+			continue
+		}
+		all = append(all, k)
+	}
+	slices.SortFunc(all, func(a, b knownSeat) int { return cmp.Compare(a.s.ID, b.s.ID) })
+	return all
 }
 
-func (f *Former) told() CoreTold {
+// told answers one that knows the core of an epoch.
+func (f *Former) told(epoch uint64) CoreTold {
 	c := f.core()
-	t := CoreTold{Core: c, Empty: c.Epoch == 0}
+	t := CoreTold{Epoch: c.Epoch, Empty: c.Epoch == 0}
+	if c.Epoch > epoch {
+		t.Core = c
+	}
 	if f.Voter != nil {
 		t.Seat = f.Voter.Seat()
-		f.note(t.Seat)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, k := range f.known {
-		if f.Clock.Now().Sub(k.at) < 5*time.Second {
-			t.Known = append(t.Known, k.s)
-		}
+	if !t.Empty {
+		return t
+	}
+	f.note(t.Seat, 0)
+	now := f.Clock.Now()
+	for _, k := range f.disks() {
+		t.Known, t.Ages = append(t.Known, k.s), append(t.Ages, now.Sub(k.at))
 	}
+	g := f.consent()
+	t.By, t.Form = g.By, g.Core
 	return t
 }
 
+// consent is the formation that this node consented to.
+func (f *Former) consent() form {
+	if f.Voter != nil {
+		by, c := f.Voter.Consent()
+		return form{by, c}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.form
+}
+
 func (f *Former) core() Core {
 	c := f.Prop.Core()
 	if f.Voter != nil {
@@ -88,10 +182,15 @@
 // then, so that a node whose every voter was swapped finds the new ones.
 func (f *Former) Run(ctx context.Context) {
 	for {
-		f.round(ctx)
-		d := 2 * time.Second
-		if f.core().Epoch == 0 {
-			d = 150 * time.Millisecond
+		d := seekEvery
+		if f.core().Epoch > 0 {
+			d = recheckEvery
+			f.recheck(ctx)
+		} else {
+			f.round(ctx)
+			if f.core().Epoch > 0 {
+				f.settle(ctx)
+			}
 		}
 		if f.Clock.Sleep(ctx, d) != nil {
 			return
@@ -99,112 +198,208 @@
 	}
 }
 
+// settle has a voter that consented to the core take it.
+func (f *Former) settle(ctx context.Context) {
+	if f.Voter != nil && f.Voter.Core().Epoch == 0 {
+		_ = f.Voter.Adopt(ctx, f.core())
+	}
+}
+
+// recheck asks one seed whether it knows a newer core: the next in turn that
+// answers. A seed that knows an older one is told.
+func (f *Former) recheck(ctx context.Context) {
+	f.settle(ctx)
+	if f.turn == 0 {
+		// Nodes that start together do not all ask the same seed.
+		f.turn = rand.IntN(len(f.Seeds) + 1)
+	}
+	for range f.Seeds {
+		f.turn++
+		a := f.Seeds[f.turn%len(f.Seeds)]
+		if a == f.Self {
+			continue
+		}
+		if t, err := f.hello(ctx, a); err == nil {
+			if own := f.core(); t.Epoch < own.Epoch {
+				cx, end := context.WithTimeout(ctx, helloTime)
+				defer end()
+				_, _ = link.Ask[CoreTold](cx, f.Line, a, HelloAsk{From: f.Self, Epoch: own.Epoch, Core: own})
+			}
+			return
+		}
+	}
+}
+
+// hello asks one seed, or this node itself.
+func (f *Former) hello(ctx context.Context, a string) (CoreTold, error) {
+	if a == f.Self {
+		return f.told(0), nil
+	}
+	cx, end := context.WithTimeout(ctx, helloTime)
+	defer end()
+	ask := HelloAsk{From: f.Self, Epoch: f.core().Epoch}
+	if f.Voter != nil {
+		ask.Seat = f.Voter.Seat()
+	}
+	t, err := link.Ask[CoreTold](cx, f.Line, a, ask)
+	if err == nil {
+		f.Prop.Learn(t.Core)
+	}
+	return t, err
+}
+
+// round asks all seeds, and forms a first core if that is this node's to do.
 func (f *Former) round(ctx context.Context) {
-	var me Seat
 	if f.Voter != nil {
-		me = f.Voter.Seat()
-		f.note(me)
+		f.note(f.Voter.Seat(), 0)
 	}
-	cx, end := context.WithTimeout(ctx, time.Second)
-	defer end()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	answered, empty := 0, 0
+	var forms []form
 	for _, a := range f.Seeds {
 		wg.Go(func() {
-			t := f.told()
-			if a != f.Self {
-				var err error
-				if t, err = link.Ask[CoreTold](cx, f.Line, a, HelloAsk{From: f.Self, Seat: me}); err != nil {
-					return
-				}
+			t, err := f.hello(ctx, a)
+			if err != nil {
+				return
 			}
-			f.Prop.Learn(t.Core)
-			f.note(t.Seat)
-			for _, s := range t.Known {
-				f.note(s)
+			f.note(t.Seat, 0)
+			for i, s := range t.Known {
+				if i < len(t.Ages) {
+					f.note(s, t.Ages[i])
+				}
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			answered++
 			if t.Empty {
 				empty++
+				forms = append(forms, form{t.By, t.Form})
 			}
 		})
 	}
 	wg.Wait()
-	c := f.core()
-	if f.Voter == nil {
+	if f.core().Epoch > 0 || f.Voter == nil || f.Later || answered < len(f.Seeds) || empty < answered {
 		return
 	}
-	if c.Epoch > 0 {
-		_ = f.Voter.Adopt(cx, c)
+	if f.empty.IsZero() {
+		f.empty = f.Clock.Now()
+	}
+	cx, end := context.WithTimeout(ctx, time.Second)
+	defer end()
+	f.propose(cx, forms)
+}
+
+// propose brings a first core about, if that is this node's to do. forms are what
+// the seeds consented to.
+func (f *Former) propose(ctx context.Context, forms []form) {
+	late := f.Clock.Now().Sub(f.empty) >= formPatience
+	p, fresh, ok := f.proposal(f.disks(), append(forms, f.consent()), late)
+	if !ok {
 		return
 	}
-	if answered == len(f.Seeds) && empty == answered {
-		f.form(cx, me)
+	a := FormAsk{By: p.By, Core: p.Core}
+	me := f.Voter.Seat()
+	if fresh {
+		// Its own consent comes first, and is kept over a restart: what was once
+		// proposed is proposed again and never altered.
+		if got, _ := f.tell(ctx, []string{me.Addr}, a); len(got) == 0 {
+			return
+		}
+	}
+	seats := make([]string, len(p.Core.Seats))
+	for i, s := range p.Core.Seats {
+		seats[i] = s.Addr
+	}
+	both := append(slices.Clone(f.Seeds), seats...)
+	slices.Sort(both)
+	both = slices.Compact(append(both, me.Addr))
+	got, lower := f.tell(ctx, f.Seeds, a)
+	if lower {
+		// The lower ID goes first. That a seed is bound elsewhere shows that this
+		// formation was never sealed, so it may go.
+		a.Drop = true
+		f.tell(ctx, both, a)
+		return
+	}
+	if len(got) < len(f.Seeds) {
+		return
+	}
+	got, _ = f.tell(ctx, seats, a)
+	yes := 0
+	for _, s := range p.Core.Seats {
+		if slices.Contains(got, s.Disk) {
+			yes++
+		}
+	}
+	if yes == len(seats) || late && yes >= p.Core.Quorum() {
+		// Nobody else can form, so this core stands even if the seal reaches only one
+		// of them now. A seat that is not there yet joins later, like any other.
+		a.Seal = true
+		f.tell(ctx, both, a)
 	}
 }
 
-// form proposes a first core, if this is the disk node with the lowest ID.
-func (f *Former) form(ctx context.Context, me Seat) {
-	var all []Seat
-	f.mu.Lock()
-	for _, k := range f.known {
-		if f.Clock.Now().Sub(k.at) < 5*time.Second {
-			all = append(all, k.s)
+// proposal is the formation that this node is to bring about, if any: one under way
+// that is its own or whose proposer is gone, else a fresh one if it is the lowest
+// disk node. Of several under way the highest proposer's comes first: it is carried
+// through, or found to be in the way of a lower one and dropped.
+func (f *Former) proposal(all []knownSeat, forms []form, late bool) (p form, fresh, ok bool) {
+	me := f.Voter.Seat().ID
+	lowest := len(all) > 0 && all[0].s.ID == me
+	other := false
+	for _, g := range forms {
+		there := slices.ContainsFunc(all, func(k knownSeat) bool { return k.s.ID == g.By })
+		switch {
+		case g.By == "":
+		case g.By == me || lowest && !there:
+			if g.By >= p.By {
+				p, ok = g, true
+			}
+		default:
+			other = true
 		}
 	}
-	f.mu.Unlock()
-	slices.SortFunc(all, func(a, b Seat) int { return cmp.Compare(a.ID, b.ID) })
-	if len(all) < f.Size || all[0].ID != me.ID {
-		return
+	if ok || other || !lowest {
+		return p, false, ok
 	}
-	c := Core{Epoch: 1, Seats: spread(all, f.Size)}
-	if by, own := f.Voter.Consent(); by == me.ID {
-		// What was once proposed from here may be sealed somewhere: it is
-		// proposed again and never changed.
-		c = own
+	n := f.Size
+	if len(all) < n {
+		if !late {
+			return form{}, false, false
+		}
+		n = len(all) - 1 + len(all)%2
 	}
-	yes := f.tell(ctx, c, FormAsk{By: me.ID, Core: c})
-	switch {
-	case yes == len(c.Seats):
-		// All consented: nobody else can form, so this core stands even if the
-		// seal reaches only one of them now.
-		f.tell(ctx, c, FormAsk{By: me.ID, Core: c, Seal: true})
-	case yes < 0:
-		f.tell(ctx, c, FormAsk{By: me.ID, Core: c, Drop: true})
+	seats := make([]Seat, len(all))
+	for i, k := range all {
+		seats[i] = k.s
 	}
+	return form{me, Core{Epoch: 1, Seats: spread(seats, n)}}, true, true
 }
 
-// tell asks all seats of c and counts consents; it is negative when one of them
-// has consented to a formation by a lower ID. Consents bind, so once all were
-// given that cannot happen, and dropping is safe.
-func (f *Former) tell(ctx context.Context, c Core, a FormAsk) int {
+// tell asks all of addrs and yields the disks of those that grant; lower says that
+// one has consented to a formation by a lower ID.
+func (f *Former) tell(ctx context.Context, addrs []string, a FormAsk) (disks []string, lower bool) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	yes, bad := 0, false
-	for _, s := range c.Seats {
+	for _, s := range addrs {
 		wg.Go(func() {
-			r, err := link.Ask[FormTold](ctx, f.Line, s.Addr, a)
-			mu.Lock()
-			defer mu.Unlock()
+			r, err := link.Ask[FormTold](ctx, f.Line, s, a)
 			if err != nil {
 				return
 			}
 			f.Prop.Learn(r.Core)
+			mu.Lock()
+			defer mu.Unlock()
 			if r.OK {
-				yes++
+				disks = append(disks, r.Disk)
 			} else if r.Core.Epoch == 0 && r.By != "" && r.By < a.By {
-				bad = true
+				lower = true
 			}
 		})
 	}
 	wg.Wait()
-	if bad {
-		return -1
-	}
-	return yes
+	return disks, lower
 }
 
 // spread takes n seats, one from each zone while there are zones left.
--- /dev/null
+++ b/internal/accord/mergecode_test.go
@@ -0,0 +1,56 @@
+package accord
+
+import (
+	"reflect"
+	"testing"
+
+	"walkrudder/internal/item"
+)
+
+func TestMergeItemsComeBackFromDisk(t *testing.T) {
+	for _, it := range []item.Item{
+		thing("r/with/slashes", 7, "body"),
+		thing("", 0, ""),
+		{Key: item.Key{Kind: item.Limits, Name: "é\x00\xff"}, Version: 1<<64 - 1, Gone: true},
+		{Key: item.Key{Kind: 255, Name: "m/1/x"}, Version: 1 << 40, Body: make([]byte, 4000)},
+	} {
+		b := packMerge(it)
+		got, err := unpackMerge(mergeKey(it.Key), b)
+		if len(it.Body) == 0 {
+			it.Body = nil
+		}
+		if err != nil || !reflect.DeepEqual(got, it) {
+			t.Errorf("%+v came back as %+v, %v", it.Key, got.Key, err)
+		}
+		if extra := len(b) - len(it.Body); extra > 12 {
+			t.Errorf("%d bytes beside the body", extra)
+		}
+	}
+	for _, k := range []string{"", "m/", "m/1", "m/x/y", "m/256/y", "i/1/y"} {
+		if _, err := unpackMerge(k, packMerge(thing("y", 1, "b"))); err == nil {
+			t.Errorf("key %q was read", k)
+		}
+	}
+	for _, b := range []string{"", "\x01\x00", "\x02\x00\x01", "\x01\x02\x01", "\x01\x00\xff"} {
+		if _, err := unpackMerge("m/1/y", []byte(b)); err == nil {
+			t.Errorf("value %q was read", b)
+		}
+	}
+}
+
+func FuzzMergeItems(f *testing.F) {
+	f.Add("m/1/y", packMerge(thing("y", 300, "b")))
+	f.Add("m/3/", []byte("\x01\x01\x05"))
+	f.Add("m/01/y", []byte("\x01\x00\x80\x00"))
+	f.Fuzz(func(t *testing.T, k string, b []byte) {
+		it, err := unpackMerge(k, b)
+		if err != nil {
+			return
+		}
+		// What can be read is written so that it reads alike.
+		again, err := unpackMerge(mergeKey(it.Key), packMerge(it))
+		if err != nil || !reflect.DeepEqual(again, it) {
+			t.Errorf("%+v came back as %+v, %v", it, again, err)
+		}
+	})
+}
--- a/internal/accord/register.go
+++ b/internal/accord/register.go
@@ -11,5 +11,7 @@
 	link.Pair[SealAsk, SealTold]()
 	link.Pair[JoinAsk, JoinTold]()
 	link.Pair[LiftAsk, LiftTold]()
+	link.Pair[MergeAsk, MergeTold]()
+	link.Pair[MergedAsk, MergedTold]()
 	link.Pair[HelloAsk, CoreTold]()
 }
--- a/internal/accord/types.go
+++ b/internal/accord/types.go
@@ -2,7 +2,10 @@
 // register for each item, with no log and no leader (design 4).
 package accord
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // Ballot orders the attempts at one item. By makes it unique: it holds the
 // proposing process and its incarnation.
@@ -39,6 +42,9 @@
 type Core struct {
 	Epoch uint64
 	Seats []Seat
+	// Before are the seats of the epoch before, where that is known: a joiner may
+	// pull from those of them that are sealed.
+	Before []Seat `json:",omitempty"`
 }
 
 // Quorum is a majority of the seats.
@@ -128,25 +134,34 @@
 		Entries []Entry
 		More    bool
 	}
-	// CoreTold answers a HelloAsk. Empty says that the node has never known one.
+	// CoreTold answers a HelloAsk. Empty says that the node has never known one;
+	// Core is left out where the asker knows it.
 	CoreTold struct {
 		Core  Core
+		Epoch uint64 // of the core known
 		Empty bool
 		Seat  Seat // of the answering node, when it has a disk
+		// Known are the disks heard of while no core is known, Ages how long ago.
 		Known []Seat
+		Ages  []time.Duration
+		// By and Form are the formation that has this node's consent, if any.
+		By   string
+		Form Core
 	}
-	// FormAsk asks a disk node to consent to a first core, or seals it.
+	// FormAsk asks a seed or a seat to consent to a first core, or seals it.
 	FormAsk struct {
 		By   string
 		Core Core
 		Seal bool
 		Drop bool
 	}
-	// FormTold answers it; By names the formation that has the consent.
+	// FormTold answers it; By names the formation that has the consent, Core the
+	// core that stands, if any, and Disk the answering disk, if any.
 	FormTold struct {
 		OK   bool
 		By   string
 		Core Core
+		Disk string
 	}
 	// SealAsk tells a voter that Next takes over from its epoch.
 	SealAsk struct{ Next Core }
--- a/internal/accord/voter.go
+++ b/internal/accord/voter.go
@@ -9,9 +9,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"walkrudder/internal/defect"
 	"walkrudder/internal/fault"
+	"walkrudder/internal/item"
 	"walkrudder/internal/keep"
 	"walkrudder/internal/link"
 )
@@ -36,12 +38,35 @@
 // ErrBad says that this voter's disk has failed; it votes no more.
 var ErrBad = errors.New("disk failed, voting ended")
 
-// form is a disk node's consent to a first core (design 4.5).
+// form is a node's consent to a first core (design 4.5).
 type form struct {
 	By   string
 	Core Core
 }
 
+// next tells what becomes of the consent and of the core known when a is asked, and
+// whether a is granted. free says that a new consent may be given.
+func (f form) next(known Core, a FormAsk, free bool) (form, Core, bool) {
+	same := f.By == a.By && slices.Equal(f.Core.Seats, a.Core.Seats)
+	switch {
+	case known.Epoch > 0:
+		return f, known, same && a.Seal
+	case a.Drop:
+		if f.By == a.By {
+			f = form{}
+		}
+		return f, known, true
+	case a.Seal:
+		if same {
+			known = a.Core
+		}
+		return f, known, same
+	case f.By == "" && free && a.Core.Epoch == 1:
+		return form{a.By, a.Core}, known, true
+	}
+	return f, known, same
+}
+
 // Voter answers for the items on one disk. One goroutine owns all its state and
 // works through a queue of commands; what a batch of them wrote is synced
 // before any of them is answered (design 4.2, 5.1).
@@ -52,16 +77,25 @@
 	cmds   chan *cmd
 	onBad  func(error)
 	line   link.Line
+	// OnMerge is told of all merge items that were new here, also those that a join
+	// pulled, after their sync and before the answer goes out. It is set before Run,
+	// runs in the voter's loop, and must not ask the voter.
+	OnMerge func([]item.Item)
+
+	start []item.Item // merge items as loaded
+	later atomic.Bool // no first core may be formed with this disk
 
 	// Owned by the loop.
-	items map[string]Item
-	keys  []string // sorted keys of items
-	core  Core
-	form  form
-	floor map[string]string
-	puts  []keep.Put
-	after []int
-	dead  error
+	items  map[string]Item
+	keys   []string // sorted keys of items
+	merged map[item.Key]item.Item
+	taken  []item.Item // merge items new in this batch
+	core   Core
+	form   form
+	floor  map[string]string
+	puts   []keep.Put
+	after  []int
+	dead   error
 
 	mu   sync.RWMutex
 	view Core // copies of core and form, for others
@@ -81,7 +115,7 @@
 // disk is empty; onBad is told once when the disk fails.
 func NewVoter(me Seat, d keep.Disk, fresh string, l link.Line, fs *fault.Set, onBad func(error)) (*Voter, error) {
 	v := &Voter{me: me, disk: d, faults: fs, line: l, onBad: onBad,
-		cmds: make(chan *cmd, 4*maxBatch), items: map[string]Item{}, floor: map[string]string{}}
+		cmds: make(chan *cmd, 4*maxBatch), items: map[string]Item{}, floor: map[string]string{}, merged: map[item.Key]item.Item{}}
 	m, err := d.Load()
 	if err != nil {
 		return nil, defect.At("load voter", "", err)
@@ -112,6 +146,8 @@
 				v.items[k[len(itemPrefix):]] = it
 				v.keys = append(v.keys, k[len(itemPrefix):])
 			}
+		case strings.HasPrefix(k, mergePrefix):
+			err = v.loadMerge(k, b)
 		}
 		if err != nil {
 			return nil, defect.At("load item "+k, "", err)
@@ -172,7 +208,7 @@
 
 // batch runs commands, syncs what they wrote, then lets them answer.
 func (v *Voter) batch(b []*cmd) {
-	v.puts, v.after = v.puts[:0], v.after[:0]
+	v.puts, v.after, v.taken = v.puts[:0], v.after[:0], nil
 	for _, c := range b {
 		if v.dead == nil {
 			c.run()
@@ -192,6 +228,9 @@
 	v.mu.Lock()
 	v.view, v.cons = v.core, v.form
 	v.mu.Unlock()
+	if v.dead == nil && len(v.taken) > 0 && v.OnMerge != nil {
+		v.OnMerge(v.taken)
+	}
 	for _, c := range b {
 		c.err = v.dead
 		close(c.done)
@@ -264,6 +303,8 @@
 	link.On(d, v.seal)
 	link.On(d, v.join)
 	link.On(d, v.lift)
+	link.On(d, v.merge)
+	link.On(d, v.listMerged)
 }
 
 func (v *Voter) prepare(ctx context.Context, _ link.Who, a PrepareAsk) (r PrepareTold, err error) {
@@ -358,28 +399,17 @@
 }
 
 // formed consents to a first core, drops a consent, or seals the core (design
-// 4.5). A consent binds until its own proposer drops it.
+// 4.5). A consent binds until its own proposer drops it. A seed is asked also where
+// it gets no seat; its disk tells whether it has one.
 func (v *Voter) formed(ctx context.Context, _ link.Who, a FormAsk) (r FormTold, err error) {
 	return get(ctx, v, func() (r FormTold) {
-		r.Core, r.By = v.core, v.form.By
-		same := v.form.By == a.By && slices.Equal(v.form.Core.Seats, a.Core.Seats)
-		switch {
-		case v.core.Epoch > 0:
-			r.OK = same && a.Seal
-		case a.Drop:
-			if v.form.By == a.By {
-				v.setForm(form{})
-			}
-			r.OK = true
-		case a.Seal:
-			if r.OK = same; same {
-				v.setCore(a.Core)
-			}
-		case v.form.By == "" && v.seated(a.Core) && a.Core.Epoch == 1:
-			v.setForm(form{a.By, a.Core})
-			r.By, r.OK = a.By, true
-		default:
-			r.OK = same
+		f, c, ok := v.form.next(v.core, a, !v.later.Load())
+		r.Core, r.By, r.OK, r.Disk = v.core, f.By, ok, v.me.Disk
+		if f.By != v.form.By || !slices.Equal(f.Core.Seats, v.form.Core.Seats) {
+			v.setForm(f)
+		}
+		if c.Epoch > v.core.Epoch {
+			v.setCore(c)
 		}
 		return r
 	})
@@ -432,11 +462,14 @@
 	if c := v.Core(); c.Epoch >= a.Next.Epoch && v.seated(c) {
 		return JoinTold{OK: c.Epoch == a.Next.Epoch}, nil
 	}
-	all := map[string]Item{}
+	all, merged := map[string]Item{}, map[item.Key]item.Item{}
 	for _, s := range a.From {
 		if err := v.pull(ctx, s, a.Next.Epoch, all); err != nil {
 			return r, err
 		}
+		if err := v.pullMerged(ctx, s, a.Next.Epoch, merged); err != nil {
+			return r, err
+		}
 	}
 	v.faults.At(fault.AfterPull)
 	return get(ctx, v, func() (r JoinTold) {
@@ -450,8 +483,11 @@
 			}
 			v.set(k, it)
 		}
+		for _, it := range merged {
+			v.take(it)
+		}
 		v.setCore(a.Next)
-		r.OK, r.Items = true, len(all)
+		r.OK, r.Items = true, len(all)+len(merged)
 		return r
 	})
 }
--- /dev/null
+++ b/internal/control/change_test.go
@@ -0,0 +1,394 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/item"
+	"walkrudder/internal/news"
+	"walkrudder/internal/route"
+)
+
+// each plays f with each seed, in small and large worlds in turn.
+func each(t *testing.T, f func(w *world)) {
+	for seed := range *seeds {
+		s := lo.Ternary(seed%3 == 2, large, small)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { play(t, uint64(seed), s, f) })
+	}
+}
+
+// follows says which flows follow a mind now.
+func (w *world) following(m *mindHost) int {
+	return lo.CountBy(w.flows, func(x *flowHost) bool { return x.subscriber().Following().ID == m.id })
+}
+
+// upset brings one fault about and says what heals it.
+func (w *world) upset() (what string, m *mindHost, heal func()) {
+	m = pick(w, w.minds)
+	others := lo.Without(w.minds, m)
+	switch w.rnd.IntN(5) {
+	case 0:
+		m.kill()
+		return "killed", m, m.boot
+	case 1:
+		m.freeze()
+		return "frozen", m, m.thaw
+	case 2:
+		for _, o := range others {
+			w.net.cut(m.addr, o.addr, true)
+		}
+		return "cut from the other minds", m, w.net.mend
+	case 3:
+		for _, o := range others {
+			w.net.cut(m.addr, o.addr, false)
+		}
+		return "cut one way", m, w.net.mend
+	}
+	m.kill()
+	if m.disk != nil {
+		m.disk.wipe()
+	}
+	m.boot()
+	return "wiped", m, func() {}
+}
+
+func TestChangesReachEveryFlowInTime(t *testing.T) {
+	each(t, func(w *world) {
+		w.order(base(5), w.minds)
+		w.known(itemsOf(base(5)), w.flows)
+		v := uint64(1)
+		// change lets two operators change the same and other routes at two nodes at once.
+		change := func(to []*mindHost) {
+			done := make(chan []item.Item, 2)
+			for op := range 2 {
+				v += 1 + uint64(w.rnd.IntN(3))
+				c := Change{Routes: []route.Route{routeTo("r0", v, "b"), routeTo(fmt.Sprintf("r%d", 1+op), v, "b")}}
+				ms := lo.Shuffle(append([]*mindHost(nil), to...))
+				go func() {
+					w.order(c, ms)
+					done <- itemsOf(c)
+				}()
+			}
+			for range 2 {
+				w.known(<-done, w.flows)
+			}
+		}
+		for range 4 {
+			change(w.minds)
+			time.Sleep(time.Duration(w.rnd.IntN(1500)) * time.Millisecond)
+		}
+		for range 3 {
+			what, m, heal := w.upset()
+			w.t.Logf("%s %s, followed by %d", m.id, what, w.following(m))
+			time.Sleep(3 * time.Second)
+			rest := lo.Without(w.minds, m)
+			for range 3 {
+				change(rest)
+				time.Sleep(time.Duration(w.rnd.IntN(700)) * time.Millisecond)
+			}
+			heal()
+			time.Sleep(4 * time.Second)
+			change(w.minds)
+		}
+		time.Sleep(bound)
+		w.readBack(w.minds)
+	})
+}
+
+// Without waiting for calm, changes must last and reach everybody in the end, and no
+// flow may go back (which every flow notes by itself).
+func TestNoFlowGoesBackInTrouble(t *testing.T) {
+	each(t, func(w *world) {
+		w.order(base(5), w.minds)
+		v := uint64(1)
+		for range 4 {
+			_, m, heal := w.upset()
+			for range 4 {
+				v++
+				w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", w.rnd.IntN(5)), v, "b")}}, lo.Shuffle(append([]*mindHost(nil), w.minds...)))
+				if w.rnd.IntN(3) == 0 {
+					x := pick(w, w.flows)
+					x.kill()
+					x.boot()
+				}
+			}
+			time.Sleep(time.Duration(w.rnd.IntN(3000)) * time.Millisecond)
+			heal()
+			_ = m
+		}
+		time.Sleep(5 * time.Second)
+		w.known(lo.Values(w.acked), w.flows)
+		w.readBack(w.minds)
+	})
+}
+
+func TestAcknowledgedChangesOutliveLosses(t *testing.T) {
+	for name, lose := range map[string]func(w *world){
+		"every mind killed at once": func(w *world) {
+			for _, m := range w.minds {
+				m.kill()
+			}
+		},
+		"as many disks lost as can be borne": func(w *world) {
+			for _, m := range lo.Shuffle(disked(w.minds))[:w.bear] {
+				m.kill()
+				m.disk.wipe()
+			}
+		},
+		"all killed and disks lost": func(w *world) {
+			for _, m := range w.minds {
+				m.kill()
+			}
+			for _, m := range lo.Shuffle(disked(w.minds))[:w.bear] {
+				m.disk.wipe()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			each(t, func(w *world) {
+				w.order(base(20), w.minds)
+				for v := range uint64(5) {
+					w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", v), v+2, "b")}, Drops: []Drop{{item.Route, fmt.Sprintf("r%d", v+10), v + 2}}}, lo.Shuffle(append([]*mindHost(nil), w.minds...)))
+				}
+				lose(w)
+				time.Sleep(time.Duration(w.rnd.IntN(500)) * time.Millisecond)
+				for _, m := range w.minds {
+					if run, _ := m.up(); run == nil {
+						m.boot()
+					}
+				}
+				w.readBack(w.minds)
+				// A second loss, once the first is made good.
+				time.Sleep(6 * time.Second)
+				m := pick(w, disked(w.minds))
+				m.kill()
+				m.disk.wipe()
+				m.boot()
+				w.readBack(w.minds)
+				w.order(Change{Routes: []route.Route{routeTo("late", 1, "a")}}, w.minds)
+				time.Sleep(4 * time.Second)
+				w.known(lo.Values(w.acked), w.flows)
+			})
+		})
+	}
+}
+
+func TestSeedsAreExchanged(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			play(t, uint64(seed), shape{zones: 3, disks: 3, others: 3, flows: 6, bear: 1}, func(w *world) {
+				w.order(base(10), w.minds)
+				old := append([]*mindHost(nil), w.minds[:3]...)
+				for i, o := range old {
+					m := w.addMind(fmt.Sprintf("n%d", i), o.zone, true)
+					w.mu.Lock()
+					w.seeds = append(lo.Without(w.seeds, o.addr), m.addr)
+					w.mu.Unlock()
+					m.boot()
+					time.Sleep(time.Second)
+					for _, x := range w.alive() {
+						x.control().SetSeeds(w.seedList())
+					}
+					for _, x := range w.flows {
+						x.subscriber().SetSeeds(w.seedList())
+					}
+					time.Sleep(time.Duration(500+w.rnd.IntN(1500)) * time.Millisecond)
+					o.kill()
+					w.minds = lo.Without(w.minds, o)
+					time.Sleep(4 * time.Second)
+					w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", i), uint64(i+2), "b")}}, w.minds)
+					w.known(lo.Values(w.acked), w.flows)
+				}
+				time.Sleep(bound)
+				w.readBack(w.minds)
+				c := w.minds[0].control().core()
+				if lo.SomeBy(old, func(o *mindHost) bool { _, ok := c.Seat(o.id); return ok }) {
+					t.Errorf("a mind that is gone still has a seat: %+v", c)
+				}
+				// A flow that starts now finds its way by the new seeds alone.
+				x := w.flows[0]
+				x.kill()
+				x.boot()
+				w.await("flow that starts by the new seeds", 3*time.Second, func() bool { return x.subscriber().Synced() })
+			})
+		})
+	}
+}
+
+func TestInvalidChangesLeaveNoTrace(t *testing.T) {
+	play(t, 1, small, func(w *world) {
+		w.order(base(3), w.minds)
+		mark := "trace-of-an-invalid-change"
+		with := func(f func(*route.Route)) Change {
+			r := routeTo("bad", 5, "a")
+			r.Source = []byte(mark)
+			f(&r)
+			return Change{Routes: []route.Route{routeTo("r0", 9, "b"), r}, Services: []route.Service{service("c-"+mark, 5)}}
+		}
+		bad := map[string]Change{
+			"unknown service": with(func(r *route.Route) { r.Shares[0].Service = "nowhere" }),
+			"shared place":    with(func(r *route.Route) { r.Prefix = "/r1/" }),
+			"weight below 0":  with(func(r *route.Route) { r.Shares[0].Weight = -1 }),
+			"held too long":   with(func(r *route.Route) { r.HoldMS = 600001 }),
+			"no slash":        with(func(r *route.Route) { r.Prefix = "x/" }),
+			"unknown repeat":  with(func(r *route.Route) { r.Repeat = 9 }),
+			"service still in use": {Services: []route.Service{service("c-"+mark, 5)},
+				Drops: []Drop{{item.Service, "a", 9}}},
+			"nameless drop": {Services: []route.Service{service("c-"+mark, 5)}, Drops: []Drop{{item.Route, "", 9}}},
+		}
+		for name, c := range bad {
+			for _, m := range w.minds {
+				ps, err := w.apply(m, c)
+				if len(ps) == 0 || err != nil {
+					t.Errorf("%s at %s: problems %v, error %v", name, m.id, ps, err)
+				}
+			}
+		}
+		time.Sleep(5 * time.Second)
+		for _, m := range w.minds {
+			if m.disk != nil && m.disk.holds(mark) {
+				t.Errorf("%s keeps an invalid change", m.id)
+			}
+			m.control().Board.Items(func(s *item.Set) {
+				if s.Len() != 6 {
+					t.Errorf("%s knows %d items", m.id, s.Len())
+				}
+				if i, _ := s.Get(item.Key{Kind: item.Route, Name: "r0"}); i.Version != 1 {
+					t.Errorf("%s took a part of an invalid change: %d", m.id, i.Version)
+				}
+			})
+		}
+		w.readBack(w.minds)
+	})
+}
+
+// A view that is old must neither refuse what is valid nor take what is not.
+func TestChangesAreCheckedAgainstAllThatWasAcknowledged(t *testing.T) {
+	each(t, func(w *world) {
+		w.order(base(3), w.minds)
+		a, b := w.minds[0], w.minds[1]
+		for v := uint64(2); v < 20; v++ {
+			name := fmt.Sprintf("s%d", v)
+			w.order(Change{Services: []route.Service{service(name, v)}}, []*mindHost{a})
+			// Right after the acknowledgement, at another node.
+			if ps, err := w.apply(b, Change{Routes: []route.Route{routeTo("on-"+name, v, name)}}); len(ps) > 0 || err != nil {
+				t.Fatalf("refused for an old view: %v %v", ps, err)
+			}
+			w.order(Change{Drops: []Drop{{item.Route, "on-" + name, v + 1}, {item.Service, name, v + 1}}}, []*mindHost{a})
+			if ps, err := w.apply(b, Change{Routes: []route.Route{routeTo("again-"+name, v, name)}}); len(ps) == 0 || err != nil {
+				t.Fatalf("taken for an old view: %v %v", ps, err)
+			}
+		}
+	})
+}
+
+func TestOlderVersionsChangeNothing(t *testing.T) {
+	each(t, func(w *world) {
+		w.order(base(3), w.minds)
+		w.order(Change{Routes: []route.Route{routeTo("r0", 7, "b")}, Drops: []Drop{{item.Route, "r1", 7}}}, w.minds)
+		for _, m := range w.minds {
+			old := routeTo("r0", 7, "a")
+			old.HoldMS = 1 + w.rnd.IntN(1000)
+			for _, c := range []Change{{Routes: []route.Route{routeTo("r0", 6, "a"), routeTo("r1", 6, "a")}}, {Routes: []route.Route{old}}, {Routes: []route.Route{routeTo("r1", 7, "a")}},
+				{Drops: []Drop{{item.Route, "r0", 7}}}} {
+				if ps, err := w.apply(m, c); len(ps) > 0 || err != nil {
+					t.Fatalf("%s: %v %v", m.id, ps, err)
+				}
+			}
+		}
+		w.readBack(w.minds)
+		w.known(lo.Values(w.acked), w.flows)
+		for _, x := range w.flows {
+			if i := x.item(item.Key{Kind: item.Route, Name: "r0"}); i.Gone || i.Version != 7 {
+				t.Errorf("%s took an older version: %+v", x.id, i)
+			}
+		}
+	})
+}
+
+func TestAMinorityAcknowledgesNothing(t *testing.T) {
+	each(t, func(w *world) {
+		w.order(base(3), w.minds)
+		core := w.minds[0].control().core()
+		voters := lo.Filter(w.minds, func(m *mindHost, _ int) bool { _, ok := core.Seat(m.id); return ok })
+		few := lo.Shuffle(voters)[:core.Quorum()-1]
+		rest := lo.Filter(w.minds, func(m *mindHost, _ int) bool { return !lo.Contains(few, m) })
+		for _, a := range few {
+			for _, b := range rest {
+				w.net.cut(a.addr, b.addr, true)
+			}
+		}
+		for round := range 3 {
+			m := few[round%len(few)]
+			if ps, err := w.apply(m, Change{Routes: []route.Route{routeTo("r0", 50, "b")}}); err == nil {
+				t.Fatalf("a minority acknowledged a change: %v", ps)
+			}
+			begun := time.Now()
+			if err := m.control().Leave(w.ctx, fmt.Sprintf("i-%d", round)); err == nil {
+				t.Fatal("a minority acknowledged a leaving")
+			} else if d := time.Since(begun); d > 900*time.Millisecond || !errors.Is(err, accord.ErrNoQuorum) {
+				t.Errorf("it took %v to say so: %v", d, err)
+			}
+			if _, err := func() (State, error) {
+				cx, end := context.WithTimeout(w.ctx, time.Second)
+				defer end()
+				return m.control().Current(cx)
+			}(); err == nil {
+				t.Fatal("a minority answered a read")
+			}
+			time.Sleep(time.Second)
+		}
+		for _, m := range few {
+			if m.control().Ready() {
+				t.Errorf("%s, in a minority, says that it is ready", m.id)
+			}
+		}
+		w.order(Change{Routes: []route.Route{routeTo("r1", 50, "b")}}, rest)
+		w.known(itemsOf(Change{Routes: []route.Route{routeTo("r1", 50, "b")}}), w.flows)
+		time.Sleep(bound)
+		w.net.mend()
+		time.Sleep(3 * time.Second)
+		w.readBack(w.minds)
+		for _, m := range w.minds {
+			if !m.control().Ready() {
+				t.Errorf("%s is not ready after the cut", m.id)
+			}
+		}
+	})
+}
+
+func TestMembersAndFlowsAreCounted(t *testing.T) {
+	play(t, 3, small, func(w *world) {
+		time.Sleep(6 * time.Second)
+		for _, m := range w.minds {
+			v := m.control().View()
+			if len(v.Minds) != len(w.minds)-1 || v.Flows != len(w.flows) || !v.Fresh || v.Core.Epoch != 1 {
+				t.Errorf("%s sees %d minds, %d flows, fresh %v, epoch %d", m.id, len(v.Minds), v.Flows, v.Fresh, v.Core.Epoch)
+			}
+		}
+		for _, x := range w.flows {
+			all, near := x.subscriber().Flows()
+			if want := lo.CountBy(w.flows, func(o *flowHost) bool { return o.zone == x.zone }); all != len(w.flows) || near != want {
+				t.Errorf("%s is told of %d flows, %d in its zone", x.id, all, near)
+			}
+			if z := x.subscriber().Following().Zone; z != x.zone {
+				t.Errorf("%s follows a mind in %s", x.id, z)
+			}
+		}
+		// All say the same home, of the target's zone.
+		homes := lo.Map(w.minds, func(m *mindHost, _ int) news.Member {
+			h, _ := m.control().HomeMember("a", "z1")
+			h.Age = 0
+			return h
+		})
+		if len(lo.Uniq(homes)) != 1 || homes[0].Zone != "z1" {
+			t.Errorf("homes differ: %+v", homes)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,231 @@
+// Package control puts a control-plane node together that keeps items with versions of
+// their own and runs of targets, and tells both to all nodes (docs/platform.md).
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-playground/validator/v10"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/defect"
+	"walkrudder/internal/fault"
+	"walkrudder/internal/item"
+	"walkrudder/internal/keep"
+	"walkrudder/internal/link"
+	"walkrudder/internal/liveness"
+	"walkrudder/internal/news"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/route"
+	"walkrudder/internal/target"
+)
+
+const (
+	// judgeEvery is how often silent runs are looked for; nobody waits for it, since
+	// flows judge by their own probes too.
+	judgeEvery = 250 * time.Millisecond
+	// tendEvery is how often the table of runs is tidied.
+	tendEvery = time.Second
+	// pauseTick is how often the process looks whether it stood still.
+	pauseTick = 200 * time.Millisecond
+)
+
+// Settings are what a node is told at its start.
+type Settings struct {
+	ID    string `validate:"required,max=64"`
+	Zone  string `validate:"required,max=64"`
+	Inner string `validate:"required,max=256"` // address for other nodes
+	Door  string `validate:"max=256"`          // address for targets and operators
+	// Seeds are inner addresses of minds.
+	Seeds []string `validate:"required,min=1,max=64,dive,required"`
+	// Bear is how many of the machines with a disk may be lost at once.
+	Bear int `validate:"min=0,max=4"`
+	// First says that the whole system starts for the first time, so that a core may
+	// be formed.
+	First bool
+	// BeatEvery is the usual time between a run's beats.
+	BeatEvery time.Duration `validate:"min=1ms"`
+}
+
+// Parts is what a node stands on.
+type Parts struct {
+	Settings
+	Inc uint64 // of this life of the process
+	// Fresh is the incarnation that an empty disk takes.
+	Fresh  string
+	Line   link.Line
+	Clock  pulse.Clock
+	Disk   keep.Disk // nil for a mind that does not vote
+	Log    *log.Logger
+	Faults *fault.Set
+	// OnBad is told when the disk fails: the process is to end.
+	OnBad func(error)
+}
+
+// Node is one control-plane node.
+type Node struct {
+	Parts
+	Desk  *link.Desk
+	Voter *accord.Voter // nil without a disk
+	Prop  *accord.Proposer
+	Board *news.Board
+	Mesh  *news.Mesh
+
+	former  *accord.Former
+	steward *accord.Steward // nil without a disk
+	teller  *news.Teller
+	pause   *liveness.Pauses
+	watch   *target.Watch // guarded by the board's lock on its table
+	book    *route.Book   // guarded by the board's lock on its items
+	ledger  ledger
+	marks   marks
+	busy    chan struct{} // holds a token while a change is under way
+	stop    atomic.Bool
+
+	mu     sync.Mutex
+	seeds  []string
+	reseek context.CancelFunc // has the former begin anew with other seeds
+}
+
+var check = validator.New(validator.WithRequiredStructEnabled())
+
+// New puts a node together; Run starts it.
+func New(p Parts) (*Node, error) {
+	if err := check.Struct(p.Settings); err != nil {
+		return nil, defect.At("settings", "", err)
+	}
+	n := &Node{Parts: p, Desk: link.NewDesk(), Prop: accord.NewProposer(p.ID+"."+p.Fresh, p.Line, p.Clock), Board: news.NewBoard(p.Clock),
+		book: route.NewBook(), pause: liveness.NewPausesEvery(p.Clock, pauseTick), busy: make(chan struct{}, 1)}
+	n.watch = &target.Watch{Every: p.BeatEvery, Pause: n.pause}
+	n.Board.OnItem = func(i item.Item) {
+		if err := n.book.Apply(i); err != nil {
+			p.Log.Error("item that can't be read", "step", "apply", "item", i.Name, "err", err)
+		}
+	}
+	if p.Disk != nil {
+		v, err := accord.NewVoter(accord.Seat{ID: p.ID, Addr: p.Inner, Zone: p.Zone}, p.Disk, p.Fresh, p.Line, p.Faults, p.OnBad)
+		if err != nil {
+			return nil, err
+		}
+		n.Voter = v
+		v.OnMerge = func(is []item.Item) { n.Board.MergeItems(is) }
+		n.Board.MergeItems(v.Merged())
+		v.Serve(n.Desk)
+	}
+	n.former = &accord.Former{Seeds: p.Seeds, Self: p.Inner, Size: 2*p.Bear + 1, Line: p.Line, Clock: p.Clock, Prop: n.Prop, Voter: n.Voter, Later: !p.First}
+	n.former.Serve(n.Desk)
+	n.Mesh = &news.Mesh{Me: n.me, Line: p.Line, Clock: p.Clock, Board: n.Board, Core: n.core, Learn: func(c accord.Core) { n.Prop.Learn(c) }, Votes: n.votes}
+	n.SetSeeds(p.Seeds)
+	n.teller = &news.Teller{Me: n.me, Board: n.Board, Clock: p.Clock, Core: n.core, Votes: n.votes, Fresh: n.Mesh.Fresh,
+		Others: n.Mesh.Others, Elsewhere: n.Mesh.Flows, Met: n.Mesh.Met}
+	n.teller.Serve(n.Desk)
+	link.On(n.Desk, n.mark)
+	if n.Voter != nil {
+		n.steward = &accord.Steward{Heard: n.Mesh.Heard, Prop: n.Prop, Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}
+	}
+	return n, nil
+}
+
+// me is this node as others know it.
+func (n *Node) me() news.Member {
+	m := news.Member{ID: n.ID, Kind: news.Mind, Inner: n.Inner, Door: n.Door, Zone: n.Zone, Inc: n.Inc}
+	if n.Voter != nil {
+		m.Seat = n.Voter.Seat()
+	}
+	return m
+}
+
+// core is the newest core known here.
+func (n *Node) core() accord.Core {
+	c := n.Prop.Core()
+	if n.Voter != nil {
+		if v := n.Voter.Core(); v.Epoch > c.Epoch {
+			n.Prop.Learn(v)
+			c = v
+		}
+	}
+	return c
+}
+
+// votes is the epoch of the core in which the own disk has a seat, or 0.
+func (n *Node) votes() uint64 {
+	if n.Voter == nil {
+		return 0
+	}
+	c := n.Voter.Core()
+	if s, ok := c.Seat(n.ID); ok && s.Disk == n.Voter.Seat().Disk {
+		return c.Epoch
+	}
+	return 0
+}
+
+// Run works until ctx ends, then waits for its parts.
+func (n *Node) Run(ctx context.Context) {
+	runs := []func(context.Context){n.seek, n.Mesh.Run, n.pause.Run, n.tend}
+	if n.Voter != nil {
+		runs = append(runs, n.Voter.Run, n.steward.Run)
+	}
+	var wg sync.WaitGroup
+	for _, run := range runs {
+		wg.Go(func() { run(ctx) })
+	}
+	wg.Wait()
+}
+
+// quiet is how long a run must be silent before its address can be another's.
+func (n *Node) quiet() time.Duration { return max(2*n.BeatEvery, time.Second) }
+
+// tend looks after the runs of targets.
+func (n *Node) tend(ctx context.Context) {
+	var tidied time.Time
+	pulse.Every(ctx, n.Clock, judgeEvery, func() {
+		n.Board.Table(func(t *target.Table, now time.Time) bool {
+			news := n.watch.Judge(t, now)
+			if now.Sub(tidied) >= tendEvery {
+				tidied = now
+				news = t.Yield(n.quiet(), now) || news
+				news = t.Tend(now) || news
+			}
+			return news
+		})
+	})
+}
+
+// seek finds the core with the seeds of the hour. The former reads its seeds only while
+// it runs.
+func (n *Node) seek(ctx context.Context) {
+	for ctx.Err() == nil {
+		cx, end := context.WithCancel(ctx)
+		n.mu.Lock()
+		n.former.Seeds, n.reseek = n.seeds, end
+		n.mu.Unlock()
+		n.former.Run(cx)
+		end()
+	}
+}
+
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(seeds []string) {
+	n.mu.Lock()
+	n.seeds = slices.Clone(seeds)
+	if n.reseek != nil {
+		n.reseek()
+	}
+	n.mu.Unlock()
+	n.Mesh.SetSeeds(seeds)
+}
+
+// Ready is what the platform is told: this node knows all that was acknowledged until
+// just now, and can acknowledge more.
+func (n *Node) Ready() bool {
+	_, fresh := n.Mesh.Fresh()
+	return fresh && !n.stop.Load()
+}
+
+// Stop makes the node tell the platform that it is not ready.
+func (n *Node) Stop() { n.stop.Store(true) }
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/item"
+	"walkrudder/internal/news"
+	"walkrudder/internal/target"
+)
+
+// View is what operators are told of a node.
+type View struct {
+	Me    news.Member
+	Fresh bool
+	// Lag is how long ago everything acknowledged until then was known here.
+	Lag    time.Duration
+	Core   accord.Core
+	Votes  uint64        // the epoch of the core in which the own disk votes; 0 is none
+	Minds  []news.Member // that answer this node
+	Askers []news.Member // that ask it
+	Flows  int
+	Zones  map[string]int // of flows
+	Items  int            // dropped ones too
+	Runs   []RunView
+}
+
+// RunView is a run as this node sees it.
+type RunView struct {
+	target.Run
+	// Suspicion is w_d now, of a run whose beats come in here; Judged says so.
+	Suspicion float64
+	Judged    bool
+}
+
+// View tells what this node sees.
+func (n *Node) View() View {
+	v := View{Me: n.me(), Core: n.core(), Votes: n.votes(), Minds: n.Mesh.Others(), Askers: n.teller.Askers()}
+	v.Lag, v.Fresh = n.Mesh.Fresh()
+	v.Flows, v.Zones = n.teller.Flows()
+	n.Board.Items(func(s *item.Set) { v.Items = s.Len() })
+	n.Board.Table(func(t *target.Table, now time.Time) bool {
+		for r := range t.All(now) {
+			x := RunView{Run: r}
+			x.Suspicion, x.Judged = n.watch.Suspicion(r.ID, now)
+			v.Runs = append(v.Runs, x)
+		}
+		return false
+	})
+	slices.SortFunc(v.Minds, func(a, b news.Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(v.Runs, func(a, b RunView) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+// Members are the nodes that this one hears: the minds that answer, and all that ask.
+func (n *Node) Members() []news.Member {
+	out := n.Mesh.Near()
+	for _, a := range n.teller.Askers() {
+		if !slices.ContainsFunc(out, func(m news.Member) bool { return m.ID == a.ID }) {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b news.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/control/world_test.go
@@ -0,0 +1,390 @@
+package control
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/lo"
+
+	"walkrudder/internal/item"
+	"walkrudder/internal/link"
+	"walkrudder/internal/news"
+	"walkrudder/internal/route"
+	"walkrudder/internal/target"
+)
+
+var seeds = flag.Int("control.seeds", 12, "how many seeds the random runs of this package take")
+
+// bound is the time in which what is acknowledged must be known at every flow.
+const bound = 2 * time.Second
+
+// mindHost is a machine that runs a control node.
+type mindHost struct {
+	*host
+	w    *world
+	id   string
+	zone string
+	inc  uint64
+
+	mu   sync.Mutex
+	node *Node
+}
+
+// flowHost is a machine that runs a subscriber. It notes whatever goes back within one
+// life.
+type flowHost struct {
+	*host
+	w    *world
+	id   string
+	zone string
+	inc  uint64
+
+	mu    sync.Mutex
+	sub   *news.Subscriber
+	items map[item.Key]item.Item
+	runs  map[string]target.Run
+}
+
+// world is a whole deployment on a virtual clock.
+type world struct {
+	t     *testing.T
+	ctx   context.Context
+	rnd   *rand.Rand
+	net   *network
+	minds []*mindHost
+	flows []*flowHost
+	bear  int
+	first bool
+
+	mu    sync.Mutex
+	seeds []string
+	acked map[item.Key]item.Item
+	wg    sync.WaitGroup
+}
+
+// shape says how many of everything a world has.
+type shape struct{ zones, disks, others, flows, bear int }
+
+var small = shape{zones: 3, disks: 3, others: 3, flows: 6, bear: 1}
+var large = shape{zones: 4, disks: 5, others: 3, flows: 8, bear: 2}
+
+// play runs f in a world in which a core is formed and every flow is synced.
+func play(t *testing.T, seed uint64, s shape, f func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		w := &world{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), bear: s.bear, first: true, acked: map[item.Key]item.Item{}}
+		w.net = newNetwork(rand.New(rand.NewPCG(seed, 2)))
+		defer func() {
+			for _, m := range w.minds {
+				m.kill()
+			}
+			for _, x := range w.flows {
+				x.kill()
+			}
+			end()
+			// What is still on its way gets there.
+			time.Sleep(10 * time.Second)
+		}()
+		for i := range s.disks + s.others {
+			m := w.addMind(fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%s.zones), i < s.disks)
+			if i < 3 {
+				w.seeds = append(w.seeds, m.addr)
+			}
+		}
+		for i := range s.flows {
+			id := fmt.Sprintf("f%d", i)
+			w.flows = append(w.flows, &flowHost{host: w.net.add(id, nil), w: w, id: id, zone: fmt.Sprintf("z%d", i%s.zones)})
+		}
+		for _, m := range w.minds {
+			m.boot()
+			time.Sleep(time.Duration(w.rnd.IntN(50)) * time.Millisecond)
+		}
+		for _, x := range w.flows {
+			x.boot()
+		}
+		w.first = false
+		w.await("a first core", 6*time.Second, func() bool {
+			return lo.EveryBy(w.flows, func(x *flowHost) bool { return x.subscriber().Synced() })
+		})
+		f(w)
+		w.wg.Wait()
+	})
+}
+
+func (w *world) addMind(id, zone string, disked bool) *mindHost {
+	var d *disk
+	if disked {
+		d = newDisk(rand.New(rand.NewPCG(w.rnd.Uint64(), 3)))
+	}
+	m := &mindHost{host: w.net.add("in-"+id, d), w: w, id: id, zone: zone}
+	w.minds = append(w.minds, m)
+	return m
+}
+
+func (w *world) seedList() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.seeds)
+}
+
+func quietLog() *log.Logger {
+	return log.NewWithOptions(io.Discard, log.Options{Level: log.FatalLevel})
+}
+
+// up starts the process of a mind.
+func (m *mindHost) boot() {
+	run, end := context.WithCancel(m.w.ctx)
+	m.inc += 1 + uint64(m.w.rnd.IntN(1000))
+	p := Parts{Settings: Settings{ID: m.id, Zone: m.zone, Inner: m.addr, Seeds: m.w.seedList(), Bear: m.w.bear, First: m.w.first, BeatEvery: time.Second},
+		Inc: m.inc, Fresh: fmt.Sprintf("%s-%d", m.id, m.inc), Line: &wire{m.host, run}, Clock: clock{h: m.host}, Log: quietLog(), OnBad: func(error) { end() }}
+	if m.disk != nil {
+		h := &handle{h: m.host, run: run, calm: true}
+		p.Disk = h
+		defer func() { h.calm = false }()
+	}
+	n, err := New(p)
+	if err != nil {
+		m.w.t.Fatal(err)
+	}
+	m.mu.Lock()
+	m.node = n
+	m.mu.Unlock()
+	m.start(m.w.ctx, n.Desk, run, end, n.Run)
+}
+
+func (m *mindHost) control() *Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node
+}
+
+// up starts the process of a flow, which knows nothing of its life before.
+func (x *flowHost) boot() {
+	run, end := context.WithCancel(x.w.ctx)
+	x.inc++
+	s := &news.Subscriber{Me: news.Member{ID: x.id, Kind: news.Flow, Zone: x.zone, Inc: x.inc}, Line: &wire{x.host, run}, Clock: clock{h: x.host}, Log: quietLog()}
+	items, runs := map[item.Key]item.Item{}, map[string]target.Run{}
+	s.OnNews = func(t news.WatchTold) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		for _, i := range t.Items {
+			if old, ok := items[i.Key]; ok && i.Compare(old) <= 0 {
+				x.w.t.Errorf("%s: item %v went from %d to %d", x.id, i.Key, old.Version, i.Version)
+			}
+			items[i.Key] = i
+		}
+		for _, r := range t.Runs {
+			if r.State < runs[r.ID].State {
+				x.w.t.Errorf("%s: run %s went from state %d to %d", x.id, r.ID, runs[r.ID].State, r.State)
+			}
+			runs[r.ID] = r
+		}
+	}
+	s.Init(x.w.seedList())
+	x.mu.Lock()
+	x.sub, x.items, x.runs = s, items, runs
+	x.mu.Unlock()
+	x.start(x.w.ctx, newDesk(), run, end, s.Run)
+}
+
+func (x *flowHost) subscriber() *news.Subscriber {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.sub
+}
+
+func (x *flowHost) item(k item.Key) item.Item {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.items[k]
+}
+
+func (x *flowHost) run(id string) target.Run {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.runs[id]
+}
+
+func (w *world) await(what string, limit time.Duration, f func() bool) {
+	w.t.Helper()
+	for at := time.Now(); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(at) > limit {
+			w.t.Fatalf("no %s within %v", what, limit)
+		}
+	}
+}
+
+// alive are the minds whose process runs.
+func (w *world) alive() []*mindHost {
+	return lo.Filter(w.minds, func(m *mindHost, _ int) bool { run, _ := m.up(); return run != nil })
+}
+
+// disked are those of ms that have a disk.
+func disked(ms []*mindHost) []*mindHost {
+	return lo.Filter(ms, func(m *mindHost, _ int) bool { return m.disk != nil })
+}
+
+func pick[T any](w *world, of []T) T { return of[w.rnd.IntN(len(of))] }
+
+// note keeps in mind what was acknowledged.
+func (w *world) note(is []item.Item) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range is {
+		if old, ok := w.acked[i.Key]; !ok || i.Compare(old) > 0 {
+			w.acked[i.Key] = i
+		}
+	}
+}
+
+// sent is a change with the items that it holds.
+func itemsOf(c Change) []item.Item {
+	is, _ := c.items()
+	return is
+}
+
+// order sends a change as an operator does: to some mind of those named, again until
+// it is acknowledged. It tells how long that took.
+func (w *world) order(c Change, to []*mindHost) time.Duration {
+	w.t.Helper()
+	begun := time.Now()
+	for try := 0; ; try++ {
+		if time.Since(begun) > 20*time.Second {
+			w.t.Fatalf("change not acknowledged: %+v", c)
+		}
+		m := to[try%len(to)]
+		ps, err := w.apply(m, c)
+		if len(ps) > 0 {
+			w.t.Fatalf("valid change refused: %v", ps)
+		}
+		if err == nil {
+			w.note(itemsOf(c))
+			return time.Since(begun)
+		}
+		time.Sleep(50 * time.Millisecond << min(try, 3))
+	}
+}
+
+// apply sends a change once, over the network as it were: a frozen or dead mind does
+// not answer.
+func (w *world) apply(m *mindHost, c Change) ([]route.Problem, error) {
+	run, _ := m.up()
+	if run == nil {
+		return nil, errRefused
+	}
+	cx, end := context.WithTimeout(w.ctx, time.Second)
+	defer end()
+	type back struct {
+		ps  []route.Problem
+		err error
+	}
+	ch := make(chan back, 1)
+	go func() {
+		m.awake()
+		ps, err := m.control().Apply(cx, c)
+		m.awake()
+		if run.Err() == nil {
+			ch <- back{ps, err}
+		}
+	}()
+	select {
+	case b := <-ch:
+		return b.ps, b.err
+	case <-cx.Done():
+		return nil, cx.Err()
+	}
+}
+
+// known checks, once bound has passed, that what was acknowledged now is at flows.
+func (w *world) known(is []item.Item, flows []*flowHost) {
+	at := time.Now()
+	w.wg.Go(func() {
+		time.Sleep(bound)
+		for _, x := range flows {
+			for _, i := range is {
+				if got := x.item(i.Key); got.Version < i.Version {
+					w.t.Errorf("%s has version %d of %v, %d acknowledged at %v (follows %s)", x.id, got.Version, i.Key, i.Version, at.Format("05.000"), x.subscriber().Following().ID)
+				}
+			}
+		}
+	})
+}
+
+func (w *world) drained(id string, s target.State, flows []*flowHost) {
+	at := time.Now()
+	w.wg.Go(func() {
+		time.Sleep(bound)
+		for _, x := range flows {
+			if got := x.run(id); got.State < s {
+				w.t.Errorf("%s has run %s in state %d, %d acknowledged at %v (follows %s)", x.id, id, got.State, s, at.Format("05.000"), x.subscriber().Following().ID)
+			}
+		}
+	})
+}
+
+// readBack checks that everything acknowledged stands at some mind that answers.
+func (w *world) readBack(to []*mindHost) {
+	w.t.Helper()
+	var st State
+	var err error
+	w.await("answer to a read", 15*time.Second, func() bool {
+		m := pick(w, to)
+		cx, end := context.WithTimeout(w.ctx, time.Second)
+		defer end()
+		st, err = m.control().Current(cx)
+		return err == nil
+	})
+	got := map[item.Key]item.Item{}
+	for _, r := range st.Routes {
+		got[r.Item().Key] = r.Item()
+	}
+	for _, s := range st.Services {
+		got[s.Item().Key] = s.Item()
+	}
+	if st.Limits != nil {
+		got[st.Limits.Item().Key] = st.Limits.Item()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for k, i := range w.acked {
+		g, ok := got[k]
+		switch {
+		case i.Gone && ok && g.Version < i.Version:
+			w.t.Errorf("%v is back at version %d, dropped at %d", k, g.Version, i.Version)
+		case !i.Gone && (!ok || g.Version < i.Version):
+			w.t.Errorf("%v read back as version %d (%v), acknowledged %d", k, g.Version, ok, i.Version)
+		case !i.Gone && g.Version == i.Version && string(g.Body) != string(i.Body):
+			w.t.Errorf("%v read back with another content", k)
+		}
+	}
+}
+
+// service and routeTo are items of a test's configuration.
+func service(name string, v uint64) route.Service {
+	return route.Service{Name: name, Version: v, Health: "/health", Source: fmt.Appendf(nil, `{"name":%q,"v":%d}`, name, v)}
+}
+
+func routeTo(name string, v uint64, to string) route.Route {
+	return route.Route{Name: name, Version: v, Host: "h.example", Prefix: "/" + name + "/", Repeat: route.Idempotent, Shares: []route.Share{{Service: to, Weight: 1}},
+		Source: fmt.Appendf(nil, `{"name":%q,"v":%d}`, name, v)}
+}
+
+// base is the first configuration.
+func base(n int) Change {
+	c := Change{Services: []route.Service{service("a", 1), service("b", 1)}, Limits: &route.Limits{Version: 1, BodyBytes: 1 << 20}}
+	for i := range n {
+		c.Routes = append(c.Routes, routeTo(fmt.Sprintf("r%d", i), 1, "a"))
+	}
+	return c
+}
+
+func newDesk() *link.Desk { return link.NewDesk() }
--- a/internal/item/item.go
+++ b/internal/item/item.go
@@ -4,6 +4,7 @@
 package item
 
 import (
+	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
@@ -25,8 +26,8 @@
 	Name string
 }
 
-// Item is one version of one item. A dropped item is kept as Gone, so that an older
-// version that comes late does not bring it back.
+// Item is one version of one item. A dropped item is kept as Gone, a tombstone, so that
+// an older version that comes late does not bring it back.
 type Item struct {
 	Key
 	Version uint64
@@ -49,5 +50,8 @@
 	if c := cmp.Compare(i.Version, o.Version); c != 0 {
 		return c
 	}
+	if i.Gone == o.Gone && bytes.Equal(i.Body, o.Body) {
+		return 0 // the common case, as every node hears of an item from several others
+	}
 	return cmp.Compare(i.Digest(), o.Digest())
 }
--- /dev/null
+++ b/internal/item/set.go
@@ -0,0 +1,126 @@
+package item
+
+import (
+	"iter"
+	"slices"
+)
+
+// slackLog is how many overtaken changes a small set's log may hold before it is
+// compacted.
+const slackLog = 64
+
+// Set holds the newest copy of every item, and the order in which they came. Dropped
+// items stay as tombstones for good: nobody can know how late an older copy may come.
+// It is not for concurrent use; its owner guards it.
+type Set struct {
+	held map[Key]*held
+	// log names the changes in order. A change that a later one of its item overtook
+	// stays until the log is twice as long as the set, so memory follows the number of
+	// items, and a change costs the same on average however large the set is.
+	log []change
+	seq uint64
+}
+
+type held struct {
+	Item
+	seq uint64 // of its last change
+}
+
+type change struct {
+	seq uint64
+	of  *held
+}
+
+func (c change) overtaken() bool { return c.of.seq != c.seq }
+
+// NewSet makes an empty set.
+func NewSet() *Set { return &Set{held: map[Key]*held{}} }
+
+// Merge takes a copy in and tells whether it was news. Bodies are shared, not copied:
+// nobody may write to them.
+func (s *Set) Merge(i Item) bool {
+	if i.Gone {
+		i.Body = nil
+	}
+	h := s.held[i.Key]
+	switch {
+	case h == nil:
+		h = &held{}
+		s.held[i.Key] = h
+	case i.Compare(h.Item) <= 0:
+		return false
+	}
+	s.seq++
+	h.Item, h.seq = i, s.seq
+	s.log = append(s.log, change{s.seq, h})
+	if len(s.log) > 2*len(s.held)+slackLog {
+		// A fresh log, for All may be walking through the old one.
+		log := make([]change, 0, len(s.held)+slackLog)
+		for _, c := range s.log {
+			if !c.overtaken() {
+				log = append(log, c)
+			}
+		}
+		s.log = log
+	}
+	return true
+}
+
+// Get returns the newest copy of an item, also of a dropped one.
+func (s *Set) Get(k Key) (Item, bool) {
+	h := s.held[k]
+	if h == nil {
+		return Item{}, false
+	}
+	return h.Item, true
+}
+
+// Len is the number of items, dropped ones too.
+func (s *Set) Len() int { return len(s.held) }
+
+// Seq is the number of the last change.
+func (s *Set) Seq() uint64 { return s.seq }
+
+// All walks through the newest copies in order of their last change, dropped ones too.
+func (s *Set) All() iter.Seq[Item] {
+	return func(yield func(Item) bool) {
+		for _, c := range s.log {
+			if !c.overtaken() && !yield(c.of.Item) {
+				return
+			}
+		}
+	}
+}
+
+// overhead is roughly what an item takes besides its name and body when it is sent.
+const overhead = 16
+
+// Since returns what changed after seq, in order of change, each item once with its
+// newest content. The next look goes on at upTo; more says that there is more already.
+// A look takes at most maxItems and maxBytes, but always one item, so that it gets on; 0
+// is no bound. Whoever asks from a number that this set never gave was told by another
+// one, and hears everything.
+func (s *Set) Since(seq uint64, maxItems, maxBytes int) (items []Item, upTo uint64, more bool) {
+	if seq > s.seq {
+		seq = 0
+	}
+	from, _ := slices.BinarySearchFunc(s.log, seq+1, func(c change, want uint64) int {
+		if c.seq < want {
+			return -1
+		}
+		return 1
+	})
+	bytes := 0
+	for _, c := range s.log[from:] {
+		if c.overtaken() {
+			continue
+		}
+		bytes += overhead + len(c.of.Name) + len(c.of.Body)
+		if len(items) > 0 && (maxItems > 0 && len(items) >= maxItems || maxBytes > 0 && bytes > maxBytes) {
+			return items, upTo, true
+		}
+		items = append(items, c.of.Item)
+		upTo = c.seq
+	}
+	return items, s.seq, false
+}
--- a/internal/liveness/pauses.go
+++ b/internal/liveness/pauses.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// tick is how often the process looks whether it stood still.
+	// tick is how often the process looks whether it stood still, unless told otherwise.
 	tick = 50 * time.Millisecond
-	// still is the delay of a tick that counts as a pause of the process.
-	still = 250 * time.Millisecond
+	// overdue is how late a look may come before that counts as a pause of the process.
+	overdue = 200 * time.Millisecond
 )
 
 // Pauses adds up the time that this process itself stood still: frozen, starved
@@ -20,6 +20,7 @@
 // clock is read.
 type Pauses struct {
 	clock pulse.Clock
+	tick  time.Duration
 	at    atomic.Pointer[beat]
 }
 
@@ -30,8 +31,11 @@
 }
 
 // NewPauses starts the count at zero.
-func NewPauses(c pulse.Clock) *Pauses {
-	p := &Pauses{clock: c}
+func NewPauses(c pulse.Clock) *Pauses { return NewPausesEvery(c, tick) }
+
+// NewPausesEvery looks only every d: fewer wake-ups, and pauses are told to within d.
+func NewPausesEvery(c pulse.Clock, d time.Duration) *Pauses {
+	p := &Pauses{clock: c, tick: d}
 	p.at.Store(&beat{last: c.Now()})
 	return p
 }
@@ -41,7 +45,7 @@
 	for {
 		now := p.clock.Now()
 		p.at.Store(&beat{now, p.At(now)})
-		if p.clock.Sleep(ctx, tick) != nil {
+		if p.clock.Sleep(ctx, p.tick) != nil {
 			return
 		}
 	}
@@ -54,8 +58,8 @@
 // yet to notice: the first look after a freeze is already right.
 func (p *Pauses) At(now time.Time) time.Duration {
 	b := p.at.Load()
-	if d := now.Sub(b.last); d > still {
-		return b.total + d - tick
+	if d := now.Sub(b.last); d > p.tick+overdue {
+		return b.total + d - p.tick
 	}
 	return b.total
 }
--- /dev/null
+++ b/internal/liveness/pauses_test.go
@@ -0,0 +1,44 @@
+package liveness
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/pulse"
+)
+
+// stopClock sleeps longer once, as a frozen process does.
+type stopClock struct {
+	pulse.Wall
+	extra time.Duration
+}
+
+func (c *stopClock) Sleep(ctx context.Context, d time.Duration) error {
+	d, c.extra = d+c.extra, 0
+	return c.Wall.Sleep(ctx, d)
+}
+
+func TestPausesAreSeenAtAnyTick(t *testing.T) {
+	for _, every := range []time.Duration{tick, 200 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, end := context.WithCancel(t.Context())
+			c := &stopClock{extra: 3 * time.Second}
+			p := NewPausesEvery(c, every)
+			go p.Run(ctx)
+			time.Sleep(10 * time.Second)
+			if d := p.Total(); d < 3*time.Second-every || d > 3*time.Second+every {
+				t.Errorf("tick %v: a pause of 3s counted as %v", every, d)
+			}
+			// A look that is a little late is no pause.
+			before := p.Total()
+			c.extra = overdue / 2
+			time.Sleep(5 * time.Second)
+			if d := p.Total(); d != before {
+				t.Errorf("tick %v: %v of lateness counted as a pause", every, d-before)
+			}
+			end()
+		})
+	}
+}
--- /dev/null
+++ b/internal/news/mesh.go
@@ -0,0 +1,458 @@
+package news
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/defect"
+	"walkrudder/internal/link"
+	"walkrudder/internal/pulse"
+)
+
+const (
+	// seatWait and otherWait are how long asks of minds wait for news: those of
+	// voters prove that nothing is missed, and are sought more often.
+	seatWait  = 500 * time.Millisecond
+	otherWait = time.Second
+	// answerTime is how much longer than its wait an ask may take.
+	answerTime = 500 * time.Millisecond
+	// freshFor is how old the proof may be that nothing acknowledged is missed.
+	freshFor = 1200 * time.Millisecond
+	// forgetAfter is how long a mind that is neither seed nor seat is sought in vain.
+	forgetAfter = 10 * time.Second
+	// peerAge is how lately a mind must have been heard to be told of.
+	peerAge = 5 * time.Second
+	// heardAge is how lately a mind must have been heard to be given work.
+	heardAge = 2 * time.Second
+	// leastPause and mostPause bound the pause after an ask that failed.
+	leastPause = 50 * time.Millisecond
+	mostPause  = 500 * time.Millisecond
+	// maxMinds bounds the minds followed.
+	maxMinds = 64
+	// tendEvery is how often the list of minds is looked over.
+	tendEvery = time.Second
+)
+
+// Mesh is a mind's view of all the others: it follows each by long polls and merges
+// what it learns into the board.
+type Mesh struct {
+	Me    func() Member
+	Line  link.Line
+	Clock pulse.Clock
+	Board *Board
+	// Core is the newest core known, Learn takes one that may be newer, and Votes is
+	// the epoch of the core in which the own disk has a seat, or 0.
+	Core  func() accord.Core
+	Learn func(accord.Core)
+	Votes func() uint64
+
+	mu     sync.Mutex
+	seeds  []string
+	peers  map[string]*peer // by inner address
+	ctx    context.Context  // nil while it does not run
+	wg     sync.WaitGroup
+	fresh  bool
+	met    bool // was fresh once
+	proved chan struct{}
+}
+
+// peer is one other mind.
+type peer struct {
+	place // owned by its follower; copied under the mesh's lock
+	end   context.CancelFunc
+	since time.Time // when it was first sought
+	heard time.Time // when it answered last
+	// proof is when all that it held was known here, while its disk has a seat.
+	proof time.Time
+	votes uint64
+	disk  string
+	flows map[string]string // zones of the flows that follow it, by ID
+	kick  chan struct{}
+}
+
+func (m *Mesh) poller() *poller {
+	return &poller{me: m.Me, line: m.Line, board: m.Board, epoch: func() uint64 { return m.Core().Epoch }}
+}
+
+// SetSeeds replaces the seeds.
+func (m *Mesh) SetSeeds(seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = slices.Clone(seeds)
+	m.seek()
+}
+
+// Run follows the others until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.proved = make(chan struct{}, 1)
+	m.seek()
+	m.mu.Unlock()
+	m.wg.Go(func() { m.guard(ctx) })
+	pulse.Every(ctx, m.Clock, tendEvery, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.seek()
+		m.prune()
+	})
+	m.mu.Lock()
+	m.ctx = nil
+	m.mu.Unlock()
+	m.wg.Wait()
+}
+
+// seek follows seeds and seats; under the lock.
+func (m *Mesh) seek() {
+	for _, a := range m.seeds {
+		m.follow(a)
+	}
+	for _, s := range m.Core().Seats {
+		m.follow(s.Addr)
+	}
+}
+
+// prune lets minds go that were not heard for long; under the lock.
+func (m *Mesh) prune() {
+	now := m.Clock.Now()
+	seats := m.Core().Seats
+	for a, p := range m.peers {
+		kept := slices.Contains(m.seeds, a) || lo.ContainsBy(seats, func(s accord.Seat) bool { return s.Addr == a })
+		if !kept && now.Sub(latest(p.heard, p.since)) > forgetAfter {
+			p.end()
+			delete(m.peers, a)
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// follow starts to follow the mind at addr, where it isn't yet; under the lock.
+func (m *Mesh) follow(addr string) {
+	if m.ctx == nil || m.ctx.Err() != nil || addr == "" || addr == m.Me().Inner || m.peers[addr] != nil || len(m.peers) >= maxMinds {
+		return
+	}
+	if m.peers == nil {
+		m.peers = map[string]*peer{}
+	}
+	ctx, end := context.WithCancel(m.ctx)
+	p := &peer{place: place{addr: addr}, end: end, since: m.Clock.Now(), kick: make(chan struct{}, 1)}
+	m.peers[addr] = p
+	m.wg.Go(func() { m.track(ctx, p) })
+}
+
+// Met is told of a mind that asks this one.
+func (m *Mesh) Met(x Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.follow(x.Inner)
+	if p := m.peers[x.Inner]; p != nil && p.mind.Inc != x.Inc {
+		// It is up: whoever pauses after a failure need not wait any longer.
+		select {
+		case p.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// track follows one mind until ctx ends.
+func (m *Mesh) track(ctx context.Context, p *peer) {
+	q := m.poller()
+	at := p.place
+	pause := leastPause
+	for ctx.Err() == nil {
+		core := m.Core()
+		wait := otherWait
+		if lo.ContainsBy(core.Seats, func(s accord.Seat) bool { return s.Addr == at.addr }) || core.Epoch == 0 {
+			wait = seatWait
+		}
+		if at.inc == 0 || at.sums != nil {
+			wait = 0
+		}
+		begun := m.Clock.Now()
+		cx, end := context.WithTimeout(ctx, wait+answerTime)
+		t, _, _, err := q.poll(cx, &at, wait)
+		end()
+		if err != nil {
+			bell, stop := m.Clock.After(pause)
+			select {
+			case <-ctx.Done():
+			case <-bell:
+			case <-p.kick:
+			}
+			stop()
+			pause = min(2*pause, mostPause)
+			continue
+		}
+		pause = leastPause
+		m.take(p, at, t, begun)
+	}
+}
+
+// take notes an answer to an ask that began at begun.
+func (m *Mesh) take(p *peer, at place, t WatchTold, begun time.Time) {
+	if t.Core.Epoch > 0 {
+		m.Learn(t.Core)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.place = at
+	p.heard = m.Clock.Now()
+	p.votes, p.disk = t.Votes, t.Disk
+	if !t.More {
+		p.proof = begun.Add(t.Waited)
+	}
+	if t.Attached != nil {
+		p.flows = t.Attached
+	} else if len(t.Peers) > 0 {
+		p.flows = nil
+	}
+	for _, x := range t.Peers {
+		if x.Kind == Mind && x.Age < peerAge {
+			m.follow(x.Inner)
+		}
+	}
+	if !m.fresh {
+		m.poke()
+	}
+}
+
+// poke has the guard look again.
+func (m *Mesh) poke() {
+	select {
+	case m.proved <- struct{}{}:
+	default:
+	}
+}
+
+// Counts tells whether a node that votes in the core of epoch votes, by a disk, speaks
+// for a seat of c. One that still votes in the core right before is a seat that stays
+// and has not been told; one further behind had left, and has yet to pull what was
+// acknowledged without it.
+func Counts(c accord.Core, id, disk string, votes uint64) bool {
+	s, ok := c.Seat(id)
+	return ok && disk != "" && s.Disk == disk && votes > 0 && votes+1 >= c.Epoch
+}
+
+// lag is how long ago this mind held everything that was acknowledged until then: the
+// age of the proofs of so many voters that every majority has one of them. ok is
+// false where there are not so many proofs at all. Under the lock.
+//
+// Why one core will do: a core takes over only after so many seats of the one before
+// were sealed that one of those heard here was among them. If it was sealed when it
+// answered, it told of the next core, and that is the newest known here; if not,
+// nothing was acknowledged in the next core up to then.
+func (m *Mesh) lag() (time.Duration, bool) {
+	c := m.Core()
+	need := c.Blocking()
+	if len(c.Seats) == 0 {
+		return 0, false
+	}
+	now := m.Clock.Now()
+	var ages []time.Duration
+	if m.counts(c) {
+		ages = append(ages, 0)
+	}
+	for _, p := range m.peers {
+		if Counts(c, p.mind.ID, p.disk, p.votes) && !p.proof.IsZero() {
+			ages = append(ages, now.Sub(p.proof))
+		}
+	}
+	if len(ages) < need {
+		return 0, false
+	}
+	slices.Sort(ages)
+	return ages[need-1], true
+}
+
+// counts tells whether the own disk speaks for a seat of c.
+func (m *Mesh) counts(c accord.Core) bool {
+	me := m.Me()
+	return Counts(c, me.ID, me.Seat.Disk, m.Votes())
+}
+
+// Fresh tells whether this mind misses nothing that was acknowledged up to lag ago,
+// which is lately.
+func (m *Mesh) Fresh() (lag time.Duration, fresh bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lag, ok := m.lag()
+	return lag, ok && lag <= freshFor
+}
+
+// Synced tells whether this mind was fresh at some time of its life.
+func (m *Mesh) Synced() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.met
+}
+
+// guard tells the waiting watchers when freshness begins and ends.
+func (m *Mesh) guard(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		lag, ok := m.lag()
+		is := ok && lag <= freshFor
+		turned := is != m.fresh
+		m.fresh, m.met = is, m.met || is
+		m.mu.Unlock()
+		if turned {
+			m.Board.Wake()
+		}
+		// It can't end before the proofs known now are too old.
+		look := tendEvery
+		if is {
+			look = max(freshFor-lag, 0) + time.Millisecond
+		}
+		bell, stop := m.Clock.After(look)
+		select {
+		case <-ctx.Done():
+		case <-bell:
+		case <-m.proved:
+		}
+		stop()
+	}
+}
+
+// Sync polls all voters now. It returns once so many have answered completely, to asks
+// that began after the call, that everything acknowledged before the call is on the
+// board.
+func (m *Mesh) Sync(ctx context.Context) error {
+	for {
+		core := m.Core()
+		if core.Epoch > 0 && m.syncWith(ctx, core) && m.Core().Epoch == core.Epoch {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return defect.At("sync", "", errors.Join(lo.Ternary(core.Epoch == 0, accord.ErrNoCore, accord.ErrNoQuorum), ctx.Err()))
+		}
+		if m.Core().Epoch == core.Epoch && m.Clock.Sleep(ctx, leastPause) != nil {
+			continue
+		}
+	}
+}
+
+// syncWith polls the seats of one core once.
+func (m *Mesh) syncWith(ctx context.Context, core accord.Core) bool {
+	need := core.Blocking()
+	if m.counts(core) {
+		need--
+	}
+	if need <= 0 {
+		return true
+	}
+	me := m.Me()
+	cx, end := context.WithTimeout(ctx, seatWait+answerTime)
+	defer end()
+	got := make(chan bool, len(core.Seats))
+	asked := 0
+	for _, s := range core.Seats {
+		if s.ID == me.ID {
+			continue
+		}
+		asked++
+		go func() { got <- m.syncOne(cx, core, s) }()
+	}
+	for range asked {
+		select {
+		case ok := <-got:
+			if ok {
+				need--
+			}
+		case <-ctx.Done():
+			return false
+		}
+		if need == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// syncOne polls one seat until it has told everything.
+func (m *Mesh) syncOne(ctx context.Context, core accord.Core, s accord.Seat) bool {
+	at := place{addr: s.Addr}
+	m.mu.Lock()
+	if p := m.peers[s.Addr]; p != nil {
+		at = p.place
+	}
+	m.mu.Unlock()
+	q := m.poller()
+	for {
+		t, _, _, err := q.poll(ctx, &at, 0)
+		if err != nil {
+			return false
+		}
+		if t.Core.Epoch > 0 {
+			m.Learn(t.Core)
+		}
+		if !t.More {
+			return at.mind.ID == s.ID && Counts(core, s.ID, t.Disk, t.Votes)
+		}
+	}
+}
+
+// Others are the other minds that answered lately, with how long ago that was.
+func (m *Mesh) Others() []Member {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Member
+	for _, p := range m.peers {
+		if x := p.mind; x.ID != "" && now.Sub(p.heard) < peerAge {
+			x.Age = now.Sub(p.heard)
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Near are the minds that may be given work: those that answered just now, and this.
+func (m *Mesh) Near() []Member {
+	out := lo.Filter(m.Others(), func(x Member, _ int) bool { return x.Age < heardAge })
+	return append(out, m.Me())
+}
+
+// Flows are the zones of the flows that follow the other minds, by ID. Those of a mind
+// that is no longer heard count until it is forgotten: they may go on without it.
+func (m *Mesh) Flows() map[string]string {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]string{}
+	for _, p := range m.peers {
+		if now.Sub(p.heard) < forgetAfter {
+			maps.Copy(out, p.flows)
+		}
+	}
+	return out
+}
+
+// Heard are the disks of the minds that answered, with how long ago, and the own one.
+func (m *Mesh) Heard() []accord.Heard {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []accord.Heard
+	if s := m.Me().Seat; s.ID != "" {
+		out = append(out, accord.Heard{Seat: s})
+	}
+	for _, p := range m.peers {
+		if p.mind.Seat.ID != "" && !p.heard.IsZero() {
+			out = append(out, accord.Heard{Seat: p.mind.Seat, Ago: now.Sub(p.heard)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/news/pack.go
@@ -0,0 +1,94 @@
+package news
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/gob"
+	"errors"
+	"io"
+	"sync"
+
+	"walkrudder/internal/defect"
+	"walkrudder/internal/item"
+	"walkrudder/internal/target"
+)
+
+const (
+	// packFrom is the size from which news are packed: a node that starts hears
+	// thousands of items that are much alike, and links are slow and priced.
+	packFrom = 16 << 10
+	// maxUnpacked bounds what an answer may unpack to.
+	maxUnpacked = 16 << 20
+)
+
+var errUnpacked = errors.New("unpacks to more than the limit")
+
+// packed is what an answer's Packed holds.
+type packed struct {
+	Items []item.Item
+	Runs  []target.Run
+}
+
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		// The level is a constant of the library's.
+		panic(err)
+	}
+	return w
+}}
+
+// pack moves many items and runs of an answer into its Packed.
+func (t *WatchTold) pack() error {
+	n := 0
+	for _, i := range t.Items {
+		n += len(i.Name) + len(i.Body) + 16
+	}
+	for _, r := range t.Runs {
+		n += len(r.ID) + len(r.Addr) + len(r.Service) + len(r.Zone) + 24
+	}
+	if n < packFrom {
+		return nil
+	}
+	var b bytes.Buffer
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&b)
+	if err := gob.NewEncoder(w).Encode(packed{t.Items, t.Runs}); err != nil {
+		return defect.At("pack news", "", err)
+	}
+	if err := w.Close(); err != nil {
+		return defect.At("pack news", "", err)
+	}
+	t.Items, t.Runs, t.Packed = nil, nil, b.Bytes()
+	return nil
+}
+
+// bounded gives up on a stream that unpacks to more than it may.
+type bounded struct {
+	r    io.Reader
+	left int
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errUnpacked
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+// unpack puts them back.
+func (t *WatchTold) unpack() error {
+	if len(t.Packed) == 0 {
+		return nil
+	}
+	var p packed
+	r := flate.NewReader(bytes.NewReader(t.Packed))
+	if err := gob.NewDecoder(&bounded{r, maxUnpacked}).Decode(&p); err != nil {
+		return defect.At("unpack news", t.Me.ID, err)
+	}
+	t.Items, t.Runs, t.Packed = append(t.Items, p.Items...), append(t.Runs, p.Runs...), nil
+	return nil
+}
--- /dev/null
+++ b/internal/news/subscriber.go
@@ -0,0 +1,313 @@
+package news
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	"github.com/samber/lo"
+
+	"walkrudder/internal/link"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/target"
+)
+
+const (
+	// flowWait is how long a flow's ask waits for news at most, and flowAnswer how long
+	// it may take in all.
+	flowWait   = time.Second
+	flowAnswer = 1700 * time.Millisecond
+	// flowBehind is how old what a flow knows may grow before it looks for another mind.
+	flowBehind = 1900 * time.Millisecond
+	// leastAnswer is what an ask is given at least, and answerSlack what it is given on
+	// top of its wait.
+	leastAnswer = 800 * time.Millisecond
+	answerSlack = 600 * time.Millisecond
+	// firstAnswer is what the first ask of a mind is given, doubled with each failure in
+	// a row: a flow that lost its mind must not wait long for a second dead one.
+	firstAnswer = 250 * time.Millisecond
+	// shunTime is how long a mind is passed over after a failure, doubled with each in a
+	// row up to mostShun; one that answers but is not fresh for staleShun.
+	shunTime  = 300 * time.Millisecond
+	mostShun  = time.Second
+	staleShun = 400 * time.Millisecond
+	// staleWait is how long an ask waits at a mind that is not fresh, where none is.
+	staleWait = 400 * time.Millisecond
+	// homeEvery is how often a flow that follows a mind of another zone tries its own.
+	homeEvery = 5 * time.Second
+	// tableEvery is how often runs that are over are forgotten.
+	tableEvery = time.Minute
+)
+
+// Subscriber is a flow's view of the control plane: it follows one mind, of its own
+// zone where it can, and goes to the next when that one is silent, fails, or may miss
+// something acknowledged.
+type Subscriber struct {
+	Me    Member
+	Line  link.Line
+	Clock pulse.Clock
+	Log   *log.Logger
+	// OnNews is told, in order and by one goroutine, of what was news here: Items and
+	// Runs hold what changed, as it stands now. Flows counts come with each answer.
+	OnNews func(WatchTold)
+
+	board *Board
+
+	mu     sync.Mutex
+	seeds  []string
+	peers  map[string]Member // by inner address
+	shun   map[string]shun
+	told   WatchTold // the last complete answer, without its news
+	asOf   time.Time // until when all that was acknowledged is known here
+	synced bool
+	moved  chan struct{} // the seeds changed
+}
+
+// shun is a mind passed over for now.
+type shun struct {
+	until time.Time
+	fails int
+	stale bool // it answers
+}
+
+// Init makes the subscriber ready.
+func (s *Subscriber) Init(seeds []string) {
+	s.board = NewBoard(s.Clock)
+	s.seeds, s.peers, s.shun = slices.Clone(seeds), map[string]Member{}, map[string]shun{}
+	s.moved = make(chan struct{}, 1)
+}
+
+// SetSeeds replaces the seeds.
+func (s *Subscriber) SetSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = slices.Clone(seeds)
+	select {
+	case s.moved <- struct{}{}:
+	default:
+	}
+}
+
+// Synced tells whether a fresh mind has told everything once in this life.
+func (s *Subscriber) Synced() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.synced
+}
+
+// Fresh tells whether the mind followed is fresh and was heard lately.
+func (s *Subscriber) Fresh() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told.Fresh && s.Clock.Now().Sub(s.asOf) <= flowBehind+leastAnswer
+}
+
+// Flows is how many flows there are, in all and in the own zone, by the last answer.
+func (s *Subscriber) Flows() (all, near int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told.Flows, s.told.FlowsNear
+}
+
+// Following is the mind followed now.
+func (s *Subscriber) Following() Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told.Me
+}
+
+// Board is what this flow knows.
+func (s *Subscriber) Board() *Board { return s.board }
+
+// Run follows minds until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	swept := s.Clock.Now()
+	for ctx.Err() == nil {
+		addr, ok, back := s.next()
+		if addr != "" {
+			s.follow(ctx, addr, ok)
+		} else {
+			// Nobody answers: look again soon, but not all the time.
+			bell, stop := s.Clock.After(max(back, leastPause))
+			select {
+			case <-ctx.Done():
+			case <-bell:
+			case <-s.moved:
+			}
+			stop()
+		}
+		if now := s.Clock.Now(); now.Sub(swept) > tableEvery {
+			swept = now
+			s.board.Table(func(t *target.Table, now time.Time) bool { t.Forget(now); return false })
+		}
+	}
+}
+
+// minds lists the addresses to try, the best first: minds of the own zone, then those of
+// others, then seeds of which nothing is known, each by rendezvous, so that flows
+// spread and few move when minds come and go. Under the lock.
+func (s *Subscriber) minds() []string {
+	rank := func(a string) int {
+		switch p, ok := s.peers[a]; {
+		case ok && p.Zone == s.Me.Zone:
+			return 0
+		case ok:
+			return 1
+		}
+		return 2
+	}
+	out := lo.Uniq(append(lo.Keys(s.peers), s.seeds...))
+	score := func(a string) uint64 { return xxhash.Sum64String(s.Me.ID + "\x00" + a) }
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(score(a), score(b)), cmp.Compare(a, b))
+	})
+	return out
+}
+
+// next is the mind to try: the best that is not passed over. Where all are, ok is
+// false, the one that answers is taken, and back is when the first is to be tried again.
+func (s *Subscriber) next() (addr string, ok bool, back time.Duration) {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.minds()
+	back = mostShun
+	for _, a := range all {
+		x := s.shun[a]
+		if !now.Before(x.until) {
+			return a, true, 0
+		}
+		back = min(back, x.until.Sub(now))
+		if x.stale && addr == "" {
+			addr = a
+		}
+	}
+	return addr, false, back
+}
+
+// avoid passes a mind over for a while.
+func (s *Subscriber) avoid(addr string, stale bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.shun) > 4*maxMinds {
+		s.shun = map[string]shun{}
+	}
+	x := s.shun[addr]
+	d := staleShun
+	if x.stale = stale; stale {
+		x.fails = 0
+	} else {
+		d = min(shunTime<<min(x.fails, 8), mostShun)
+		x.fails++
+	}
+	x.until = s.Clock.Now().Add(d)
+	s.shun[addr] = x
+}
+
+// patience is how long the next ask may take, and how long it is to wait for news.
+func (s *Subscriber) patience(at *place, fails int) (answer, wait time.Duration) {
+	if at.inc == 0 {
+		return min(firstAnswer<<min(fails, 8), flowAnswer), 0
+	}
+	if at.sums != nil {
+		return flowAnswer, 0
+	}
+	left := s.asOf.Add(flowBehind).Sub(s.Clock.Now())
+	answer = min(max(left, leastAnswer), flowAnswer)
+	return answer, min(answer-answerSlack, flowWait)
+}
+
+// follow stays with one mind for as long as it will do; ok says that a better one than
+// that is not known to be stale.
+func (s *Subscriber) follow(ctx context.Context, addr string, ok bool) {
+	q := &poller{me: func() Member { return s.Me }, line: s.Line, board: s.board, epoch: func() uint64 { return noEpoch }}
+	at := place{addr: addr}
+	since := s.Clock.Now()
+	for first := true; ctx.Err() == nil; first = false {
+		s.mu.Lock()
+		fails := s.shun[addr].fails
+		answer, wait := s.patience(&at, fails)
+		s.mu.Unlock()
+		if !ok && !first && at.sums == nil {
+			// None is fresh: wait here for as long as the next look at the others is off.
+			answer, wait = staleWait+answerSlack, staleWait
+		}
+		begun := s.Clock.Now()
+		cx, end := context.WithTimeout(ctx, answer)
+		t, items, runs, err := q.poll(cx, &at, wait)
+		end()
+		if err != nil {
+			if ctx.Err() == nil {
+				s.Log.Debug("mind does not answer", "step", "follow", "mate", addr, "err", err)
+				s.avoid(addr, false)
+			}
+			return
+		}
+		s.take(addr, at, t, begun)
+		t.Items, t.Runs = items, runs
+		s.OnNews(t)
+		switch {
+		case t.More:
+		case !t.Fresh:
+			s.avoid(addr, true)
+			if ok || wait > 0 {
+				return
+			}
+		case s.better(addr, since):
+			return
+		default:
+			ok = true
+		}
+	}
+}
+
+// take notes an answer.
+func (s *Subscriber) take(addr string, at place, t WatchTold, begun time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(t.Peers) > 0 {
+		s.peers = map[string]Member{}
+		for _, p := range t.Peers[:min(len(t.Peers), maxMinds)] {
+			if p.Kind == Mind && p.Inner != "" {
+				s.peers[p.Inner] = p
+			}
+		}
+	}
+	if t.More {
+		return
+	}
+	t.Items, t.Runs, t.Peers = nil, nil, nil
+	t.Me = at.mind
+	s.told = t
+	if !t.Fresh {
+		return
+	}
+	delete(s.shun, addr)
+	s.synced = true
+	if asOf := begun.Add(t.Waited - t.Lag); asOf.After(s.asOf) {
+		s.asOf = asOf
+	}
+}
+
+// better tells whether it is time to try a better mind than the one at addr.
+func (s *Subscriber) better(addr string, since time.Time) bool {
+	now := s.Clock.Now()
+	if now.Sub(since) < homeEvery {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.minds() {
+		switch {
+		case a == addr:
+			return false
+		case s.peers[a].Zone == s.Me.Zone && !now.Before(s.shun[a].until):
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/news/teller.go
@@ -0,0 +1,218 @@
+package news
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/link"
+	"walkrudder/internal/pulse"
+)
+
+const (
+	// maxWait bounds how long an ask is held back.
+	maxWait = 2 * time.Second
+	// maxReply bounds the items and runs of one answer, before packing.
+	maxReply = 256 << 10
+	// firstReply bounds the answer to an ask that does not wait, so that a node which
+	// looks for a mind learns soon whether this one will do.
+	firstReply = 32 << 10
+	// flowGone is how long after its last ask a flow no longer counts as attached.
+	flowGone = 2500 * time.Millisecond
+	// askerGone is how long an asker is remembered.
+	askerGone = time.Minute
+	// maxAskers bounds the askers remembered.
+	maxAskers = 1024
+)
+
+// Teller answers those who follow this node.
+type Teller struct {
+	Me    func() Member
+	Board *Board
+	Clock pulse.Clock
+	// Core is the newest core that this node knows, and Votes the epoch of the one in
+	// which its own disk has a seat, or 0.
+	Core  func() accord.Core
+	Votes func() uint64
+	// Fresh tells whether this node misses nothing acknowledged up to lag ago.
+	Fresh func() (lag time.Duration, fresh bool)
+	// Others are the other minds that this node hears itself, and Elsewhere the zones of
+	// the flows that follow them, by ID.
+	Others    func() []Member
+	Elsewhere func() map[string]string
+	// Met is told of the minds that ask.
+	Met func(Member)
+
+	mu     sync.Mutex
+	askers map[string]*asker
+	peers  []Member
+	near   map[string]string // zones of the flows that follow this node, by ID
+	all    map[string]int    // flows that follow any, by zone
+	ver    uint64         // of peers and near
+	looked time.Time
+}
+
+type asker struct {
+	Member
+	at time.Time
+}
+
+// Serve teaches d to answer those who follow.
+func (t *Teller) Serve(d *link.Desk) {
+	link.On(d, func(ctx context.Context, _ link.Who, a WatchAsk) (WatchTold, error) { return t.watch(ctx, a) })
+}
+
+// watch waits for news and tells them.
+func (t *Teller) watch(ctx context.Context, a WatchAsk) (WatchTold, error) {
+	start := t.Clock.Now()
+	me := t.Me()
+	if !t.note(a.Me, len(a.Sums) > 0, start) || len(a.Sums) == 0 && (a.Inc != me.Inc || t.Board.past(a.Seen)) {
+		return WatchTold{Inc: me.Inc, Anew: true}, nil
+	}
+	if a.Inc != me.Inc || t.Board.past(a.Seen) {
+		a.Seen = Cursor{}
+	}
+	wait := min(max(a.Wait, 0), maxWait)
+	bell, stop := t.Clock.After(wait)
+	defer stop()
+	_, was := t.Fresh()
+	for over := wait == 0; ; {
+		changed := t.Board.Changed()
+		r := WatchTold{Inc: me.Inc, Waited: t.Clock.Now().Sub(start)}
+		t.look(&r, a, me)
+		if over || r.Fresh != was || r.More || len(r.Items)+len(r.Runs) > 0 || r.Core.Epoch > a.Epoch {
+			return r, r.pack()
+		}
+		select {
+		case <-changed:
+		case <-bell:
+			over = true
+		case <-ctx.Done():
+			return r, nil
+		}
+	}
+}
+
+// look fills in what is so now.
+func (t *Teller) look(r *WatchTold, a WatchAsk, me Member) {
+	// The order matters: what is said of the core and of freshness must not be newer
+	// than the news told beside it.
+	if v := t.Votes(); v > 0 && a.Epoch < noEpoch {
+		r.Votes, r.Disk = v, me.Seat.Disk
+	}
+	if core := t.Core(); core.Epoch > a.Epoch {
+		r.Core = core
+	}
+	r.Lag, r.Fresh = t.Fresh()
+	if len(a.Sums) > 0 {
+		r.Me = me
+	}
+	r.Items, r.Runs, r.Seen, r.More = t.Board.since(a.Seen, a.Sums, lo.Ternary(a.Wait > 0 || a.Inc == me.Inc, maxReply, firstReply))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count()
+	if r.Seen.Peers = t.ver; a.Seen.Peers != t.ver {
+		r.Peers = append(slices.Clone(t.peers), me)
+		if t.askers[a.Me.ID].kind() == Mind {
+			r.Attached = t.near
+		}
+	}
+	if t.askers[a.Me.ID].kind() == Flow {
+		r.Flows, r.FlowsNear = lo.Sum(lo.Values(t.all)), t.all[t.askers[a.Me.ID].Zone]
+	}
+}
+
+func (a *asker) kind() string {
+	if a == nil {
+		return ""
+	}
+	return a.Kind
+}
+
+// note remembers who asks; false says that it must introduce itself again.
+func (t *Teller) note(m Member, whole bool, now time.Time) bool {
+	if m.ID == "" {
+		return false
+	}
+	t.mu.Lock()
+	old := t.askers[m.ID]
+	switch {
+	case whole:
+		if t.askers == nil {
+			t.askers = map[string]*asker{}
+		}
+		if old == nil && len(t.askers) >= maxAskers {
+			delete(t.askers, lo.MinBy(lo.Keys(t.askers), func(a, b string) bool { return t.askers[a].at.Before(t.askers[b].at) }))
+		}
+		t.askers[m.ID] = &asker{m, now}
+	case old == nil || old.Inc != m.Inc:
+		t.mu.Unlock()
+		return false
+	default:
+		old.at = now
+		m = old.Member
+	}
+	t.mu.Unlock()
+	if m.Kind == Mind && t.Met != nil {
+		t.Met(m)
+	}
+	return true
+}
+
+// count brings peers and the number of flows up to date, now and then; under the lock.
+func (t *Teller) count() {
+	now := t.Clock.Now()
+	if !t.looked.IsZero() && now.Sub(t.looked) < 250*time.Millisecond {
+		return
+	}
+	t.looked = now
+	near := map[string]string{}
+	for id, a := range t.askers {
+		switch age := now.Sub(a.at); {
+		case age > askerGone:
+			delete(t.askers, id)
+		case a.Kind == Flow && age < flowGone:
+			near[id] = a.Zone
+		}
+	}
+	peers := t.Others()
+	slices.SortFunc(peers, func(a, b Member) int { return cmp.Compare(a.Inner, b.Inner) })
+	// A flow that moved is told of by two minds for a while.
+	zones := t.Elsewhere()
+	maps.Copy(zones, near)
+	all := lo.CountValues(lo.Values(zones))
+	same := slices.EqualFunc(peers, t.peers, func(a, b Member) bool { a.Age, b.Age = 0, 0; return a == b })
+	if t.peers == nil || !same || !maps.Equal(near, t.near) {
+		t.ver++
+	}
+	t.peers, t.near, t.all = lo.Ternary(peers == nil, []Member{}, peers), near, all
+}
+
+// Askers are the nodes that asked lately, with how long ago that was.
+func (t *Teller) Askers() []Member {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Member, 0, len(t.askers))
+	for _, a := range t.askers {
+		m := a.Member
+		m.Age = now.Sub(a.at)
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Flows is how many flows there are, in all and by zone.
+func (t *Teller) Flows() (int, map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count()
+	return lo.Sum(lo.Values(t.all)), maps.Clone(t.all)
+}
--- a/internal/news/types.go
+++ b/internal/news/types.go
@@ -4,6 +4,7 @@
 package news
 
 import (
+	"math"
 	"time"
 
 	"walkrudder/internal/accord"
@@ -12,11 +13,18 @@
 	"walkrudder/internal/target"
 )
 
+// The kinds of nodes.
+const (
+	Mind = "mind"
+	Flow = "flow"
+)
+
 // Member is a node as others know it.
 type Member struct {
 	ID    string
-	Kind  string // "mind" or "flow"
+	Kind  string // Mind or Flow
 	Inner string // where it answers other nodes; "" for a flow, which only asks
+	Door  string // where a mind answers targets and operators
 	Zone  string
 	Inc   uint64 // of this life of its process
 	// Seat is the node's disk, where it has one.
@@ -25,40 +33,71 @@
 	Age time.Duration
 }
 
+// noEpoch is past every epoch.
+const noEpoch = math.MaxUint64
+
+// Cursor is how far an asker has heard one life of a teller out.
+type Cursor struct{ Items, Runs, Peers uint64 }
+
 type (
 	// WatchAsk waits up to Wait for news past Seen of the teller's life Inc.
 	WatchAsk struct {
+		// Me is whole where Sums are given; else ID and Inc alone, to save bytes.
 		Me   Member
 		Inc  uint64
-		Seen uint64
-		Wait time.Duration
+		Seen Cursor
+		// Sums are of what the asker held when it first asked this life of the teller,
+		// and come with each ask until all was told: what sums alike is left out.
+		Sums []uint64
+		// Epoch is of the newest core that the asker knows; noEpoch is of one that does
+		// not care.
+		Epoch uint64
+		Wait  time.Duration
 	}
 	// WatchTold answers it. The asker goes on at Seen; More says that there is more
 	// already.
 	WatchTold struct {
 		Inc  uint64
-		Seen uint64
+		Seen Cursor
 		More bool
+		// Anew says that nothing is told, for the teller needs the whole Me and Sums:
+		// this is another life than the one asked for, or has forgotten the asker.
+		Anew bool
+		// Waited is how long the answer was held back: what it tells was so at the
+		// earliest this long after it was asked for.
+		Waited time.Duration
 		// Fresh says that the teller is in touch with so many voters that it misses
-		// nothing acknowledged; who follows one that is not looks for another.
+		// nothing acknowledged up to Lag ago; who follows one that is not looks for
+		// another.
 		Fresh bool
-		// Voting says that the teller's disk has a seat in the core it knows.
-		Voting bool
-		Seat   accord.Seat
-		Core   accord.Core
-		Items  []item.Item
-		Runs   []target.Run
-		Peers  []Member
+		Lag   time.Duration
+		// Votes is the epoch of the core in which the teller's disk, of incarnation Disk,
+		// has a seat; 0 is none. Core is told where it is newer than the asker's.
+		Votes uint64
+		Disk  string
+		Core  accord.Core
+		// Me is the teller, told with answers to asks that carry Sums.
+		Me    Member
+		Items []item.Item
+		Runs  []target.Run
+		// Packed holds Items and Runs instead, where they are many.
+		Packed []byte
+		// Peers are the minds that the teller hears, and Attached the zones of the flows
+		// that follow it, by ID: both are told when they change, by Seen.Peers.
+		Peers    []Member
+		Attached map[string]string
 		// Flows is how many flows the teller knows of, in all and in the asker's zone.
 		Flows, FlowsNear int
 	}
 	// MarkAsk tells a voter of runs that drain or ended, to be held before that is
 	// acknowledged to them.
 	MarkAsk struct{ Runs []target.Run }
-	// MarkTold answers it; Disk is the teller's incarnation.
+	// MarkTold answers it as WatchTold does: in which core the teller votes, by which
+	// disk, and the newest core it knows.
 	MarkTold struct {
-		Disk   string
-		Voting bool
+		Votes uint64
+		Disk  string
+		Core  accord.Core
 	}
 )
 
--- /dev/null
+++ b/internal/proxy/failure_test.go
@@ -0,0 +1,403 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/target"
+)
+
+func cutOff(c net.Conn) bool {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+	return false
+}
+
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+// way is one way in which the first target that gets a request can fail.
+type way struct {
+	name       string
+	do         act
+	once, idem int // the caller's status
+	// onceRuns is how often a request that may run once runs.
+	onceRuns int
+}
+
+func ranThen(do act) act {
+	return func(l *lab, c net.Conn, s *seen) bool {
+		l.run(s)
+		return do(l, c, s)
+	}
+}
+
+func text(f string) act {
+	return func(_ *lab, c net.Conn, s *seen) bool {
+		return write(c, strings.ReplaceAll(strings.ReplaceAll(f, "\n", "\r\n"), "ID", s.id))
+	}
+}
+
+func textThenClose(f string) act {
+	return func(l *lab, c net.Conn, s *seen) bool { text(f)(l, c, s); return false }
+}
+
+var ways = []way{
+	{"reset after reading", ranThen(func(_ *lab, c net.Conn, _ *seen) bool { return cutOff(c) }), 502, 200, 1},
+	{"closed after reading", ranThen(func(*lab, net.Conn, *seen) bool { return false }), 502, 200, 1},
+	{"half a body", ranThen(textThenClose("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\nContent-Length: 10\n\nhalf")), 502, 200, 1},
+	{"half a head", ranThen(textThenClose("HTTP/1.1 200 OK\nX-Id: ID\nX-Se")), 502, 200, 1},
+	{"no last chunk", ranThen(textThenClose("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\nTransfer-Encoding: chunked\n\n4\nhalf\n")), 502, 200, 1},
+	{"last chunk cut", ranThen(textThenClose("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\nTransfer-Encoding: chunked\n\n4\nhalf\n0\n")), 502, 200, 1},
+	{"broken chunk", ranThen(textThenClose("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\nTransfer-Encoding: chunked\n\n2\nhalf\n0\n\n")), 502, 200, 1},
+	{"another request's answer", ranThen(text("HTTP/1.1 200 OK\nX-Id: other\nX-Seal: s\nContent-Length: 1\n\nx")), 502, 200, 1},
+	{"another request's word that it did not run", ranThen(text("HTTP/1.1 503 Full\nX-Id: other\nX-Not-Run: 1\nContent-Length: 0\n\n")), 502, 200, 1},
+	{"two ids", ranThen(text("HTTP/1.1 200 OK\nX-Id: ID\nX-Id: other\nX-Seal: s\nContent-Length: 1\n\nx")), 502, 200, 1},
+	{"no id", ranThen(text("HTTP/1.1 200 OK\nX-Seal: s\nContent-Length: 1\n\nx")), 502, 200, 1},
+	{"no seal", ranThen(text("HTTP/1.1 200 OK\nX-Id: ID\nContent-Length: 1\n\nx")), 502, 200, 1},
+	{"empty seal", ranThen(text("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal:\nContent-Length: 1\n\nx")), 502, 200, 1},
+	{"an encoding", ranThen(text("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\nContent-Encoding: gzip\nContent-Length: 1\n\nx")), 502, 200, 1},
+	{"two lengths", ranThen(text("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\nContent-Length: 4\nContent-Length: 1\n\nx123")), 502, 200, 1},
+	{"no end", ranThen(textThenClose("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\n\nall of it?")), 502, 200, 1},
+	{"no HTTP", ranThen(textThenClose("garble garble\n\n")), 502, 200, 1},
+	{"switching protocols", ranThen(text("HTTP/1.1 101 Switching\nX-Id: ID\nX-Seal: s\n\n")), 502, 200, 1},
+	{"not run, full", text("HTTP/1.1 503 Full\nX-Id: ID\nX-Not-Run: 1\nContent-Length: 0\n\n"), 200, 200, 1},
+	{"not run, 429", text("HTTP/1.1 429 Full\nX-Id: ID\nX-Not-Run: 1\nContent-Length: 0\n\n"), 200, 200, 1},
+	{"misdirected", misdirect, 200, 200, 1},
+	{"503 without a word", ranThen(text("HTTP/1.1 503 Bad\nX-Id: ID\nContent-Length: 0\n\n")), 502, 200, 1},
+	{"429 without a word", ranThen(text("HTTP/1.1 429 Bad\nX-Id: ID\nContent-Length: 0\n\n")), 502, 200, 1},
+	{"its own 500", ranThen(text("HTTP/1.1 500 Bad\nX-Id: ID\nContent-Length: 3\n\nbad")), 500, 500, 1},
+	{"its own 504", ranThen(text("HTTP/1.1 504 Late\nX-Id: ID\nContent-Length: 0\n\n")), 504, 504, 1},
+	{"interim answers", ranThen(func(l *lab, c net.Conn, s *seen) bool {
+		return text("HTTP/1.1 100 Continue\n\nHTTP/1.1 103 Hints\nX-Id: other\n\n")(l, c, s) &&
+			say(c, "200 OK", s.id, "X-Seal: s\r\n", bodyOf(s.id))
+	}), 200, 200, 1},
+	{"closing", ranThen(func(_ *lab, c net.Conn, s *seen) bool {
+		say(c, "200 OK", s.id, "X-Seal: s\r\nConnection: Close\r\n", bodyOf(s.id))
+		return false
+	}), 200, 200, 1},
+}
+
+// TestWaysToFail lets the first target that gets a request fail in each way, over
+// loopback: the caller gets a whole answer or an honest status, and what may run once
+// runs once.
+func TestWaysToFail(t *testing.T) {
+	for _, w := range ways {
+		for _, kind := range []string{"once", "idem", "down"} {
+			t.Run(w.name+"/"+kind, func(t *testing.T) {
+				t.Parallel()
+				l := newLab(t, loopback{}, nil)
+				l.routes(2)
+				l.stand("one", nil, first(w.do))
+				l.stand("two", nil, first(w.do))
+				want := w.idem
+				if kind == "once" {
+					want = w.once
+				}
+				g := l.call("/"+kind+"/x", "q1", 5*time.Second)
+				if g.status != want || want == 200 && !g.proper("q1") {
+					t.Errorf("caller got %+v, want %d", g, want)
+				}
+				if kind == "once" && l.runs("q1") != w.onceRuns {
+					t.Errorf("ran %d times, want %d", l.runs("q1"), w.onceRuns)
+				}
+				// What it left behind harms no later request.
+				for i := range 3 {
+					id := fmt.Sprint("later", i)
+					if g := l.call("/"+kind+"/x", id, 5*time.Second); !g.proper(id) {
+						t.Errorf("%s got %+v", id, g)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestRefusedConnect: a target that can't be reached costs neither budget nor an
+// attempt, and is not asked by the next request.
+func TestRefusedConnect(t *testing.T) {
+	for _, kind := range []string{"once", "idem", "down"} {
+		l := newLab(t, loopback{}, func(s *Settings) { s.BudgetRatio = 0 })
+		l.routes(1)
+		for _, id := range []string{"one", "two", "three"} {
+			s := l.stand(id, nil, sealed)
+			if id != "two" {
+				s.stop()
+			}
+		}
+		for i := range 4 {
+			id := fmt.Sprint(kind, i)
+			if g := l.call("/"+kind+"/x", id, 5*time.Second); !g.proper(id) || l.runs(id) != 1 {
+				t.Errorf("%s got %+v, ran %d times", id, g, l.runs(id))
+			}
+		}
+		// At most half of the three are passed over together, so one of the two that are
+		// gone may be asked again.
+		if n := l.node.Stats().DialsFailed; n > 5 {
+			t.Errorf("%d connects failed", n)
+		}
+	}
+}
+
+// TestResetBeforeReading: the target resets a connection without reading. Nobody knows
+// here whether it read: it runs at most once, and elsewhere only if no byte left.
+func TestResetBeforeReading(t *testing.T) {
+	for _, kind := range []string{"once", "idem"} {
+		l := newLab(t, loopback{}, nil)
+		l.routes(2)
+		l.stand("good", nil, sealed)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				cutOff(c)
+			}
+		}()
+		l.node.TakeRuns([]target.Run{{ID: "full", Service: "svc", Addr: ln.Addr().String(), Zone: "a", Slots: 40, State: target.Ready, Seq: 1}})
+		for i := range 20 {
+			id := fmt.Sprint(kind, i)
+			g := l.call("/"+kind+"/x", id, 5*time.Second)
+			switch {
+			case g.proper(id) && l.runs(id) == 1:
+			case kind == "once" && g.status == 502 && l.runs(id) == 0:
+			default:
+				t.Errorf("%s got %+v, ran %d times", id, g, l.runs(id))
+			}
+		}
+	}
+}
+
+// TestSurplus: bytes behind a whole answer belong to no request.
+func TestSurplus(t *testing.T) {
+	for _, kind := range []string{"once", "idem"} {
+		l := newLab(t, loopback{}, nil)
+		l.routes(2)
+		l.stand("one", nil, func(l *lab, c net.Conn, s *seen) bool {
+			l.run(s)
+			b := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", s.id, len(bodyOf(s.id)), bodyOf(s.id))
+			return write(c, b+"HTTP/1.1 200 OK\r\nX-Id: next\r\nX-Seal: s\r\nContent-Length: 1\r\n\r\nx")
+		})
+		for i := range 5 {
+			id := fmt.Sprint("q", i)
+			if g := l.call("/"+kind+"/x", id, 5*time.Second); !g.proper(id) {
+				t.Errorf("got %+v", g)
+			}
+		}
+		for _, s := range l.arrivals() {
+			if s.onConn != 1 {
+				t.Errorf("%s came over a connection with surplus bytes", s.id)
+			}
+		}
+	}
+}
+
+// TestForgottenIdle: a connection that its target closed while it lay idle is found
+// dead before a request is written to it.
+func TestForgottenIdle(t *testing.T) {
+	for _, kind := range []string{"once", "idem"} {
+		l := newLab(t, loopback{}, nil)
+		l.routes(1)
+		s := l.stand("one", nil, sealed)
+		for i := range 5 {
+			id := fmt.Sprint("q", i)
+			if g := l.call("/"+kind+"/x", id, 5*time.Second); !g.proper(id) || l.runs(id) != 1 {
+				t.Errorf("%s got %+v, ran %d times", id, g, l.runs(id))
+			}
+			s.cut()
+			waitFor(t, func() bool { return !idleAlive(l.node) })
+		}
+		if n := l.node.Stats().Stale; n != 0 {
+			t.Errorf("%d died under a request", n)
+		}
+	}
+}
+
+// idleAlive tells whether any idle connection still looks alive.
+func idleAlive(n *Node) bool {
+	for _, s := range n.all() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, e := range s.all {
+			for _, c := range e.idle {
+				_ = c.nc.SetDeadline(time.Time{})
+				if c.alive() {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// waitFor looks until a change by the operating system has come through.
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for !ok() {
+		if t.Context().Err() != nil {
+			t.Fatal("the test ended")
+		}
+	}
+}
+
+// TestReuse: calm requests share connections.
+func TestReuse(t *testing.T) {
+	l := newLab(t, loopback{}, nil)
+	l.routes(1)
+	l.stand("one", nil, sealed)
+	for i := range 10 {
+		id := fmt.Sprint("q", i)
+		if g := l.call("/once/x", id, 5*time.Second); !g.proper(id) {
+			t.Errorf("got %+v", g)
+		}
+	}
+	if n := l.node.Stats().Dials; n != 1 {
+		t.Errorf("%d connects for 10 requests one after the other", n)
+	}
+}
+
+// TestMisdirectedIsGone: a run at whose address another one answers is asked no more
+// until news of it come.
+func TestMisdirectedIsGone(t *testing.T) {
+	l := newLab(t, loopback{}, nil)
+	l.routes(3)
+	other := l.stand("other", func(r *target.Run) { r.Service = "else" }, sealed)
+	l.stand("good", nil, sealed)
+	was := target.Run{ID: "was", Service: "svc", Addr: other.ln.Addr().String(), Zone: "a", Slots: 4, State: target.Ready, Seq: 1}
+	l.node.TakeRuns([]target.Run{was})
+	asked := func() (n int) {
+		for _, s := range l.arrivals() {
+			if s.run == "other" {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range 30 {
+		id := fmt.Sprint("q", i)
+		if g := l.call("/once/x", id, 5*time.Second); !g.proper(id) || l.runs(id) != 1 {
+			t.Errorf("%s got %+v, ran %d times", id, g, l.runs(id))
+		}
+	}
+	if n := asked(); n > 1 {
+		t.Errorf("asked %d times", n)
+	}
+	s := l.node.all()
+	for _, v := range s {
+		v.mu.Lock()
+		if e := v.all["was"]; e != nil {
+			e.gone, e.goneSeq = true, 1
+		}
+		v.mu.Unlock()
+	}
+	was.Seq = 2
+	l.node.TakeRuns([]target.Run{was})
+	for _, v := range s {
+		v.mu.Lock()
+		if e := v.all["was"]; e != nil && e.gone {
+			t.Error("news of the run did not bring it back")
+		}
+		v.mu.Unlock()
+	}
+}
+
+// TestMute: over virtual time, a silent target holds a request that may run once until
+// its deadline; a repeatable one is asked of another run besides.
+func TestMute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mute := ranThen(func(_ *lab, c net.Conn, _ *seen) bool {
+			_, _ = io.Copy(io.Discard, c)
+			return false
+		})
+		for kind, want := range map[string]int{"once": 504, "idem": 200, "down": 200} {
+			l := newLab(t, newPipes(), nil)
+			l.routes(2)
+			l.stand("one", nil, first(mute))
+			l.stand("two", nil, first(mute))
+			began := time.Now()
+			g := l.call("/"+kind+"/x", "q1", 2*time.Second)
+			took := time.Since(began)
+			if g.status != want || want == 200 && !g.proper("q1") {
+				t.Errorf("%s got %+v", kind, g)
+			}
+			if kind == "once" {
+				if l.runs("q1") != 1 || took < 1900*time.Millisecond || took >= 2*time.Second {
+					t.Errorf("ran %d times, answered after %v", l.runs("q1"), took)
+				}
+			} else if took > time.Second {
+				t.Errorf("%s: answered after %v", kind, took)
+			}
+			if n := l.node.Stats().Mute; n != 1 {
+				t.Errorf("%s: %d counted as mute", kind, n)
+			}
+			l.close()
+		}
+	})
+}
+
+// TestHedgeLoses: when the first target answers after all before the other, its answer
+// counts, and the other attempt is cut.
+func TestHedgeLoses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), nil)
+		l.routes(2)
+		do := func(l *lab, c net.Conn, s *seen) bool {
+			if s.nth == 1 {
+				return after(time.Second, sealed)(l, c, s)
+			}
+			return after(1500*time.Millisecond, sealed)(l, c, s)
+		}
+		l.stand("one", nil, do)
+		l.stand("two", nil, do)
+		began := time.Now()
+		if g := l.call("/idem/x", "q1", 4*time.Second); !g.proper("q1") || time.Since(began) != time.Second {
+			t.Errorf("got %+v after %v", g, time.Since(began))
+		}
+		s := l.node.Stats()
+		if s.Hedges != 1 || s.Answered != 1 {
+			t.Errorf("%+v", s)
+		}
+		time.Sleep(3 * time.Second)
+		if s := l.node.Stats(); s.Inside != 0 || s.MemoryUsed != 0 {
+			t.Errorf("left over: %+v", s)
+		}
+		l.close()
+	})
+}
+
+// TestSilentConnect: a connect that gets no reply is given up in time for another run.
+func TestSilentConnect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPipes()
+		l := newLab(t, p, nil)
+		l.routes(1)
+		dead := p.listen()
+		for _, id := range []string{"cut1", "cut2"} {
+			l.node.TakeRuns([]target.Run{{ID: id, Service: "svc", Addr: dead.Addr().String(), Zone: "a", Slots: 4, State: target.Ready, Seq: 1}})
+		}
+		l.stand("good", func(r *target.Run) { r.Slots = 1 }, sealed)
+		for i := range 4 {
+			id := fmt.Sprint("q", i)
+			began := time.Now()
+			if g := l.call("/once/x", id, 3*time.Second); !g.proper(id) || time.Since(began) > 2*time.Second {
+				t.Errorf("got %+v after %v", g, time.Since(began))
+			}
+		}
+		l.close()
+	})
+}
--- /dev/null
+++ b/internal/proxy/lead.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"time"
+)
+
+const (
+	// minLeft is the least time for which a request is sent at all.
+	minLeft = 5 * time.Millisecond
+	// maxDials bounds the runs that can't be reached for one request.
+	maxDials = 6
+)
+
+// lead brings a request to a target and returns its final answer. It runs in the
+// goroutine of the caller's connection; only an attempt besides has its own.
+func (n *Node) lead(x *exchange) *answer {
+	dials := 0
+	for {
+		if a := x.answer(); a != nil {
+			return a
+		}
+		if x.deadline.Sub(n.clock.Now()) < minLeft {
+			return x.end(n.late(x))
+		}
+		if !x.more() || dials >= maxDials {
+			if n.await(x) {
+				continue
+			}
+			return x.end(n.refusal(x, minRetry, "no target took it"))
+		}
+		g, retry := x.svc.acquire(x)
+		if g.e == nil {
+			if n.await(x) {
+				continue
+			}
+			return x.end(n.refusal(x, retry, "no target has room"))
+		}
+		o := n.attempt(x, g)
+		if o == unreachable {
+			dials++
+		}
+		if o != answered {
+			// One that is under way may still answer.
+			n.await(x)
+		}
+	}
+}
+
+// await waits for the attempt besides, and tells whether there was one.
+func (n *Node) await(x *exchange) bool {
+	c := x.besides()
+	if c == nil {
+		return false
+	}
+	<-c
+	return true
+}
+
+// refusal is the final answer where no target gave one in time: only what has not run,
+// and never will, is told to come back.
+func (n *Node) refusal(x *exchange, retry time.Duration, why string) *answer {
+	if x.mayHaveRun() {
+		n.stats.unknown.Add(1)
+		return n.own(x.id, 502, 0, "the outcome is not known")
+	}
+	n.stats.refused.Add(1)
+	return n.own(x.id, 503, n.spreadOut(retry), why)
+}
+
+// late is the final answer at the deadline.
+func (n *Node) late(x *exchange) *answer {
+	if x.mayHaveRun() {
+		n.stats.late.Add(1)
+		return n.own(x.id, 504, 0, "no answer in time")
+	}
+	return n.refusal(x, minRetry, "it did not leave in time")
+}
--- /dev/null
+++ b/internal/proxy/mix_test.go
@@ -0,0 +1,235 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/target"
+)
+
+// mixed is a target that fails in a way drawn for each request; what it does before
+// drawing counts as run only where it ran.
+func mixed(mutes bool) act {
+	return func(l *lab, c net.Conn, s *seen) bool {
+		p := rand.IntN(100)
+		switch {
+		case p < 40:
+			return sealed(l, c, s)
+		case p < 45 && mutes:
+			l.run(s)
+			_, _ = io.Copy(io.Discard, c)
+			return false
+		case p < 50 && mutes:
+			return after(time.Duration(rand.IntN(600))*time.Millisecond, sealed)(l, c, s)
+		case p < 55:
+			// A forgotten connection.
+			sealed(l, c, s)
+			return false
+		}
+		return ways[rand.IntN(len(ways))].do(l, c, s)
+	}
+}
+
+// mix sends many requests of all kinds from some callers at once, while targets come,
+// go, and take over each other's addresses.
+func mix(t *testing.T, nw network, callers, each int, pause time.Duration, mutes bool) {
+	l := newLab(t, nw, func(s *Settings) { s.Linger = time.Millisecond })
+	l.routes(3)
+	var names []string
+	seq := uint64(1)
+	for i := range 5 {
+		names = append(names, fmt.Sprint("s", i))
+		l.stand(names[i], nil, mixed(mutes))
+	}
+	type end struct {
+		kind, id string
+		got
+	}
+	var mu sync.Mutex
+	var ends []end
+	var wg sync.WaitGroup
+	for k := range callers {
+		wg.Go(func() {
+			var c *client
+			for i := range each {
+				if c == nil {
+					c = l.client()
+				}
+				kind := []string{"once", "once", "idem", "down"}[rand.IntN(4)]
+				id := fmt.Sprintf("%s-%d-%d", kind, k, i)
+				g, err := c.call("POST", "/"+kind+"/x", id, 1500*time.Millisecond)
+				if err != nil {
+					t.Errorf("%s: %v", id, err)
+				}
+				mu.Lock()
+				ends = append(ends, end{kind, id, g})
+				mu.Unlock()
+				if g.close || err != nil || rand.IntN(10) == 0 {
+					_ = c.c.Close()
+					c = nil
+				}
+				if k == 0 && i%97 == 50 {
+					// A run is replaced.
+					old := names[0]
+					names = append(names[1:], fmt.Sprint("n", i))
+					l.node.TakeRuns([]target.Run{{ID: old, Service: "svc", State: target.Draining, Seq: seq}})
+					l.stand(names[len(names)-1], nil, mixed(mutes))
+				}
+				if k == 0 && i%5 == 0 {
+					// Later beats bring back who was taken for gone.
+					seq++
+					for _, id := range names {
+						l.node.TakeRuns([]target.Run{{ID: id, Service: "svc", Addr: l.stands[id].ln.Addr().String(), Zone: "a", Slots: 4, State: target.Ready, Seq: seq}})
+					}
+				}
+				if g.status == 503 {
+					time.Sleep(pause)
+				}
+			}
+			if c != nil {
+				_ = c.c.Close()
+			}
+		})
+	}
+	wg.Wait()
+	served, refused := 0, 0
+	for _, e := range ends {
+		if e.status == 503 {
+			refused++
+		}
+		n := l.runs(e.id)
+		switch {
+		case e.kind == "once" && n > 1:
+			t.Errorf("%s ran %d times", e.id, n)
+		case promise(e.status) && n > 0:
+			t.Errorf("%s was answered %d and ran", e.id, e.status)
+		case e.status == 200 && !e.proper(e.id):
+			t.Errorf("%s got %+v", e.id, e.got)
+		case e.status == 200:
+			served++
+		case e.status != 500 && e.status != 502 && e.status != 503 && e.status != 504:
+			t.Errorf("%s got %+v", e.id, e.got)
+		}
+		if e.head.Get(dialect.RequestID) != e.id {
+			t.Errorf("%s got an answer that names %q", e.id, e.head.Get(dialect.RequestID))
+		}
+	}
+	asked := map[string]map[string]int{}
+	for _, s := range l.arrivals() {
+		if asked[s.id] == nil {
+			asked[s.id] = map[string]int{}
+		}
+		asked[s.id][s.run]++
+	}
+	for id, runs := range asked {
+		sum := 0
+		for run, n := range runs {
+			if sum += n; n > 1 {
+				t.Errorf("%s came to %s %d times", id, run, n)
+			}
+		}
+		if sum > 3 {
+			t.Errorf("%s came to %d targets", id, sum)
+		}
+	}
+	if served < (len(ends)-refused)/2 || served < 500 {
+		t.Errorf("%d of %d were served, %d refused", served, len(ends), refused)
+	}
+	t.Logf("%d of %d served; %+v", served, len(ends), l.node.Stats())
+	l.close()
+	if s := l.node.Stats(); s.Inside != 0 || s.MemoryUsed != 0 || s.Callers != 0 {
+		t.Errorf("left over: %+v", s)
+	}
+	for _, s := range l.node.all() {
+		for _, e := range s.all {
+			if len(e.starts) != 0 || e.open != 0 {
+				t.Errorf("%s: %d under way, %d connections", e.run.ID, len(e.starts), e.open)
+			}
+		}
+	}
+}
+
+func TestMixOverLoopback(t *testing.T) { mix(t, loopback{}, 8, 400, 0, false) }
+
+func TestMixOverVirtualTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { mix(t, newPipes(), 16, 400, 100*time.Millisecond, true) })
+}
+
+// TestBudget: with all targets failing, arrivals beyond the first of each request stay
+// within the budget in every window, and some are made.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ratio, window = 0.2, 10 * time.Second
+		l := newLab(t, newPipes(), func(s *Settings) { s.BudgetRatio, s.BudgetWindow, s.BudgetSlack = ratio, window, 0 })
+		l.routes(3)
+		type arrival struct {
+			at time.Time
+			id string
+		}
+		var mu sync.Mutex
+		var came []arrival
+		fail := func(l *lab, c net.Conn, s *seen) bool {
+			mu.Lock()
+			came = append(came, arrival{time.Now(), s.id})
+			mu.Unlock()
+			if rand.IntN(2) == 0 {
+				return text("HTTP/1.1 503 Full\nX-Id: ID\nX-Not-Run: 1\nContent-Length: 0\n\n")(l, c, s)
+			}
+			return false
+		}
+		for i := range 4 {
+			l.stand(fmt.Sprint("s", i), nil, fail)
+		}
+		began := time.Now()
+		var sent []time.Time
+		for i := range 3000 {
+			// Requests ebb and flow.
+			if i%500 == 499 {
+				time.Sleep(4 * time.Second)
+			}
+			time.Sleep(10 * time.Millisecond)
+			sent = append(sent, time.Now())
+			l.call([]string{"/once/x", "/idem/x", "/down/x"}[i%3], fmt.Sprint("q", i), time.Second)
+		}
+		count := func(from, to time.Time) (n int) {
+			for _, s := range sent {
+				if s.After(from) && !s.After(to) {
+					n++
+				}
+			}
+			return n
+		}
+		all := 0
+		known := map[string]bool{}
+		var extra []time.Time
+		for _, a := range came {
+			if known[a.id] {
+				extra = append(extra, a.at)
+				all++
+			}
+			known[a.id] = true
+		}
+		for end := began; end.Before(time.Now()); end = end.Add(100 * time.Millisecond) {
+			n := 0
+			for _, e := range extra {
+				if e.After(end.Add(-window)) && !e.After(end) {
+					n++
+				}
+			}
+			most := max(count(end.Add(-window), end), count(end.Add(-2*window), end.Add(-window)))
+			if float64(n) > ratio*float64(most) {
+				t.Fatalf("%d further arrivals in the window that ends after %v, with %d requests", n, end.Sub(began), most)
+			}
+		}
+		if all < 100 {
+			t.Errorf("%d further arrivals in all", all)
+		}
+		l.close()
+	})
+}
--- /dev/null
+++ b/internal/proxy/order_test.go
@@ -0,0 +1,293 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/item"
+	"walkrudder/internal/route"
+	"walkrudder/internal/target"
+)
+
+// TestUnsynced: a node that may not have heard of a route never says that there is
+// none; one that has does.
+func TestUnsynced(t *testing.T) {
+	l := newLab(t, loopback{}, nil)
+	l.stand("one", nil, sealed)
+	if g := l.call("/nowhere/x", "q1", time.Second); g.status != 503 || g.head.Get(dialect.RetryAfter) == "" || g.head.Get(dialect.RequestID) != "q1" {
+		t.Errorf("unsynced: %+v", g)
+	}
+	if l.node.Ready() {
+		t.Error("ready without routes")
+	}
+	l.routes(1)
+	if !l.node.Ready() {
+		t.Error("not ready with routes")
+	}
+	for _, p := range []string{"/nowhere/x", "/once", "/", "/Once/x"} {
+		if g := l.call(p, "q2", time.Second); g.status != 404 || g.close {
+			t.Errorf("%s: %+v", p, g)
+		}
+	}
+	l.node.TakeItems([]item.Item{{Key: item.Key{Kind: item.Route, Name: "r/once/"}, Version: 2, Gone: true}})
+	if g := l.call("/once/x", "q3", time.Second); g.status != 404 {
+		t.Errorf("a dropped route: %+v", g)
+	}
+	// An older copy that comes late brings nothing back.
+	l.node.TakeItems([]item.Item{route.Route{Name: "r/once/", Version: 1, Host: "h", Prefix: "/once/", Repeat: route.Once, Shares: []route.Share{{Service: "svc", Weight: 1}}}.Item()})
+	if g := l.call("/once/x", "q4", time.Second); g.status != 404 {
+		t.Errorf("a dropped route came back: %+v", g)
+	}
+}
+
+// TestNoTarget: a service without a run is refused at once.
+func TestNoTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), nil)
+		l.routes(1)
+		began := time.Now()
+		g := l.call("/once/x", "q1", 3*time.Second)
+		if g.status != 503 || g.head.Get(dialect.RetryAfter) == "" || time.Since(began) != 0 {
+			t.Errorf("%+v after %v", g, time.Since(began))
+		}
+		l.node.TakeRuns([]target.Run{{ID: "x", Service: "svc", Addr: "pipe9", Zone: "a", Slots: 1, State: target.Draining, Seq: 1}})
+		if g := l.call("/once/x", "q2", 3*time.Second); g.status != 503 {
+			t.Errorf("%+v", g)
+		}
+		l.close()
+	})
+}
+
+// TestPriority: where more come than targets can take, the first rank is served before
+// the others, nobody waits past a quarter of its aim, all are answered, and the last
+// rank gets its turn where there is room.
+func TestPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), nil)
+		l.node.TakeItems([]item.Item{
+			route.Service{Name: "svc", Version: 1, MaxConns: 100}.Item(),
+			route.Route{Name: "hi", Version: 1, Host: "h", Prefix: "/hi/", Repeat: route.Once, AimMS: 400, Priority: 0, Shares: []route.Share{{Service: "svc", Weight: 1}}}.Item(),
+			route.Route{Name: "lo", Version: 1, Host: "h", Prefix: "/lo/", Repeat: route.Once, AimMS: 400, Priority: 2, Shares: []route.Share{{Service: "svc", Weight: 1}}}.Item(),
+		})
+		l.node.SetSynced(true)
+		// One request at a time, though two may come: 50 a second, where 62 of each rank
+		// ask.
+		slot := make(chan struct{}, 1)
+		l.stand("one", func(r *target.Run) { r.Slots = 1 }, func(l *lab, c net.Conn, s *seen) bool {
+			slot <- struct{}{}
+			time.Sleep(20 * time.Millisecond)
+			<-slot
+			return sealed(l, c, s)
+		})
+		var mu sync.Mutex
+		served, asked := map[string]int{}, map[string]int{}
+		refusedAfter := time.Duration(0)
+		var wg sync.WaitGroup
+		for i := range 400 {
+			kind := "hi"
+			if i%2 == 1 {
+				kind = "lo"
+			}
+			wg.Go(func() {
+				id := fmt.Sprint(kind, i)
+				began := time.Now()
+				g := l.call("/"+kind+"/x", id, 2*time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				asked[kind]++
+				switch {
+				case g.proper(id):
+					served[kind]++
+				case g.status == 503 && g.head.Get(dialect.RetryAfter) != "" && l.runs(id) == 0:
+					refusedAfter = max(refusedAfter, time.Since(began))
+				default:
+					t.Errorf("%s got %+v", id, g)
+				}
+			})
+			time.Sleep(8 * time.Millisecond)
+		}
+		wg.Wait()
+		t.Logf("served %v of %v, refused after %v at most", served, asked, refusedAfter)
+		if served["hi"] < 4*served["lo"] || served["lo"] < 10 || served["hi"]+served["lo"] < 150 {
+			t.Errorf("served %v of %v", served, asked)
+		}
+		if refusedAfter > 100*time.Millisecond {
+			t.Errorf("refused only after %v", refusedAfter)
+		}
+		l.close()
+	})
+}
+
+// TestRetryGrows: under overload callers are told to come back later than in a calm.
+func TestRetryGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), nil)
+		l.routes(1)
+		l.stand("one", func(r *target.Run) { r.Slots = 1 }, after(200*time.Millisecond, sealed))
+		told := func(n int) (most time.Duration) {
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			for i := range n {
+				wg.Go(func() {
+					g := l.call("/once/x", fmt.Sprint("n", n, "-", i), 3*time.Second)
+					if v := g.head.Get(dialect.RetryAfter); v != "" {
+						d, err := time.ParseDuration(v + "s")
+						if err != nil || g.status != 503 || d < minRetry || d > time.Second {
+							t.Errorf("told %q with %d", v, g.status)
+						}
+						mu.Lock()
+						most = max(most, d)
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			time.Sleep(10 * time.Second)
+			return most
+		}
+		few, many := told(4), told(100)
+		if few == 0 || many <= few {
+			t.Errorf("told %v with few and %v with many", few, many)
+		}
+		l.close()
+	})
+}
+
+// TestStop: a planned stop makes the node not ready at once, takes callers in for a
+// while, cuts nothing off, and ends when all is answered.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), nil)
+		l.routes(1)
+		l.stand("one", func(r *target.Run) { r.Slots = 50 }, after(4*time.Second, sealed))
+		idle := l.client()
+		if g, err := idle.call("GET", "/none/", "warm", time.Second); err != nil || g.close {
+			t.Fatal(g, err)
+		}
+		var wg sync.WaitGroup
+		for i := range 20 {
+			wg.Go(func() {
+				id := fmt.Sprint("q", i)
+				if g := l.call("/once/x", id, 10*time.Second); !g.proper(id) {
+					t.Errorf("%s got %+v", id, g)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		began := time.Now()
+		var stopped time.Duration
+		wg.Go(func() {
+			if err := l.node.Stop(t.Context()); err != nil {
+				t.Error(err)
+			}
+			stopped = time.Since(began)
+		})
+		synctest.Wait()
+		if l.node.Ready() {
+			t.Error("still ready")
+		}
+		time.Sleep(time.Second)
+		if g := l.call("/none/x", "late", time.Second); g.status != 404 || !g.close {
+			t.Errorf("while stopping: %+v", g)
+		}
+		closed := time.Duration(0)
+		wg.Go(func() {
+			_, err := idle.r.ReadByte()
+			if err != io.EOF {
+				t.Errorf("an idle caller got %v", err)
+			}
+			closed = time.Since(began)
+		})
+		wg.Wait()
+		if closed != 2500*time.Millisecond {
+			t.Errorf("an idle caller was closed after %v", closed)
+		}
+		// Those under way end after 3 s.
+		if stopped != 3*time.Second {
+			t.Errorf("stopped after %v", stopped)
+		}
+	})
+}
+
+// TestStopKeepsToTheGrace: what a target is still at work on is not answered in its
+// place, and the node does not wait past its grace.
+func TestStopKeepsToTheGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), nil)
+		l.routes(1)
+		l.stand("one", nil, after(30*time.Second, sealed))
+		c := l.client()
+		if err := c.send("GET", "/once/x", "q1", 60*time.Second, "", ""); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		began := time.Now()
+		err := l.node.Stop(t.Context())
+		if err == nil || !strings.Contains(err.Error(), "1 requests") || time.Since(began) != 5700*time.Millisecond {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+		go func() { time.Sleep(time.Second); _ = c.c.Close() }()
+		if g, err := c.read(); err == nil {
+			t.Errorf("answered %+v", g)
+		}
+		l.close()
+	})
+}
+
+// TestStopMeetsRequest: a request that arrives at the very moment at which idle callers
+// are closed is served whole or not read.
+func TestStopMeetsRequest(t *testing.T) {
+	for i := range 50 {
+		l := newLab(t, loopback{}, func(s *Settings) { s.Linger = time.Nanosecond })
+		l.routes(1)
+		l.stand("one", nil, sealed)
+		c := l.client()
+		id := fmt.Sprint("q", i)
+		if g, err := c.call("GET", "/once/x", "warm", 5*time.Second); err != nil || !g.proper("warm") {
+			t.Fatal(g, err)
+		}
+		done := make(chan error)
+		go func() { done <- l.node.Stop(t.Context()) }()
+		g, err := c.call("GET", "/once/x", id, 5*time.Second)
+		switch {
+		case err == nil && g.proper(id):
+		case err != nil && l.runs(id) == 0:
+		default:
+			t.Errorf("got %+v, %v; ran %d times", g, err, l.runs(id))
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		l.close()
+	}
+}
+
+// TestDraining: a run that drains gets nothing from the moment at which the node knows.
+func TestDraining(t *testing.T) {
+	l := newLab(t, loopback{}, nil)
+	l.routes(1)
+	l.stand("one", nil, sealed)
+	l.stand("two", nil, sealed)
+	for i := range 40 {
+		id := fmt.Sprint("q", i)
+		if i == 20 {
+			l.node.TakeRuns([]target.Run{{ID: "one", Service: "svc", State: target.Draining, Seq: 5}})
+			// News of an earlier beat that comes late.
+			l.node.TakeRuns([]target.Run{{ID: "one", Service: "svc", Addr: l.stands["one"].ln.Addr().String(), Zone: "a", Slots: 4, State: target.Ready, Seq: 3}})
+		}
+		if g := l.call("/once/x", id, 5*time.Second); !g.proper(id) {
+			t.Errorf("%+v", g)
+		}
+	}
+	for _, s := range l.arrivals()[20:] {
+		if s.run == "one" {
+			t.Errorf("%s went to a run that drains", s.id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/serve.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"walkrudder/internal/defect"
+)
+
+const (
+	// stopMargin is kept free at the end of a planned stop.
+	stopMargin = 300 * time.Millisecond
+	// acceptPause is waited where no connection can be taken in for want of files.
+	acceptPause = 20 * time.Millisecond
+)
+
+// Serve takes callers in from ln until a planned stop closes it.
+func (n *Node) Serve(ln net.Listener) error {
+	n.cm.Lock()
+	n.lns = append(n.lns, ln)
+	n.cm.Unlock()
+	if n.ended.Load() {
+		_ = ln.Close()
+	}
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			var ne net.Error
+			switch {
+			case n.ended.Load():
+				return nil
+			case errors.Is(err, net.ErrClosed):
+				return defect.At("accept", "", err)
+			case errors.As(err, &ne):
+				if err := n.clock.Sleep(context.Background(), acceptPause); err != nil {
+					return defect.At("accept", "", err)
+				}
+				continue
+			}
+			return defect.At("accept", "", err)
+		}
+		n.admit(nc)
+	}
+}
+
+// admit begins to serve a caller, unless there are too many.
+func (n *Node) admit(nc net.Conn) {
+	if n.stats.callers.Add(1) > n.maxCallers {
+		n.stats.callers.Add(-1)
+		n.stats.overfull.Add(1)
+		_ = nc.Close()
+		return
+	}
+	c := &caller{n: n, nc: nc}
+	n.cm.Lock()
+	n.callers[c] = struct{}{}
+	n.wg.Add(1)
+	n.cm.Unlock()
+	go func() {
+		defer func() {
+			n.cm.Lock()
+			delete(n.callers, c)
+			n.cm.Unlock()
+			n.stats.callers.Add(-1)
+			n.wg.Done()
+		}()
+		c.serve()
+	}()
+}
+
+// Stop ends the node in order. At once it is not ready and tells callers to close; for
+// a while it takes in those who have yet to notice; then it closes the listeners and
+// the idle callers, and returns when all inside is answered, or the grace is over.
+// Nothing is answered in place of a target that is at work.
+func (n *Node) Stop(ctx context.Context) error {
+	if n.stopping.Swap(true) {
+		return nil
+	}
+	begun := n.clock.Now()
+	if err := n.clock.Sleep(ctx, min(n.set.Linger, n.set.Grace/2)); err != nil {
+		return defect.At("stop", "", err)
+	}
+	n.ended.Store(true)
+	n.leaving.Store(true)
+	n.cm.Lock()
+	for _, ln := range n.lns {
+		_ = ln.Close()
+	}
+	for c := range n.callers {
+		c.release()
+	}
+	n.cm.Unlock()
+	done := make(chan struct{})
+	go func() {
+		n.wg.Wait()
+		close(done)
+	}()
+	c, stop := n.clock.After(max(0, n.set.Grace-stopMargin-n.clock.Now().Sub(begun)))
+	defer stop()
+	select {
+	case <-done:
+		return nil
+	case <-c:
+		return defect.New("stop", "", "%d requests were not answered in the grace", n.stats.inside.Load())
+	case <-ctx.Done():
+		return defect.At("stop", "", ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/proxy/settings.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"walkrudder/internal/defect"
+)
+
+// Dialect names the header fields that callers, proxies and targets agreed on.
+// Whoever embeds the proxy gives them; nothing here knows a platform's names.
+type Dialect struct {
+	RequestID  string `validate:"required"` // names the request, both ways
+	Remaining  string `validate:"required"` // how many milliseconds the caller waits
+	Seal       string `validate:"required"` // stands in each success of a target
+	Expect     string `validate:"required"` // names the run that is meant
+	NotRun     string `validate:"required"` // the target says that it did not run the request
+	RetryAfter string `validate:"required"`
+	Instance   string `validate:"required"` // names the run in a health answer
+}
+
+// Settings are what a node is told at its start.
+type Settings struct {
+	ID      string            `validate:"required"`
+	Zone    string            `validate:"required"`
+	Zones   map[string]string // zone -> region
+	Dialect Dialect
+
+	BudgetRatio  float64       `validate:"gte=0,lte=10"`
+	BudgetWindow time.Duration `validate:"gt=0"`
+	BudgetSlack  int           `validate:"gte=0"`
+
+	MemoryMB int    `validate:"gte=0"` // 0 is 256
+	MaxFiles int    `validate:"gte=0"` // 0 is 1024
+	Bind     string // own IP to call from; "" leaves it to the system
+
+	// Grace is how long a planned stop may take.
+	Grace time.Duration `validate:"gt=0"`
+	// Linger is how long after a planned stop began new callers are taken, and idle
+	// ones kept: those who send callers here notice late. 0 is 2.5 s.
+	Linger time.Duration `validate:"gte=0"`
+	// ProbeEvery is the mean interval of health probes to one run; 0 is 4 s. Probes
+	// wait for a slot at their target as requests do, so they are few.
+	ProbeEvery time.Duration `validate:"gte=0"`
+	// DialTime bounds a connect within the region; 0 is 400 ms. A cut is silent.
+	DialTime time.Duration `validate:"gte=0"`
+	// MaxAnswer bounds a target's answer, which is held whole; 0 is 8 MiB.
+	MaxAnswer int `validate:"gte=0"`
+}
+
+// Check tells what is wrong with the settings.
+func (s Settings) Check() error {
+	return defect.At("settings", "", validator.New(validator.WithRequiredStructEnabled()).Struct(s))
+}
+
+// filled puts defaults where nothing was given.
+func (s Settings) filled() Settings {
+	def(&s.MemoryMB, 256)
+	def(&s.MaxFiles, 1024)
+	def(&s.Grace, 6*time.Second)
+	def(&s.Linger, 2500*time.Millisecond)
+	def(&s.ProbeEvery, 4*time.Second)
+	def(&s.DialTime, 400*time.Millisecond)
+	def(&s.MaxAnswer, 8<<20)
+	def(&s.BudgetWindow, 10*time.Second)
+	return s
+}
+
+func def[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/proxy/stats.go
@@ -0,0 +1,43 @@
+package proxy
+
+import "sync/atomic"
+
+// Stats are counters since the start, for operators.
+type Stats struct {
+	Callers, Inside, MemoryUsed             int64
+	Requests, NoRoute, Refused, Late        uint64
+	Unknown, Waited, Hedges, OverBudget     uint64
+	Dials, DialsFailed                      uint64
+	Probes, ProbesAnswered                  uint64
+	Answered, TurnedAway, Misdirected       uint64
+	Unreachable, Reset, Stale, Spoilt, Mute uint64
+	CutShort, Withheld, Malformed, Overfull uint64
+}
+
+type stats struct {
+	callers, inside                     atomic.Int64
+	requests, noRoute, refused, late    atomic.Uint64
+	unknown, waited, hedges, overBudget atomic.Uint64
+	dials, dialsFailed                  atomic.Uint64
+	probes, probesAnswered              atomic.Uint64
+	malformed, overfull                 atomic.Uint64
+	outcomes                            [withheld + 1]atomic.Uint64
+}
+
+func (s *stats) note(o outcome) { s.outcomes[o].Add(1) }
+
+// Stats reads the counters.
+func (n *Node) Stats() Stats {
+	s := &n.stats
+	of := func(o outcome) uint64 { return s.outcomes[o].Load() }
+	return Stats{
+		Callers: s.callers.Load(), Inside: s.inside.Load(), MemoryUsed: n.mem.used.Load(),
+		Requests: s.requests.Load(), NoRoute: s.noRoute.Load(), Refused: s.refused.Load(), Late: s.late.Load(),
+		Unknown: s.unknown.Load(), Waited: s.waited.Load(), Hedges: s.hedges.Load(), OverBudget: s.overBudget.Load(),
+		Dials: s.dials.Load(), DialsFailed: s.dialsFailed.Load(),
+		Probes: s.probes.Load(), ProbesAnswered: s.probesAnswered.Load(),
+		Answered: of(answered), TurnedAway: of(turnedAway), Misdirected: of(misdirected),
+		Unreachable: of(unreachable), Reset: of(reset), Stale: of(stale), Spoilt: of(spoilt), Mute: of(mute),
+		CutShort: of(cutShort), Withheld: of(withheld), Malformed: s.malformed.Load(), Overfull: s.overfull.Load(),
+	}
+}
--- /dev/null
+++ b/internal/route/entry_test.go
@@ -0,0 +1,60 @@
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+func entryOf(weights ...float64) *Entry {
+	r := Route{}
+	for i, w := range weights {
+		r.Shares = append(r.Shares, Share{string(rune('a' + i)), w})
+	}
+	return newEntry(r, func(s string) int { return int(s[0]-'a') + 10 })
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	const draws = 100_000
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, weights := range [][]float64{
+		{1}, {0}, {90, 10}, {1, 1, 1}, {0, 1}, {1, 0}, {0, 3, 0, 1, 0},
+		{math.MaxFloat64, math.MaxFloat64}, {math.SmallestNonzeroFloat64, math.SmallestNonzeroFloat64},
+	} {
+		e := entryOf(weights...)
+		count := make([]int, len(weights))
+		for range draws {
+			count[e.Pick(rng.Uint64())-10]++
+		}
+		top, sum := 0.0, 0.0
+		for _, w := range weights {
+			top = max(top, w)
+		}
+		for _, w := range weights {
+			sum += w / top
+		}
+		for i, w := range weights {
+			p := w / top / sum
+			if len(weights) == 1 {
+				p = 1
+			}
+			dev := 5 * math.Sqrt(draws*p*(1-p))
+			if math.Abs(float64(count[i])-draws*p) > dev {
+				t.Errorf("%v: service %d got %d of %d", weights, i, count[i], draws)
+			}
+		}
+	}
+}
+
+// A service without weight gets nothing at the ends of the range either.
+func TestPickAtTheEnds(t *testing.T) {
+	e := entryOf(0, 1, 1, 0)
+	for u, want := range map[uint64]int{0: 11, math.MaxUint64: 12, 1<<63 - 1: 11, 1<<63 + 1: 12} {
+		if got := e.Pick(u); got != want {
+			t.Errorf("%x falls to %d, want %d", u, got, want)
+		}
+	}
+	if e.Services[0] != 10 || len(e.Services) != 4 {
+		t.Errorf("services %v", e.Services)
+	}
+}
