--- /dev/null
+++ b/internal/proxy/bench_test.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"walkrudder/internal/item"
+	"walkrudder/internal/pulse"
+	"walkrudder/internal/route"
+	"walkrudder/internal/target"
+)
+
+// BenchmarkRequest is one request over loopback, kept connections on both sides. The
+// stand-in target and the caller are in the figures, too.
+func BenchmarkRequest(b *testing.B) {
+	n := New(Parts{Settings: Settings{ID: "f", Zone: "a", Dialect: dialect}, Clock: pulse.Wall{}})
+	n.TakeItems([]item.Item{
+		route.Service{Name: "svc", Version: 1}.Item(),
+		route.Route{Name: "r", Version: 1, Host: "h", Prefix: "/a/", Repeat: route.Idempotent, Attempts: 2, AimMS: 400, Shares: []route.Share{{Service: "svc", Weight: 1}}}.Item(),
+	})
+	n.SetFlows(1, 1)
+	n.SetSynced(true)
+	to := loopback{}.listen()
+	defer to.Close()
+	go func() {
+		for {
+			c, err := to.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if line == "\r\n" {
+						if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: q\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nbody"); err != nil {
+							return
+						}
+					}
+				}
+			}()
+		}
+	}()
+	n.TakeRuns([]target.Run{{ID: "t", Service: "svc", Addr: to.Addr().String(), Zone: "a", Slots: 4, State: target.Ready, Seq: 1}})
+	ln := loopback{}.listen()
+	go func() { _ = n.Serve(ln) }()
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := fmt.Fprint(c, "GET /a/x HTTP/1.1\r\nHost: h\r\nX-Id: q\r\nX-Left: 5000\r\n\r\n"); err != nil {
+			b.Fatal(err)
+		}
+		p, err := http.ReadResponse(r, nil)
+		if err != nil || p.StatusCode != 200 {
+			b.Fatal(p, err)
+		}
+		if _, err := io.Copy(io.Discard, p.Body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -154,14 +154,15 @@
 		c.h.DisableNormalizing()
 		c.h.SetNoDefaultContentType(true)
 		err := c.h.Read(c.r)
-		var small *fasthttp.ErrSmallBuffer
-		var ne net.Error
-		switch {
-		case err == nil:
+		if err == nil {
 			if len(c.h.RawHeaders())+len(c.h.RequestURI()) > l.HeaderBytes {
 				return &refused{status: 431, why: "the head is too large"}
 			}
 			return nil
+		}
+		var small *fasthttp.ErrSmallBuffer
+		var ne net.Error
+		switch {
 		case errors.As(err, &small):
 			if c.r.Size() >= l.HeaderBytes+len("\r\n\r\n") {
 				return &refused{status: 431, why: "the head is too large"}
--- a/internal/proxy/choice_test.go
+++ b/internal/proxy/choice_test.go
@@ -239,3 +239,42 @@
 		}
 	})
 }
+
+// TestLastRankMayWait: where the queue is so long that to wait seems in vain, some of
+// each rank wait all the same, for their turn; others are refused at once.
+func TestLastRankMayWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := plan(at("a1", "a", 1))
+		fill(n, s, route.Once)
+		now := n.clock.Now()
+		for range 100 {
+			s.queue.push(&waiter{x: ask(n, s, route.Once), came: now, got: make(chan grant, 1), index: -1})
+		}
+		began := time.Now()
+		waited := make(chan time.Duration, 5)
+		for range 5 {
+			go func() {
+				x := ask(n, s, route.Once)
+				x.priority = 3
+				g, retry := s.acquire(x)
+				if g.e != nil || retry < minRetry {
+					t.Errorf("%+v, %v", g, retry)
+				}
+				waited <- time.Since(began)
+			}()
+		}
+		n0 := 0
+		for range 5 {
+			switch d := <-waited; d {
+			case 0:
+				n0++
+			case 400 * time.Millisecond / waitPart:
+			default:
+				t.Errorf("waited %v", d)
+			}
+		}
+		if n0 != 5-fewPeers {
+			t.Errorf("%d of 5 were refused at once", n0)
+		}
+	})
+}
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -68,6 +69,10 @@
 	{"an encoding", ranThen(text("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\nContent-Encoding: gzip\nContent-Length: 1\n\nx")), 502, 200, 1},
 	{"two lengths", ranThen(text("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\nContent-Length: 4\nContent-Length: 1\n\nx123")), 502, 200, 1},
 	{"no end", ranThen(textThenClose("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\n\nall of it?")), 502, 200, 1},
+	{"no end, but as chunks", ranThen(textThenClose("HTTP/1.1 200 OK\nX-Id: ID\nX-Seal: s\n\n4\nbody\n0\n\n")), 502, 200, 1},
+	{"a success that says it did not run", ranThen(func(_ *lab, c net.Conn, s *seen) bool {
+		return say(c, "200 OK", s.id, "X-Seal: s\r\nX-Not-Run: 1\r\n", bodyOf(s.id))
+	}), 200, 200, 1},
 	{"no HTTP", ranThen(textThenClose("garble garble\n\n")), 502, 200, 1},
 	{"switching protocols", ranThen(text("HTTP/1.1 101 Switching\nX-Id: ID\nX-Seal: s\n\n")), 502, 200, 1},
 	{"not run, full", text("HTTP/1.1 503 Full\nX-Id: ID\nX-Not-Run: 1\nContent-Length: 0\n\n"), 200, 200, 1},
@@ -401,3 +406,104 @@
 		l.close()
 	})
 }
+
+// TestCloseHonoured: nothing goes over a connection whose target said that it closes,
+// though it has not done so yet.
+func TestCloseHonoured(t *testing.T) {
+	for _, field := range []string{"close", "Close", "x, close"} {
+		l := newLab(t, loopback{}, nil)
+		l.routes(1)
+		l.stand("one", nil, func(l *lab, c net.Conn, s *seen) bool {
+			l.run(s)
+			return say(c, "200 OK", s.id, "X-Seal: s\r\nConnection: "+field+"\r\n", bodyOf(s.id))
+		})
+		for i := range 3 {
+			id := fmt.Sprint("q", i)
+			if g := l.call("/idem/x", id, 5*time.Second); !g.proper(id) {
+				t.Errorf("got %+v", g)
+			}
+		}
+		for _, s := range l.arrivals() {
+			if s.onConn != 1 {
+				t.Errorf("%s: %s came over a connection that closes", field, s.id)
+			}
+		}
+	}
+}
+
+// TestDeadBeforeWrite: where the look at a kept connection showed nothing, but not one
+// byte could be written, the same run is asked over a new one.
+func TestDeadBeforeWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, kind := range []string{"once", "idem"} {
+			l := newLab(t, numbPipes{newPipes()}, func(s *Settings) { s.BudgetRatio = 0 })
+			l.routes(1)
+			s := l.stand("one", nil, sealed)
+			for i := range 5 {
+				id := fmt.Sprint("q", i)
+				if g := l.call("/"+kind+"/x", id, 5*time.Second); !g.proper(id) || l.runs(id) != 1 {
+					t.Errorf("%s got %+v, ran %d times", id, g, l.runs(id))
+				}
+				s.cut()
+				synctest.Wait()
+			}
+			if n := l.node.Stats().Dials; n != 5 {
+				t.Errorf("%d connects", n)
+			}
+			l.close()
+		}
+	})
+}
+
+// TestDrainsWhileConnecting: news that come while a connection is made are heeded.
+func TestDrainsWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &telling{pipes: newPipes()}
+		l := newLab(t, p, nil)
+		l.routes(1)
+		l.stand("one", nil, sealed)
+		l.stand("two", nil, sealed)
+		drained := ""
+		p.tell = func(addr string) {
+			for id, s := range l.stands {
+				if drained == "" && s.ln.Addr().String() == addr {
+					drained = id
+					l.node.TakeRuns([]target.Run{{ID: id, Service: "svc", State: target.Draining, Seq: 2}})
+				}
+			}
+		}
+		if g := l.call("/once/x", "q1", time.Second); !g.proper("q1") {
+			t.Errorf("got %+v", g)
+		}
+		if a := l.arrivals(); drained == "" || len(a) != 1 || a[0].run == drained {
+			t.Errorf("%q drained, %d arrived", drained, len(a))
+		}
+		l.close()
+	})
+}
+
+// telling calls tell before each connect.
+type telling struct {
+	*pipes
+	tell func(addr string)
+}
+
+func (p *telling) dial(ctx context.Context, addr string) (net.Conn, error) {
+	p.tell(addr)
+	return p.pipes.dial(ctx, addr)
+}
+
+// numbPipes make connections that show nothing of their end before a write.
+type numbPipes struct{ *pipes }
+
+type numb struct{ net.Conn }
+
+func (n numb) SetDeadline(d time.Time) error { _ = n.Conn.SetDeadline(d); return nil }
+
+func (p numbPipes) dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := p.pipes.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return numb{c}, nil
+}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"walkrudder/internal/target"
@@ -16,11 +17,13 @@
 // a reply that names the run is arrival j for the run's detector; what a choice reads is
 // its fresh suspicion.
 func (n *Node) probe(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for n.clock.Sleep(ctx, probeTick) == nil {
 		now := n.clock.Now()
 		for _, s := range n.all() {
 			for _, p := range s.due(now) {
-				go n.ask(p)
+				wg.Go(func() { n.ask(ctx, p) })
 			}
 		}
 		n.mu.Lock()
@@ -70,7 +73,7 @@
 }
 
 // ask sends one probe and takes in its reply.
-func (n *Node) ask(p probing) {
+func (n *Node) ask(ctx context.Context, p probing) {
 	e, s := p.e, p.e.svc
 	n.stats.probes.Add(1)
 	now := n.clock.Now()
@@ -82,7 +85,11 @@
 		s.mu.Unlock()
 		return
 	}
+	stop := context.AfterFunc(ctx, c.giveUp)
 	well, other, keep := n.health(c, p)
+	if !stop() {
+		keep = 0
+	}
 	s.mu.Lock()
 	e.probing = false
 	if other && e.run.State == target.Ready && e.run.ID == p.id && e.run.Addr == p.addr {
