A surplus answer to an earlier request is passed over; the one behind it counts

Ruled out: fresh connections for all orders (each is priced, and 45 ms of a slot where the deployment has grown). Change: on a connection used before, a whole answer that names another request is read to its end and passed over, at most two; ours must still name our request and be sealed; the connection is not used again. On a connection's first use nothing is passed over.

Test: TestSurplusBefore (3 of 6 orders failed before).

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -48,7 +48,8 @@
 
 // Why an answer is no answer to the request.
 var (
-	errOther    = errors.New("an answer to another request")
+	errOther    = errors.New("an answer that names no request, or two")
+	errSurplus  = errors.New("an answer to another request")
 	errSeal     = errors.New("a success without seal")
 	errEncoding = errors.New("an answer in an encoding that nobody asked for")
 	errPromise  = errors.New("a status that promises not run, without the target's word for it")
@@ -64,10 +65,30 @@
 	close  bool
 }
 
+// mostSurplus bounds the answers to earlier requests that are passed over before the
+// one that is due.
+const mostSurplus = 2
+
 // readAnswer reads one answer to the request id and checks it: what it returns is
 // whole by its framing, names the request, and is sealed if it is a success. Interim
-// answers are passed over.
+// answers are passed over, and so is, on a connection that was used before, a whole
+// answer that names another request: a target in trouble may answer an earlier request
+// once more, in the place where the next answer is due, and the one that is due comes
+// behind it. Such a connection is not used again.
 func (n *Node) readAnswer(c *conn, id []byte, head bool) (*answer, reply, error) {
+	for surplus := 0; ; surplus++ {
+		a, p, err := n.readOne(c, id, head)
+		if errors.Is(err, errSurplus) && c.uses > 1 && surplus < mostSurplus {
+			n.stats.surplus.Add(1)
+			continue
+		}
+		p.close = p.close || surplus > 0
+		return a, p, err
+	}
+}
+
+// readOne reads one answer. errSurplus says that it was a whole one to another request.
+func (n *Node) readOne(c *conn, id []byte, head bool) (*answer, reply, error) {
 	h := &c.h
 	for {
 		h.Reset()
@@ -87,8 +108,12 @@
 	}
 	a := &answer{status: h.StatusCode(), length: -1, head: getBuffer()}
 	p, err := n.readFields(h, a, id)
-	if err == nil {
-		err = n.readAnswerBody(c, a, head)
+	other := errors.Is(err, errSurplus)
+	if err == nil || other {
+		// What answers another request is read to its end, and that is all.
+		if e := n.readAnswerBody(c, a, head && !other); e != nil {
+			err = e
+		}
 	}
 	if err != nil {
 		n.mem.give(a.held)
@@ -101,14 +126,13 @@
 func (n *Node) readFields(h *fasthttp.ResponseHeader, a *answer, id []byte) (reply, error) {
 	d := &n.set.Dialect
 	p := reply{keep: idleTime, close: h.ConnectionClose()}
-	named, sealed, encoded := false, false, false
+	sealed, encoded := false, false
+	names, ours := 0, false
 	for k, v := range h.All() {
 		switch {
 		case same(k, d.RequestID):
-			if !bytes.Equal(v, id) {
-				return p, errOther
-			}
-			named = true
+			names++
+			ours = bytes.Equal(v, id)
 		case same(k, d.Seal):
 			sealed = sealed || len(v) > 0
 		case same(k, d.NotRun):
@@ -129,8 +153,10 @@
 		}
 	}
 	switch {
-	case !named:
+	case names != 1:
 		return p, errOther
+	case !ours:
+		return p, errSurplus
 	case encoded:
 		return p, errEncoding
 	case a.status < 300 && !sealed:
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -507,3 +507,38 @@
 	}
 	return numb{c}, nil
 }
+
+// TestSurplusBefore: where a target answers an earlier request once more, in the place
+// where the next answer is due, the one behind it counts, and the connection is not
+// used again. On a connection's first request nothing earlier can be answered.
+func TestSurplusBefore(t *testing.T) {
+	for _, kind := range []string{"once", "idem"} {
+		l := newLab(t, loopback{}, nil)
+		l.routes(1)
+		last := ""
+		l.stand("one", nil, func(l *lab, c net.Conn, s *seen) bool {
+			l.run(s)
+			if last != "" && s.onConn == 2 {
+				if !say(c, "200 OK", last, "X-Seal: s\r\n", bodyOf(last)) {
+					return false
+				}
+			}
+			last = s.id
+			return say(c, "200 OK", s.id, "X-Seal: s\r\n", bodyOf(s.id))
+		})
+		for i := range 6 {
+			id := fmt.Sprint("q", i)
+			if g := l.call("/"+kind+"/x", id, 5*time.Second); !g.proper(id) || l.runs(id) != 1 {
+				t.Errorf("%s got %+v, ran %d times", id, g, l.runs(id))
+			}
+		}
+		for _, s := range l.arrivals() {
+			if s.onConn > 2 {
+				t.Errorf("%s came over a connection on which a surplus answer had come", s.id)
+			}
+		}
+		if n := l.node.Stats().Surplus; n != 3 {
+			t.Errorf("%d surplus answers passed over, want 3", n)
+		}
+	}
+}
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -12,6 +12,8 @@
 	Answered, TurnedAway, Misdirected       uint64
 	Unreachable, Reset, Stale, Spoilt, Mute uint64
 	CutShort, Withheld, Malformed, Overfull uint64
+	// Surplus are answers to earlier requests that were passed over.
+	Surplus uint64
 }
 
 type stats struct {
@@ -20,7 +22,7 @@
 	unknown, waited, hedges, overBudget atomic.Uint64
 	dials, dialsFailed                  atomic.Uint64
 	probes, probesAnswered              atomic.Uint64
-	malformed, overfull                 atomic.Uint64
+	malformed, overfull, surplus        atomic.Uint64
 	outcomes                            [withheld + 1]atomic.Uint64
 }
 
@@ -39,5 +41,6 @@
 		Answered: of(answered), TurnedAway: of(turnedAway), Misdirected: of(misdirected),
 		Unreachable: of(unreachable), Reset: of(reset), Stale: of(stale), Spoilt: of(spoilt), Mute: of(mute),
 		CutShort: of(cutShort), Withheld: of(withheld), Malformed: s.malformed.Load(), Overfull: s.overfull.Load(),
+		Surplus: s.surplus.Load(),
 	}
 }
