The zones of a region serve as one, the farther as slower; downloads stay in theirs

Change: for all but downloads a run of the region counts by its expected time, three times that where it is in another zone; tiers by room as before.

--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -27,7 +27,7 @@
 	endedFor    = 5 * time.Minute
 	// farZone is the weight of the way to a zone of the own region, farRegion that to
 	// any other.
-	farZone   = 2
+	farZone   = 3
 	farRegion = 6
 	// unknownFlows is how many nodes share the targets until that is told.
 	unknownFlows = 16
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -202,7 +202,9 @@
 }
 
 // tier ranks a run for a request; -1 is one without room. Bytes between zones are
-// dear, those of downloads most of all, so these fill the own zone up first.
+// dear, those of downloads most of all, so these fill the own zone up first. For others
+// the zones of a region are one, only that a run far off counts as slower (far): a zone
+// that lost a third of its runs would else be full beside one that is half empty.
 func (e *endpoint) tier(now time.Time, x *exchange) int {
 	slots := e.slots()
 	level := 0
@@ -219,7 +221,7 @@
 	if x.kind == route.Download {
 		order = [2][3]int{{3, 4, 5}, {0, 1, 2}}
 	}
-	if e.near {
+	if e.near || x.kind != route.Download && e.far <= farZone {
 		return order[1][level]
 	}
 	return order[0][level]
