--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -190,6 +190,9 @@
 // the same and few move when minds come and go.
 func (n *Node) HomeMember(service, zone string) (news.Member, bool) {
 	ms := n.Mesh.Near()
+	if n.stop.Load() && len(ms) > 1 {
+		ms = lo.Reject(ms, func(m news.Member, _ int) bool { return m.ID == n.ID })
+	}
 	if own := lo.Filter(ms, func(m news.Member, _ int) bool { return m.Zone == zone }); len(own) > 0 {
 		ms = own
 	}
--- /dev/null
+++ b/internal/control/home_test.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/target"
+)
+
+// A target's first beat goes anywhere and the next to its home: the node that had the
+// first must not take the quiet for silence.
+func TestMovesToTheHomeMakeNoSuspicion(t *testing.T) {
+	for _, gap := range []time.Duration{time.Second, 1500 * time.Millisecond, 1900 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			play(t, 8, shape{zones: 3, disks: 3, flows: 2, bear: 1}, func(w *world) {
+				w.order(base(1), w.minds)
+				stop, over := map[int]bool{}, false
+				for i := range 100 {
+					w.wg.Go(func() {
+						time.Sleep(time.Duration(w.chance(int(gap))))
+						m := pick(w, w.minds)
+						for seq := uint64(1); ; seq++ {
+							w.mu.Lock()
+							end := over || stop[i]
+							w.mu.Unlock()
+							if end {
+								return
+							}
+							zone := fmt.Sprintf("z%d", i%3)
+							if err := w.beat(m, target.Beat{ID: fmt.Sprintf("i-%d", i), Service: "a", Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: zone, Slots: 2, Seq: seq}); err != nil {
+								t.Error(err)
+							}
+							home := m.control().Home("a", zone)
+							m, _ = lo.Find(w.minds, func(m *mindHost) bool { return m.addr == home })
+							time.Sleep(gap)
+						}
+					})
+				}
+				// A suspicion is over as soon as the home hears of it, but it leaves its trace.
+				suspected := func() (out []string) {
+					for _, m := range w.minds {
+						m.control().Board.Table(func(tb *target.Table, now time.Time) bool {
+							for r := range tb.All(now) {
+								if r.Silent > 0 {
+									out = append(out, r.ID)
+								}
+							}
+							return false
+						})
+					}
+					return lo.Uniq(out)
+				}
+				for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+					if s := suspected(); len(s) > 0 {
+						t.Errorf("%d that beat were suspected", len(s))
+						break
+					}
+				}
+				w.mu.Lock()
+				stop[17] = true
+				w.mu.Unlock()
+				w.await("suspicion of the one that fell silent", 4*gap, func() bool {
+					return w.flows[0].run("i-17").Suspected() && w.flows[1].run("i-17").Suspected()
+				})
+				if s := suspected(); len(s) != 1 {
+					t.Errorf("suspected: %v", s)
+				}
+				w.mu.Lock()
+				over = true
+				w.mu.Unlock()
+			})
+		})
+	}
+}
--- a/internal/control/net_test.go
+++ b/internal/control/net_test.go
@@ -286,6 +286,7 @@
 	mu     sync.Mutex
 	rnd    *rand.Rand
 	synced map[string][]byte
+	notes  [][]byte // the journal
 }
 
 func newDisk(rnd *rand.Rand) *disk { return &disk{rnd: rnd, synced: map[string][]byte{}} }
@@ -293,7 +294,7 @@
 func (d *disk) wipe() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.synced = map[string][]byte{}
+	d.synced, d.notes = map[string][]byte{}, nil
 }
 
 func (d *disk) holds(text string) bool {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -57,10 +57,13 @@
 	Settings
 	Inc uint64 // of this life of the process
 	// Fresh is the incarnation that an empty disk takes.
-	Fresh  string
-	Line   link.Line
-	Clock  pulse.Clock
-	Disk   keep.Disk // nil for a mind that does not vote
+	Fresh string
+	Line  link.Line
+	Clock pulse.Clock
+	Disk  keep.Disk // nil for a mind that does not vote
+	// Notes are what this node tells its next life of the targets; nil where there is no
+	// place for them.
+	Notes  keep.Journal
 	Log    *log.Logger
 	Faults *fault.Set
 	// OnBad is told when the disk fails: the process is to end.
@@ -86,6 +89,7 @@
 	marks   marks
 	busy    chan struct{} // holds a token while a change is under way
 	stop    atomic.Bool
+	started time.Time
 
 	mu     sync.Mutex
 	seeds  []string
@@ -100,7 +104,8 @@
 		return nil, defect.At("settings", "", err)
 	}
 	n := &Node{Parts: p, Desk: link.NewDesk(), Prop: accord.NewProposer(p.ID+"."+p.Fresh, p.Line, p.Clock), Board: news.NewBoard(p.Clock),
-		book: route.NewBook(), pause: liveness.NewPausesEvery(p.Clock, pauseTick), busy: make(chan struct{}, 1)}
+		book: route.NewBook(), pause: liveness.NewPausesEvery(p.Clock, pauseTick), busy: make(chan struct{}, 1),
+		started: p.Clock.Now()}
 	n.watch = &target.Watch{Every: p.BeatEvery, Pause: n.pause}
 	n.Board.OnItem = func(i item.Item) {
 		if err := n.book.Apply(i); err != nil {
@@ -117,11 +122,14 @@
 		n.Board.MergeItems(v.Merged())
 		v.Serve(n.Desk)
 	}
+	if p.Notes != nil {
+		n.recall()
+	}
 	n.former = &accord.Former{Seeds: p.Seeds, Self: p.Inner, Size: 2*p.Bear + 1, Line: p.Line, Clock: p.Clock, Prop: n.Prop, Voter: n.Voter, Later: !p.First}
 	n.former.Serve(n.Desk)
 	n.Mesh = &news.Mesh{Me: n.me, Line: p.Line, Clock: p.Clock, Board: n.Board, Core: n.core, Learn: func(c accord.Core) { n.Prop.Learn(c) }, Votes: n.votes}
 	n.SetSeeds(p.Seeds)
-	n.teller = &news.Teller{Me: n.me, Board: n.Board, Clock: p.Clock, Core: n.core, Votes: n.votes, Fresh: n.Mesh.Fresh,
+	n.teller = &news.Teller{Me: n.me, Board: n.Board, Clock: p.Clock, Core: n.core, Votes: n.votes, Fresh: n.fresh, Going: n.stop.Load,
 		Others: n.Mesh.Others, Elsewhere: n.Mesh.Flows, Met: n.Mesh.Met}
 	n.teller.Serve(n.Desk)
 	link.On(n.Desk, n.mark)
@@ -170,6 +178,9 @@
 	if n.Voter != nil {
 		runs = append(runs, n.Voter.Run, n.steward.Run)
 	}
+	if n.Notes != nil {
+		runs = append(runs, n.note)
+	}
 	var wg sync.WaitGroup
 	for _, run := range runs {
 		wg.Go(func() { run(ctx) })
@@ -184,6 +195,7 @@
 func (n *Node) tend(ctx context.Context) {
 	var tidied time.Time
 	pulse.Every(ctx, n.Clock, judgeEvery, func() {
+		n.settle(n.Clock.Now())
 		n.Board.Table(func(t *target.Table, now time.Time) bool {
 			news := n.watch.Judge(t, now)
 			if now.Sub(tidied) >= tendEvery {
@@ -223,9 +235,20 @@
 // Ready is what the platform is told: this node knows all that was acknowledged until
 // just now, and can acknowledge more.
 func (n *Node) Ready() bool {
-	_, fresh := n.Mesh.Fresh()
-	return fresh && !n.stop.Load()
+	_, fresh := n.fresh()
+	return fresh
 }
 
-// Stop makes the node tell the platform that it is not ready.
-func (n *Node) Stop() { n.stop.Store(true) }
+// fresh tells whether this node misses nothing acknowledged up to lag ago. One that stops
+// says that it may, so that those who follow it go on to another while it still answers.
+func (n *Node) fresh() (lag time.Duration, fresh bool) {
+	lag, fresh = n.Mesh.Fresh()
+	return lag, fresh && !n.stop.Load()
+}
+
+// Stop has this node say, to the platform and at once to all who follow it, that it is
+// going. It still answers all calls until its process ends.
+func (n *Node) Stop() {
+	n.stop.Store(true)
+	n.Board.Wake()
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -38,7 +38,7 @@
 // View tells what this node sees.
 func (n *Node) View() View {
 	v := View{Me: n.me(), Core: n.core(), Votes: n.votes(), Minds: n.Mesh.Others(), Askers: n.teller.Askers()}
-	v.Lag, v.Fresh = n.Mesh.Fresh()
+	v.Lag, v.Fresh = n.fresh()
 	v.Flows, v.Zones = n.teller.Flows()
 	n.Board.Items(func(s *item.Set) { v.Items = s.Len() })
 	n.Board.Table(func(t *target.Table, now time.Time) bool {
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -146,15 +146,18 @@
 	m.inc += 1 + uint64(m.w.chance(1000))
 	p := Parts{Settings: Settings{ID: m.id, Zone: m.zone, Inner: m.addr, Seeds: m.w.seedList(), Bear: m.w.bear, First: m.w.first, BeatEvery: time.Second},
 		Inc: m.inc, Fresh: fmt.Sprintf("%s-%d", m.id, m.inc), Line: &wire{m.host, run}, Clock: clock{h: m.host}, Log: quietLog(), OnBad: func(error) { end() }}
+	var h *handle
 	if m.disk != nil {
-		h := &handle{h: m.host, run: run, calm: true}
-		p.Disk = h
-		defer func() { h.calm = false }()
+		h = &handle{h: m.host, run: run, calm: true}
+		p.Disk, p.Notes = h, &journal{h.h.disk, run}
 	}
 	n, err := New(p)
 	if err != nil {
 		m.w.t.Fatal(err)
 	}
+	if h != nil {
+		h.calm = false
+	}
 	m.mu.Lock()
 	m.node = n
 	m.mu.Unlock()
--- /dev/null
+++ b/internal/keep/journal_test.go
@@ -0,0 +1,91 @@
+package keep
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+)
+
+func texts(t *testing.T, j *FileJournal) []string {
+	t.Helper()
+	rs, err := j.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, r := range rs {
+		out = append(out, string(r))
+	}
+	return out
+}
+
+func TestAJournalOutlivesItsProcess(t *testing.T) {
+	dir := t.TempDir()
+	j := OpenJournal(dir, "x")
+	if got := texts(t, j); got != nil {
+		t.Fatalf("no file holds %q", got)
+	}
+	if j.Append([][]byte{[]byte("0")}) == nil {
+		t.Error("added to a file of which nobody knows how it ends")
+	}
+	for _, err := range []error{j.Replace([][]byte{[]byte("a")}), j.Append([][]byte{[]byte("b"), []byte("c")}), j.Append(nil)} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The next life reads without the first having closed it.
+	k := OpenJournal(dir, "x")
+	if got := texts(t, k); !slices.Equal(got, []string{"a", "b", "c"}) {
+		t.Errorf("%q", got)
+	}
+	if err := k.Replace([][]byte{[]byte("d")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Append([][]byte{[]byte("e")}); err != nil {
+		t.Fatal(err)
+	}
+	if got := texts(t, OpenJournal(dir, "x")); !slices.Equal(got, []string{"d", "e"}) {
+		t.Errorf("%q", got)
+	}
+	for _, x := range []*FileJournal{j, k, OpenJournal(dir, "y")} {
+		if err := x.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Whatever is left of the file, what is read are its first records, unaltered.
+func TestATornOrDamagedJournalIsReadAsFarAsItIsWhole(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "x")
+	var want []string
+	var in [][]byte
+	for i := range 5 {
+		want = append(want, fmt.Sprintf("record %d", i))
+		in = append(in, []byte(want[i]))
+	}
+	raw := encode(in)
+	each := len(raw) / len(in)
+	check := func(what string, b []byte, n int) {
+		t.Helper()
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got := texts(t, OpenJournal(dir, "x")); !slices.Equal(got, want[:n]) {
+			t.Errorf("%s: %q, want the first %d", what, got, n)
+		}
+	}
+	for n := range len(raw) + 1 {
+		check(fmt.Sprintf("torn at %d", n), raw[:n], n/each)
+		check(fmt.Sprintf("zeroes from %d", n), append(bytes.Clone(raw[:n]), make([]byte, 64)...), n/each)
+	}
+	for n := range raw {
+		b := bytes.Clone(raw)
+		b[n] ^= 0x41
+		check(fmt.Sprintf("damaged at %d", n), b, n/each)
+	}
+	check("a huge length", append(bytes.Clone(raw), 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1), 5)
+}
--- a/internal/news/board.go
+++ b/internal/news/board.go
@@ -132,6 +132,28 @@
 	return news
 }
 
+// Settle notes that whatever run lives is known here, and returns the recalled ones that
+// are doubted from now on.
+func (b *Board) Settle() (news []target.Run) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	from := b.runs.Seq()
+	if !b.runs.Settle(now) {
+		return nil
+	}
+	news, _, _ = b.runs.Since(from, 0, 0, now)
+	b.wake()
+	return news
+}
+
+// Settled tells whether whatever run lives is known here.
+func (b *Board) Settled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs.Settled()
+}
+
 // Table runs f on the table of runs; f tells whether it made news.
 func (b *Board) Table(f func(t *target.Table, now time.Time) bool) {
 	now := b.clock.Now()
--- a/internal/news/follow.go
+++ b/internal/news/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"walkrudder/internal/defect"
@@ -27,6 +28,9 @@
 	board *Board
 	// epoch is of the newest core known here.
 	epoch func() uint64
+	// told, where set, is locked from before an answer is merged on, and left so for the
+	// caller: what one poll merged is passed on before another says that all was told.
+	told sync.Locker
 }
 
 // poll asks once; the news are merged when it returns. items and runs are those that
@@ -55,6 +59,9 @@
 		if err = t.unpack(); err != nil {
 			return t, nil, nil, err
 		}
+		if p.told != nil {
+			p.told.Lock()
+		}
 		items, runs = p.board.MergeItems(t.Items), p.board.MergeRuns(t.Runs)
 		if t.Me.ID != "" {
 			at.mind = t.Me
--- a/internal/news/mesh.go
+++ b/internal/news/mesh.go
@@ -74,6 +74,7 @@
 	votes uint64
 	disk  string
 	flows map[string]string // zones of the flows that follow it, by ID
+	going bool              // it is about to stop
 	kick  chan struct{}
 }
 
@@ -206,9 +207,14 @@
 	if t.Core.Epoch > 0 {
 		m.Learn(t.Core)
 	}
+	if t.Firm && !t.More {
+		// Before this answer counts as a proof: what others are told by a fresh mind must
+		// not be what it already has reason to doubt.
+		m.Board.Settle()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p.place = at
+	p.place, p.going = at, t.Going
 	p.heard = m.Clock.Now()
 	p.votes, p.disk = t.Votes, t.Disk
 	if !t.More {
@@ -406,12 +412,16 @@
 
 // Others are the other minds that answered lately, with how long ago that was.
 func (m *Mesh) Others() []Member {
+	return m.others(func(*peer) bool { return true })
+}
+
+func (m *Mesh) others(which func(*peer) bool) []Member {
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []Member
 	for _, p := range m.peers {
-		if x := p.mind; x.ID != "" && now.Sub(p.heard) < peerAge {
+		if x := p.mind; x.ID != "" && now.Sub(p.heard) < peerAge && which(p) {
 			x.Age = now.Sub(p.heard)
 			out = append(out, x)
 		}
@@ -419,9 +429,10 @@
 	return out
 }
 
-// Near are the minds that may be given work: those that answered just now, and this.
+// Near are the minds that may be given work: those that answered just now and are not
+// about to stop, and this.
 func (m *Mesh) Near() []Member {
-	out := lo.Filter(m.Others(), func(x Member, _ int) bool { return x.Age < heardAge })
+	out := lo.Filter(m.others(func(p *peer) bool { return !p.going }), func(x Member, _ int) bool { return x.Age < heardAge })
 	return append(out, m.Me())
 }
 
--- a/internal/news/subscriber.go
+++ b/internal/news/subscriber.go
@@ -29,7 +29,7 @@
 	answerSlack = 600 * time.Millisecond
 	// firstAnswer is what the first ask of a mind is given, doubled with each failure in
 	// a row: a flow that lost its mind must not wait long for a second dead one.
-	firstAnswer = 250 * time.Millisecond
+	firstAnswer = 500 * time.Millisecond
 	// shunTime is how long a mind is passed over after a failure, doubled with each in a
 	// row up to mostShun; one that answers but is not fresh for staleShun.
 	shunTime  = 300 * time.Millisecond
@@ -43,26 +43,35 @@
 	tableEvery = time.Minute
 )
 
-// Subscriber is a flow's view of the control plane: it follows one mind, of its own
-// zone where it can, and goes to the next when that one is silent, fails, or may miss
-// something acknowledged.
+// followed is how many minds a flow follows at once. With one alone, what it missed while
+// it looked for the next could be older than may be: a mind that is cut off from the
+// others takes over a second to notice, and on a narrow link the first answer of another
+// one three round trips.
+const followed = 2
+
+// Subscriber is a flow's view of the control plane: it follows a mind of its own zone
+// where it can, and one of another zone beside it, and goes to the next when one is
+// silent, fails, or may miss something acknowledged.
 type Subscriber struct {
 	Me    Member
 	Line  link.Line
 	Clock pulse.Clock
 	Log   *log.Logger
-	// OnNews is told, in order and by one goroutine, of what was news here: Items and
+	// OnNews is told, in order and one call at a time, of what was news here: Items and
 	// Runs hold what changed, as it stands now. Flows counts come with each answer.
 	OnNews func(WatchTold)
 
-	board *Board
+	board   *Board
+	telling sync.Mutex // held from the merging of an answer until OnNews has run
 
 	mu     sync.Mutex
+	places map[string]place // how far each mind was heard out, by inner address
+	at     [followed]string // the minds followed now
 	seeds  []string
 	peers  map[string]Member // by inner address
 	shun   map[string]shun
-	told   WatchTold // the last complete answer, without its news
-	asOf   time.Time // until when all that was acknowledged is known here
+	told   [followed]WatchTold // the last complete answers, without their news
+	asOf   time.Time           // until when all that was acknowledged is known here
 	synced bool
 	moved  chan struct{} // the seeds changed
 }
@@ -78,7 +87,8 @@
 func (s *Subscriber) Init(seeds []string) {
 	s.board = NewBoard(s.Clock)
 	s.seeds, s.peers, s.shun = slices.Clone(seeds), map[string]Member{}, map[string]shun{}
-	s.moved = make(chan struct{}, 1)
+	s.places = map[string]place{}
+	s.moved = make(chan struct{}, followed)
 }
 
 // SetSeeds replaces the seeds.
@@ -86,9 +96,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seeds = slices.Clone(seeds)
-	select {
-	case s.moved <- struct{}{}:
-	default:
+	for range followed {
+		select {
+		case s.moved <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -103,21 +115,33 @@
 func (s *Subscriber) Fresh() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.told.Fresh && s.Clock.Now().Sub(s.asOf) <= flowBehind+leastAnswer
+	return s.best().Fresh && s.Clock.Now().Sub(s.asOf) <= flowBehind+leastAnswer
 }
 
 // Flows is how many flows there are, in all and in the own zone, by the last answer.
 func (s *Subscriber) Flows() (all, near int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.told.Flows, s.told.FlowsNear
+	t := s.best()
+	return t.Flows, t.FlowsNear
 }
 
 // Following is the mind followed now.
 func (s *Subscriber) Following() Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.told.Me
+	return s.best().Me
+}
+
+// best is the last answer of the first slot whose mind is fresh, else of the first. Under
+// the lock.
+func (s *Subscriber) best() WatchTold {
+	for _, t := range s.told {
+		if t.Fresh {
+			return t
+		}
+	}
+	return s.told[0]
 }
 
 // Board is what this flow knows.
@@ -125,11 +149,21 @@
 
 // Run follows minds until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for slot := range followed {
+		wg.Go(func() { s.keep(ctx, slot) })
+	}
+	wg.Wait()
+}
+
+// keep follows one mind after the other. The first slot is of the own zone where it can
+// be, and goes by that; the others keep to minds that no other slot follows.
+func (s *Subscriber) keep(ctx context.Context, slot int) {
 	swept := s.Clock.Now()
 	for ctx.Err() == nil {
-		addr, ok, back := s.next()
+		addr, ok, back := s.next(slot)
 		if addr != "" {
-			s.follow(ctx, addr, ok)
+			s.follow(ctx, slot, addr, ok)
 		} else {
 			// Nobody answers: look again soon, but not all the time.
 			bell, stop := s.Clock.After(max(back, leastPause))
@@ -170,13 +204,25 @@
 
 // next is the mind to try: the best that is not passed over. Where all are, ok is
 // false, the one that answers is taken, and back is when the first is to be tried again.
-func (s *Subscriber) next() (addr string, ok bool, back time.Duration) {
+func (s *Subscriber) next(slot int) (addr string, ok bool, back time.Duration) {
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.at[slot], s.told[slot].Fresh = "", false
 	all := s.minds()
+	if slot > 0 {
+		// Of another zone than the first slot's, so that one fault seldom takes both.
+		zone := s.peers[s.at[0]].Zone
+		slices.SortStableFunc(all, func(a, b string) int {
+			return cmp.Compare(b2i(s.peers[a].Zone == zone), b2i(s.peers[b].Zone == zone))
+		})
+	}
 	back = mostShun
+	defer func() { s.at[slot] = addr }()
 	for _, a := range all {
+		if slices.Contains(s.at[:], a) {
+			continue
+		}
 		x := s.shun[a]
 		if !now.Before(x.until) {
 			return a, true, 0
@@ -189,6 +235,8 @@
 	return addr, false, back
 }
 
+func b2i(b bool) int { return lo.Ternary(b, 1, 0) }
+
 // avoid passes a mind over for a while.
 func (s *Subscriber) avoid(addr string, stale bool) {
 	s.mu.Lock()
@@ -223,9 +271,12 @@
 
 // follow stays with one mind for as long as it will do; ok says that a better one than
 // that is not known to be stale.
-func (s *Subscriber) follow(ctx context.Context, addr string, ok bool) {
-	q := &poller{me: func() Member { return s.Me }, line: s.Line, board: s.board, epoch: func() uint64 { return noEpoch }}
-	at := place{addr: addr}
+func (s *Subscriber) follow(ctx context.Context, slot int, addr string, ok bool) {
+	q := &poller{me: func() Member { return s.Me }, line: s.Line, board: s.board, epoch: func() uint64 { return noEpoch }, told: &s.telling}
+	s.mu.Lock()
+	at := s.places[addr]
+	s.mu.Unlock()
+	at.addr = addr
 	since := s.Clock.Now()
 	for first := true; ctx.Err() == nil; first = false {
 		s.mu.Lock()
@@ -247,9 +298,13 @@
 			}
 			return
 		}
-		s.take(addr, at, t, begun)
+		s.take(slot, addr, at, t, begun)
+		if t.Firm && !t.More {
+			runs = append(runs, s.board.Settle()...)
+		}
 		t.Items, t.Runs = items, runs
 		s.OnNews(t)
+		s.telling.Unlock()
 		switch {
 		case t.More:
 		case !t.Fresh:
@@ -257,7 +312,7 @@
 			if ok || wait > 0 {
 				return
 			}
-		case s.better(addr, since):
+		case s.better(slot, addr, since):
 			return
 		default:
 			ok = true
@@ -266,9 +321,13 @@
 }
 
 // take notes an answer.
-func (s *Subscriber) take(addr string, at place, t WatchTold, begun time.Time) {
+func (s *Subscriber) take(slot int, addr string, at place, t WatchTold, begun time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.places) > 4*maxMinds {
+		s.places = map[string]place{}
+	}
+	s.places[addr] = at
 	if len(t.Peers) > 0 {
 		s.peers = map[string]Member{}
 		for _, p := range t.Peers[:min(len(t.Peers), maxMinds)] {
@@ -282,7 +341,7 @@
 	}
 	t.Items, t.Runs, t.Peers = nil, nil, nil
 	t.Me = at.mind
-	s.told = t
+	s.told[slot] = t
 	if !t.Fresh {
 		return
 	}
@@ -294,9 +353,9 @@
 }
 
 // better tells whether it is time to try a better mind than the one at addr.
-func (s *Subscriber) better(addr string, since time.Time) bool {
+func (s *Subscriber) better(slot int, addr string, since time.Time) bool {
 	now := s.Clock.Now()
-	if now.Sub(since) < homeEvery {
+	if slot > 0 || now.Sub(since) < homeEvery {
 		return false
 	}
 	s.mu.Lock()
@@ -305,7 +364,7 @@
 		switch {
 		case a == addr:
 			return false
-		case s.peers[a].Zone == s.Me.Zone && !now.Before(s.shun[a].until):
+		case s.peers[a].Zone == s.Me.Zone && !now.Before(s.shun[a].until) && !slices.Contains(s.at[1:], a):
 			return true
 		}
 	}
--- a/internal/news/teller.go
+++ b/internal/news/teller.go
@@ -42,6 +42,8 @@
 	Votes func() uint64
 	// Fresh tells whether this node misses nothing acknowledged up to lag ago.
 	Fresh func() (lag time.Duration, fresh bool)
+	// Going tells whether this node is about to stop; nil is never.
+	Going func() bool
 	// Others are the other minds that this node hears itself, and Elsewhere the zones of
 	// the flows that follow them, by ID.
 	Others    func() []Member
@@ -82,11 +84,12 @@
 	bell, stop := t.Clock.After(wait)
 	defer stop()
 	_, was := t.Fresh()
+	going := t.going()
 	for over := wait == 0; ; {
 		changed := t.Board.Changed()
 		r := WatchTold{Inc: me.Inc, Waited: t.Clock.Now().Sub(start)}
 		t.look(&r, a, me)
-		if over || r.Fresh != was || r.More || len(r.Items)+len(r.Runs) > 0 || r.Core.Epoch > a.Epoch {
+		if over || r.Fresh != was || r.Going != going || r.More || len(r.Items)+len(r.Runs) > 0 || r.Core.Epoch > a.Epoch {
 			return r, r.pack()
 		}
 		select {
@@ -99,6 +102,8 @@
 	}
 }
 
+func (t *Teller) going() bool { return t.Going != nil && t.Going() }
+
 // look fills in what is so now.
 func (t *Teller) look(r *WatchTold, a WatchAsk, me Member) {
 	// The order matters: what is said of the core and of freshness must not be newer
@@ -110,6 +115,7 @@
 		r.Core = core
 	}
 	r.Lag, r.Fresh = t.Fresh()
+	r.Firm, r.Going = r.Fresh && t.Board.Settled(), t.going()
 	if len(a.Sums) > 0 {
 		r.Me = me
 	}
--- a/internal/news/types.go
+++ b/internal/news/types.go
@@ -71,6 +71,11 @@
 		// another.
 		Fresh bool
 		Lag   time.Duration
+		// Firm says that besides, whatever run lives is known to the teller: one that is
+		// only recalled, and that it does not tell of, is to be doubted.
+		Firm bool
+		// Going says that the teller is about to stop: work goes to others.
+		Going bool
 		// Votes is the epoch of the core in which the teller's disk, of incarnation Disk,
 		// has a seat; 0 is none. Core is told where it is newer than the asker's.
 		Votes uint64
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -32,8 +32,6 @@
 	loss  float64
 	least time.Duration
 	most  time.Duration
-	// carry runs whatever is on its way, each message beside all others.
-	carry workers
 }
 
 // Host is the machine under one node: it can be down, frozen or cut off.
@@ -235,7 +233,7 @@
 	}
 	n := l.h.net
 	back := make(chan told, 1)
-	n.carry.run(func() {
+	go func() {
 		time.Sleep(n.delay(l.h.ID, addr))
 		h := n.host(addr)
 		if h == nil || !n.passes(l.h.ID, h.ID) {
@@ -277,7 +275,7 @@
 		if n.passes(h.ID, l.h.ID) {
 			back <- told{v, err}
 		}
-	})
+	}()
 	// Nobody waits for ever on a lost message.
 	lost := time.NewTimer(5 * time.Second)
 	defer lost.Stop()
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -150,7 +150,7 @@
 		ok bool
 	}
 	ch := make(chan back, 1)
-	t.w.Net.carry.run(func() {
+	go func() {
 		time.Sleep(t.w.Net.delay(t.ID, n.ID))
 		if !t.w.Net.passes(t.ID, n.ID) {
 			return
@@ -163,7 +163,7 @@
 		if up.Err() == nil && t.w.Net.passes(n.ID, t.ID) {
 			ch <- back{x, err == nil}
 		}
-	})
+	}()
 	wait := beatTime
 	if b.Leaving {
 		wait = leaveTime
@@ -245,7 +245,7 @@
 	}
 	back := make(chan *passage.Answer, 1)
 	run := t.runCtx()
-	c.w.Net.carry.run(func() {
+	go func() {
 		time.Sleep(c.w.Net.delay(c.h.ID, t.ID))
 		if run.Err() != nil || !c.w.Net.passes(c.h.ID, t.ID) {
 			return
@@ -255,7 +255,7 @@
 		if run.Err() == nil && c.w.Net.passes(t.ID, c.h.ID) {
 			back <- a
 		}
-	})
+	}()
 	select {
 	case a := <-back:
 		c.h.awake()
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -238,7 +238,6 @@
 			<-d
 		}
 	}
-	w.Net.carry.end()
 }
 
 // Start starts the node's process, if it does not run.
@@ -570,7 +569,7 @@
 		key = "key-" + order
 	}
 	ch := make(chan *passage.Trip, 1)
-	w.Net.carry.run(func() {
+	go func() {
 		time.Sleep(w.Net.delay("op", n.ID))
 		n.awake()
 		if up.Err() != nil {
@@ -581,7 +580,7 @@
 		if up.Err() == nil {
 			ch <- t
 		}
-	})
+	}()
 	var t *passage.Trip
 	select {
 	case t = <-ch:
--- /dev/null
+++ b/internal/target/record.go
@@ -0,0 +1,53 @@
+package target
+
+import (
+	"encoding/binary"
+
+	"walkrudder/internal/defect"
+)
+
+// recordForm is the first byte of a record: a later form is not taken for this one.
+const recordForm = 1
+
+// Record is a run in the form in which a mind notes it for its next life. How much
+// longer it is slow is left out: nobody knows how long that life is off.
+func (r Run) Record() []byte {
+	b := []byte{recordForm, byte(r.State)}
+	for _, s := range []string{r.ID, r.Service, r.Addr, r.Zone} {
+		b = append(binary.AppendUvarint(b, uint64(len(s))), s...)
+	}
+	for _, n := range []uint64{uint64(max(r.Slots, 0)), r.Seq, r.Silent} {
+		b = binary.AppendUvarint(b, n)
+	}
+	return b
+}
+
+// ReadRecord reads what Record wrote, as a run that is recalled.
+func ReadRecord(b []byte) (Run, error) {
+	bad := defect.New("read record", "", "not the record of a run")
+	if len(b) < 2 || b[0] != recordForm {
+		return Run{}, bad
+	}
+	r := Run{State: State(b[1]), Recalled: true}
+	b = b[2:]
+	for _, s := range []*string{&r.ID, &r.Service, &r.Addr, &r.Zone} {
+		n, k := binary.Uvarint(b)
+		if k <= 0 || n > maxText || uint64(len(b)-k) < n {
+			return Run{}, bad
+		}
+		*s, b = string(b[k:k+int(n)]), b[k+int(n):]
+	}
+	var slots uint64
+	for _, u := range []*uint64{&slots, &r.Seq, &r.Silent} {
+		n, k := binary.Uvarint(b)
+		if k <= 0 {
+			return Run{}, bad
+		}
+		*u, b = n, b[k:]
+	}
+	if len(b) > 0 || slots > maxSlots || !r.sound() {
+		return Run{}, bad
+	}
+	r.Slots = int(slots)
+	return r, nil
+}
--- a/internal/target/table.go
+++ b/internal/target/table.go
@@ -33,6 +33,8 @@
 	slackLog = 64
 	// maxText bounds the strings of a run.
 	maxText = 256
+	// maxSlots bounds the slots of a run that is read from a record.
+	maxSlots = 1 << 20
 )
 
 // Table holds what is known of every run. Copies merge by a rule that does not look at
@@ -45,6 +47,8 @@
 	seq  uint64
 	sums [Buckets]uint64
 	told time.Time // when the own runs were last told again
+	// settled says that whatever lives is known here.
+	settled bool
 }
 
 type entry struct {
@@ -58,6 +62,10 @@
 	// own is the largest beat that this node received itself, at ownAt; 0 is none.
 	own   uint64
 	ownAt time.Time
+	// movedAt is when it was last told that the run beats here now; owed says that it has
+	// moved here again and that this is still to be told.
+	movedAt time.Time
+	owed    bool
 }
 
 type change struct {
@@ -87,21 +95,22 @@
 		out = b
 	}
 	out.State, out.Seq, out.Silent = max(a.State, b.State), max(a.Seq, b.Seq), max(a.Silent, b.Silent)
+	out.Recalled = a.Recalled && b.Recalled
 	return out
 }
 
 func ptr(a [4]string) []string { return a[:] }
 
-// sum is the hash of what is material in a run: two nodes with equal sums need not
+// Sum is the hash of what is material in a run: two nodes with equal sums need not
 // tell each other anything. The ordinary beat is no part of it.
-func (r Run) sum() uint64 {
+func (r Run) Sum() uint64 {
 	var b [512]byte
 	p := b[:0]
 	for _, s := range []string{r.ID, r.Service, r.Addr, r.Zone} {
 		p = append(binary.AppendUvarint(p, uint64(len(s))), s...)
 	}
 	p = binary.AppendVarint(p, int64(r.Slots))
-	p = append(p, byte(r.State), lo.Ternary[byte](r.Suspected(), 1, 0))
+	p = append(p, byte(r.State), lo.Ternary[byte](r.Suspected(), 1, 0)|lo.Ternary[byte](r.Recalled, 2, 0))
 	p = binary.AppendUvarint(p, r.Silent)
 	return xxhash.Sum64(p)
 }
@@ -125,6 +134,10 @@
 	}
 	e := t.runs[r.ID]
 	if e == nil {
+		if t.settled && r.Recalled && r.State < Ended {
+			// It would be known here if it lived.
+			return false
+		}
 		if e = t.add(r, now); e == nil {
 			return false
 		}
@@ -193,7 +206,7 @@
 	case !is:
 		e.since = time.Time{}
 	}
-	if was.place() == r.place() && was.State == r.State && was.Silent == r.Silent && was.Suspected() == r.Suspected() {
+	if was.place() == r.place() && was.State == r.State && was.Silent == r.Silent && was.Suspected() == r.Suspected() && was.Recalled == r.Recalled {
 		return false
 	}
 	t.bump(e, now)
@@ -204,10 +217,10 @@
 func (t *Table) bump(e *entry, now time.Time) {
 	b := Bucket(e.ID)
 	t.sums[b] -= e.hash
-	e.hash = e.sum()
+	e.hash = e.Sum()
 	t.sums[b] += e.hash
 	t.seq++
-	e.seq, e.told = t.seq, now
+	e.seq, e.told, e.owed = t.seq, now, false
 	t.log = append(t.log, change{t.seq, e})
 	if len(t.log) > 2*len(t.runs)+slackLog {
 		t.log = lo.Filter(t.log, func(c change, _ int) bool { return c.of.seq == c.seq })
@@ -227,10 +240,13 @@
 		return in, false, false
 	}
 	moved = before == nil || elsewhere || e.own == 0
-	if elsewhere && !news && now.Sub(e.told) >= movedEvery {
-		// The node that heard it before is to know that it need not judge it any more.
+	// The node that heard it before is to know that it need not judge it any more: at
+	// once, or after a move right before this one with a later beat. It must not be left
+	// out: to that node the run is silent.
+	e.owed = e.owed || elsewhere && !news
+	if e.owed && now.Sub(e.movedAt) >= movedEvery {
 		t.bump(e, now)
-		news = true
+		e.movedAt, news = now, true
 	}
 	if b.Seq > e.own {
 		e.own, e.ownAt = b.Seq, now
@@ -301,11 +317,30 @@
 	if !ok {
 		r = Run{ID: id}
 	}
-	r.State = Ended
+	r.State, r.Recalled = Ended, false
 	news = t.Merge(r, now)
 	return r, news
 }
 
+// Settle notes that whatever lives is known here by now: recalled runs of which no beat
+// came are suspected, and no more of them are taken in. Ending them would go too far:
+// one whose beats only were held up is cleared by its next.
+func (t *Table) Settle(now time.Time) (news bool) {
+	if t.settled {
+		return false
+	}
+	t.settled = true
+	for _, e := range t.runs {
+		if e.Recalled && e.State != Ended && !e.Suspected() {
+			news = t.silence(e, now) || news
+		}
+	}
+	return news
+}
+
+// Settled tells whether whatever lives is known here.
+func (t *Table) Settled() bool { return t.settled }
+
 // Forget drops the runs that have been over, or suspected, for long.
 func (t *Table) Forget(now time.Time) {
 	for _, e := range t.runs {
