A limit on what a node has under way, led by targets that are full; two minds in order

Nothing held requests back before the targets' own bounds.

Change: additive increase, multiplicative decrease by the part of requests that meet full targets (4 %); what is beyond waits by rank or is told when to come back. The second mind that a flow follows leaves the own zone's mind to the first.

--- a/internal/news/subscriber.go
+++ b/internal/news/subscriber.go
@@ -38,7 +38,7 @@
 	// staleWait is how long an ask waits at a mind that is not fresh, where none is.
 	staleWait = 400 * time.Millisecond
 	// homeEvery is how often a flow that follows a mind of another zone tries its own.
-	homeEvery = 5 * time.Second
+	homeEvery = 2 * time.Second
 	// tableEvery is how often runs that are over are forgotten.
 	tableEvery = time.Minute
 )
@@ -211,11 +211,14 @@
 	s.at[slot], s.told[slot].Fresh = "", false
 	all := s.minds()
 	if slot > 0 {
-		// Of another zone than the first slot's, so that one fault seldom takes both.
+		// Of another zone than the first slot's, so that one fault seldom takes both; and
+		// the own zone is the first slot's to take.
 		zone := s.peers[s.at[0]].Zone
-		slices.SortStableFunc(all, func(a, b string) int {
-			return cmp.Compare(b2i(s.peers[a].Zone == zone), b2i(s.peers[b].Zone == zone))
-		})
+		last := func(a string) int {
+			z := s.peers[a].Zone
+			return b2i(z == zone || z == s.Me.Zone)
+		}
+		slices.SortStableFunc(all, func(a, b string) int { return cmp.Compare(last(a), last(b)) })
 	}
 	back = mostShun
 	defer func() { s.at[slot] = addr }()
@@ -355,11 +358,15 @@
 // better tells whether it is time to try a better mind than the one at addr.
 func (s *Subscriber) better(slot int, addr string, since time.Time) bool {
 	now := s.Clock.Now()
-	if slot > 0 || now.Sub(since) < homeEvery {
-		return false
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if slot > 0 {
+		// It makes room for the first slot, whose zone this is.
+		return s.peers[addr].Zone == s.Me.Zone && s.peers[s.at[0]].Zone != s.Me.Zone && len(s.peers) > followed
+	}
+	if now.Sub(since) < homeEvery {
+		return false
+	}
 	for _, a := range s.minds() {
 		switch {
 		case a == addr:
--- /dev/null
+++ b/internal/proxy/limit_test.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+)
+
+// runLimit plays a service with room for so many requests of this node at once, which ask as
+// often as the limit lets them, and tells the limit's mean over the last half, and the
+// part of requests that met full targets then.
+func runLimit(l *limit, now time.Time, room int, steps int) (mean, full float64) {
+	n, fulls, ends := 0, 0, 0
+	sum := 0.0
+	for i := range steps {
+		now = now.Add(20 * time.Millisecond)
+		for l.room() && l.under < 4*room {
+			l.begin()
+		}
+		for k := l.under; k > 0; k-- {
+			o := k > room
+			l.end(now, o)
+			if i > steps/2 {
+				ends++
+				if o {
+					fulls++
+				}
+			}
+		}
+		if i > steps/2 {
+			n++
+			sum += l.most
+		}
+	}
+	return sum / float64(n), float64(fulls) / float64(ends)
+}
+
+// TestLimit: where targets are full the limit comes down to their room, and goes up again
+// with it; where none is there is no limit.
+func TestLimit(t *testing.T) {
+	l := &limit{}
+	for i, room := range []int{20, 60, 10} {
+		if mean, full := runLimit(l, time.Unix(int64(1+i*60), 0), room, 3000); mean < 0.7*float64(room) || mean > 1.4*float64(room) || full > 0.15 {
+			t.Errorf("room for %d: limit %.1f, %.2f met full targets", room, mean, full)
+		}
+	}
+	free := &limit{}
+	now := time.Unix(1, 0)
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		for range 30 {
+			if !free.room() {
+				t.Fatal("limited without a full target")
+			}
+			free.begin()
+		}
+		for range 30 {
+			free.end(now, false)
+		}
+	}
+	// It never shuts a node out, however full all are.
+	for range 1000 {
+		now = now.Add(limitEvery)
+		for range fewEnds {
+			free.begin()
+			free.end(now, true)
+		}
+	}
+	if !free.room() || free.most < leastLimit {
+		t.Errorf("shut out: %+v", free)
+	}
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -51,6 +51,7 @@
 	work    []*endpoint // those that this node works with
 	queue   waiting
 	pace    pace
+	limit   limit
 	took    time.Duration
 	staleAt time.Time
 	usedAt  time.Time
@@ -182,6 +183,9 @@
 // has not filled, before all others; then by how long an answer is likely to take.
 // known tells whether there is any run at all that might take it.
 func (s *service) pick(now time.Time, x *exchange) (best *endpoint, known bool) {
+	if !s.limit.room() {
+		return nil, true
+	}
 	bad := s.judge(now)
 	bestTier, bestScore := 0, 0.0
 	for _, e := range s.work {
@@ -236,6 +240,7 @@
 // hold counts a request at a run.
 func (s *service) hold(e *endpoint, now time.Time) grant {
 	e.starts = append(e.starts, now)
+	s.limit.begin()
 	return grant{e, now}
 }
 
@@ -369,6 +374,7 @@
 	if i := slices.IndexFunc(e.starts, began.Equal); i >= 0 {
 		e.starts = slices.Delete(e.starts, i, i+1)
 	}
+	s.limit.end(now, o == turnedAway || o == reset || o == stale)
 	switch o {
 	case answered:
 		e.answered(now, took)
