Downloads at once are bounded on narrow links, where many windows make a long queue

Change: at most max(2, Mbit/s / 1.6) downloads under way at a node on a narrow link; the others wait up to a quarter of their time, then are refused with Retry-After.

--- a/internal/proxy/lead.go
+++ b/internal/proxy/lead.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"walkrudder/internal/route"
 )
 
 const (
@@ -14,6 +16,12 @@
 // lead brings a request to a target and returns its final answer. It runs in the
 // goroutine of the caller's connection; only an attempt besides has its own.
 func (n *Node) lead(x *exchange) *answer {
+	if x.kind == route.Download {
+		if !n.enterBulk(x.deadline.Sub(n.clock.Now()) / 4) {
+			return x.end(n.refusal(x, 3*minRetry, "too many downloads at once"))
+		}
+		defer n.leaveBulk()
+	}
 	dials := 0
 	for {
 		if a := x.answer(); a != nil {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -56,6 +56,7 @@
 	pauses *liveness.Pauses
 	in     bulk // large bodies from targets
 	out    bulk // and to callers
+	gate   chan struct{}
 
 	view       atomic.Pointer[view]
 	flows      atomic.Int64
@@ -107,7 +108,7 @@
 	if n.log == nil {
 		n.log = log.New(io.Discard)
 	}
-	n.in, n.out = newBulk(n, s.LinkMbps), newBulk(n, s.LinkMbps)
+	n.in, n.out, n.gate = newBulk(n, s.LinkMbps), newBulk(n, s.LinkMbps), newBulkGate(s.LinkMbps)
 	n.flows.Store(unknownFlows)
 	n.view.Store(&view{})
 	return n
