--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -44,7 +44,7 @@
 	// Seeds are inner addresses of minds.
 	Seeds []string `validate:"required,min=1,max=64,dive,required"`
 	// Bear is how many of the machines with a disk may be lost at once.
-	Bear int `validate:"min=0,max=4"`
+	Bear int `validate:"min=0,max=16"`
 	// First says that the whole system starts for the first time, so that a core may
 	// be formed.
 	First bool
--- /dev/null
+++ b/internal/news/subscriber_test.go
@@ -0,0 +1,127 @@
+package news
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"walkrudder/internal/accord"
+	"walkrudder/internal/item"
+	"walkrudder/internal/pulse"
+)
+
+// far is a line on which each way takes a while: a question over it and, where the link
+// is new, two more round trips first.
+type far struct {
+	way   time.Duration
+	mu    sync.Mutex
+	minds map[string]*bench
+	met   map[string]bool
+	mute  map[string]bool
+}
+
+func (f *far) Call(ctx context.Context, addr string, ask any) (any, error) {
+	f.mu.Lock()
+	b, first, mute := f.minds[addr], !f.met[addr], f.mute[addr]
+	f.met[addr] = true
+	f.mu.Unlock()
+	trips := 1
+	if first {
+		trips = 3
+	}
+	if mute {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	for range 2*trips - 1 {
+		if err := (pulse.Wall{}).Sleep(ctx, f.way); err != nil {
+			return nil, err
+		}
+	}
+	a, ok := ask.(WatchAsk)
+	if !ok {
+		return nil, errors.New("no such question")
+	}
+	r, err := b.watch(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return r, (pulse.Wall{}).Sleep(ctx, f.way)
+}
+
+// TestNewsComeThoughTheMindFollowedMissesThem: a mind that is cut off from the others, but
+// not from the flow, takes over a second to notice; or it falls silent. On a slow link the
+// flow hears all the same in time what another mind was told in the meantime, for it
+// follows two.
+func TestNewsComeThoughTheMindFollowedMissesThem(t *testing.T) {
+	for name, mute := range map[string]bool{"cut off": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &far{way: 120 * time.Millisecond, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
+				var all []Member
+				for _, id := range []string{"a", "b", "c", "d", "e"} {
+					b := newBench()
+					me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
+					b.Me = func() Member { return me }
+					b.Others = func() []Member { return all }
+					all = append(all, me)
+					f.minds[id] = b
+				}
+				var mu sync.Mutex
+				known := map[string]uint64{}
+				s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil),
+					OnNews: func(w WatchTold) {
+						mu.Lock()
+						defer mu.Unlock()
+						for _, i := range w.Items {
+							known[i.Name] = i.Version
+						}
+					}}
+				s.Init([]string{"b", "c"})
+				ctx, end := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { s.Run(ctx); close(done) }()
+				tell := func(v uint64, but string) {
+					for id, b := range f.minds {
+						if id != but {
+							b.Board.MergeItems([]item.Item{thing("x", v)})
+						}
+					}
+				}
+				tell(1, "")
+				time.Sleep(12 * time.Second)
+				for v := uint64(2); v < 8; v++ {
+					at := s.Following().Inner
+					if mute {
+						f.mu.Lock()
+						f.mute[at] = true
+						f.mu.Unlock()
+					}
+					tell(v, at)
+					time.Sleep(1200 * time.Millisecond)
+					f.minds[at].fresh.Store(false)
+					f.minds[at].Board.Wake()
+					time.Sleep(300 * time.Millisecond)
+					mu.Lock()
+					if known["x"] != v {
+						t.Errorf("version %d known 1.5 s after %d was told to all minds but %s, which it followed", known["x"], v, at)
+					}
+					mu.Unlock()
+					f.mu.Lock()
+					f.mute[at] = false
+					f.mu.Unlock()
+					f.minds[at].Board.MergeItems([]item.Item{thing("x", v)})
+					f.minds[at].fresh.Store(true)
+					time.Sleep(10 * time.Second)
+				}
+				end()
+				<-done
+			})
+		})
+	}
+}
