Operators look into a running mind and flow: mind show, and a state line on SIGUSR1

Cause: of the new parts nothing but log lines could be seen; who was on call could not ask which flow lacks a change, why a run is passed over or how a disk does.

Change: read-only asks over the minds' inner links (items, runs, members, disk, counters), paged and bounded, two at a time, tables read in chunks under their locks; the command `mind show`; a "state" line of each program on SIGUSR1. A route's codes have one reader, both programs open a disk by keep.OpenAnew, a zone is trimmed where it is read and a blank one is refused at the start.

Not measured: what the counters cost while nobody asks.

--- a/cmd/mind/main.go
+++ b/cmd/mind/main.go
@@ -25,6 +25,9 @@
 	if len(os.Args) > 1 && os.Args[1] == "say" {
 		os.Exit(say(os.Args[2:], os.Stdin, os.Stdout, os.Stderr))
 	}
+	if len(os.Args) > 1 && os.Args[1] == "show" {
+		os.Exit(show(os.Args[2:], os.Stdout, os.Stderr))
+	}
 	if len(os.Args) > 1 && os.Args[1] == "platform" {
 		os.Exit(platform.MindMain(os.Args[2:], os.Stdout, os.Stderr))
 	}
@@ -39,17 +42,9 @@
 	if s.Data == "" {
 		return nil, nil
 	}
-	d, err := keep.OpenBunt(s.Data, file)
-	if errors.Is(err, keep.ErrSpoiled) {
-		// What is left of a damaged file must not vote: this disk starts empty,
-		// under a new incarnation, and reads everything from the others.
-		aside := file + ".spoiled-" + time.Now().UTC().Format("20060102T150405")
+	d, err := keep.OpenAnew(s.Data, file, func(aside string) {
 		lg.Error("file damaged, set aside; this disk starts empty", "step", "open data", "aside", aside)
-		if err := os.Rename(s.Data+"/"+file, s.Data+"/"+aside); err != nil {
-			return nil, &shell.StartError{Field: "data", Err: err}
-		}
-		d, err = keep.OpenBunt(s.Data, file)
-	}
+	})
 	if err != nil {
 		return nil, &shell.StartError{Field: "data", Err: err}
 	}
--- a/cmd/mind/say.go
+++ b/cmd/mind/say.go
@@ -114,12 +114,12 @@
 		_, _ = fmt.Fprintln(errw, "mind say:", err)
 		return 1
 	}
-	show(v.Data, out)
+	table(v.Data, out)
 	return code
 }
 
-// show prints rows as a table, a text as it is, anything else as indented JSON.
-func show(raw json.RawMessage, out io.Writer) {
+// table prints rows as a table, a text as it is, anything else as indented JSON.
+func table(raw json.RawMessage, out io.Writer) {
 	var s string
 	if json.Unmarshal(raw, &s) == nil {
 		_, _ = fmt.Fprintln(out, strings.TrimRight(s, "\n"))
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -56,10 +56,12 @@
 // Beat takes in what a target says of itself. One that is ready is taken note of, and
 // that is all. That it drains is acknowledged only once so many voters know it that no
 // fresh node can miss it.
-func (n *Node) Beat(ctx context.Context, b target.Beat) error {
+func (n *Node) Beat(ctx context.Context, b target.Beat) (err error) {
 	if err := b.Check(); err != nil {
+		n.counts.beats.note(true, nil)
 		return err
 	}
+	defer func() { n.counts.beats.note(false, err) }()
 	var r target.Run
 	known := false
 	n.Board.Table(func(t *target.Table, now time.Time) (news bool) {
@@ -82,10 +84,12 @@
 }
 
 // Leave takes in that a run has ended, also one that is not known here.
-func (n *Node) Leave(ctx context.Context, id string) error {
+func (n *Node) Leave(ctx context.Context, id string) (err error) {
 	if err := (target.Beat{ID: id, Service: "-", Addr: "-"}).Check(); err != nil {
+		n.counts.leaves.note(true, nil)
 		return err
 	}
+	defer func() { n.counts.leaves.note(false, err) }()
 	var r target.Run
 	n.Board.Table(func(t *target.Table, now time.Time) (news bool) {
 		r, news = t.Leave(id, now)
@@ -96,6 +100,7 @@
 
 // mark holds leavings for another node.
 func (n *Node) mark(_ context.Context, _ link.Who, a news.MarkAsk) (news.MarkTold, error) {
+	n.counts.marks.note(false, nil)
 	n.Board.MergeRuns(a.Runs)
 	t := news.MarkTold{Votes: n.votes(), Core: n.core()}
 	if t.Votes > 0 {
--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -91,7 +91,8 @@
 // before the call, so that a valid change is not refused for an old view and an invalid
 // one does not slip through, and as many voters as that takes are needed for the change
 // anyway.
-func (n *Node) Apply(ctx context.Context, c Change) ([]route.Problem, error) {
+func (n *Node) Apply(ctx context.Context, c Change) (ps []route.Problem, err error) {
+	defer func() { n.counts.changes.note(len(ps) > 0, err) }()
 	all, ps := c.items()
 	if len(ps) > 0 || len(all) == 0 {
 		return ps, nil
@@ -159,12 +160,11 @@
 }
 
 // Current is what stands, with everything that was acknowledged before the call.
-func (n *Node) Current(ctx context.Context) (State, error) {
-	var st State
+func (n *Node) Current(ctx context.Context) (st State, err error) {
+	defer func() { n.counts.reads.note(false, err) }()
 	if err := n.Mesh.Sync(ctx); err != nil {
 		return st, err
 	}
-	var err error
 	n.Board.Items(func(s *item.Set) {
 		for i := range s.All() {
 			if i.Gone || err != nil {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -87,10 +87,15 @@
 	book    *route.Book   // guarded by the board's lock on its items
 	ledger  ledger
 	marks   marks
+	counts  counts
+	asked   chan struct{} // holds a token for each query that is answered
 	busy    chan struct{} // holds a token while a change is under way
 	stop    atomic.Bool
 	started time.Time
 
+	// Meters on the disk and the notes; nil where there are none.
+	diskMeter, notesMeter *keep.Meter
+
 	mu     sync.Mutex
 	seeds  []string
 	reseek context.CancelFunc // has the former begin anew with other seeds
@@ -105,7 +110,14 @@
 	}
 	n := &Node{Parts: p, Desk: link.NewDesk(), Prop: accord.NewProposer(p.ID+"."+p.Fresh, p.Line, p.Clock), Board: news.NewBoard(p.Clock),
 		book: route.NewBook(), pause: liveness.NewPausesEvery(p.Clock, pauseTick), busy: make(chan struct{}, 1),
-		started: p.Clock.Now()}
+		asked: make(chan struct{}, mostQueries), started: p.Clock.Now()}
+	if p.Disk != nil {
+		p.Disk, n.diskMeter = keep.MeterDisk(p.Disk, p.Clock)
+		n.Disk = p.Disk
+	}
+	if p.Notes != nil {
+		n.Notes, n.notesMeter = keep.MeterJournal(p.Notes, p.Clock)
+	}
 	n.watch = &target.Watch{Every: p.BeatEvery, Pause: n.pause}
 	n.Board.OnItem = func(i item.Item) {
 		if err := n.book.Apply(i); err != nil {
@@ -133,6 +145,7 @@
 		Others: n.Mesh.Others, Elsewhere: n.Mesh.Flows, Met: n.Mesh.Met}
 	n.teller.Serve(n.Desk)
 	link.On(n.Desk, n.mark)
+	n.serveQueries()
 	if n.Voter != nil {
 		n.steward = &accord.Steward{Heard: n.Mesh.Heard, Prop: n.Prop, Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}
 	}
--- /dev/null
+++ b/internal/control/page_test.go
@@ -0,0 +1,72 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/samber/lo"
+)
+
+// A list that is asked for page by page has each row once, in order.
+func TestPagesMakeTheList(t *testing.T) {
+	play(t, 25, small, func(w *world) {
+		w.order(base(20), w.minds[:1])
+		l := w.operator()
+		var got []string
+		for after, pages := "", 1; ; pages++ {
+			a := look[ItemRow](w, l, w.minds[0], ItemsAsk{Page: Page{After: after, Most: 7}})
+			if a.Total != 23 || len(a.Rows) > 7 {
+				t.Fatalf("%d rows of %d", len(a.Rows), a.Total)
+			}
+			for _, r := range a.Rows {
+				got = append(got, r.Kind+"/"+r.Name)
+			}
+			if after = a.Next; after == "" {
+				if pages != 4 {
+					t.Errorf("%d pages", pages)
+				}
+				break
+			}
+		}
+		if len(got) != 23 || !slices.IsSorted(got) || len(lo.Uniq(got)) != 23 {
+			t.Errorf("%d: %v", len(got), got)
+		}
+	})
+}
+
+// An answer that would be too large is cut before the page is full.
+func TestAnswersAreBoundedInBytes(t *testing.T) {
+	p := newPage[int](Page{Most: 1000})
+	for i := range 1000 {
+		p.add(fmt.Sprintf("%04d", i), i)
+	}
+	a := pageOf(About{}, p, func(string, int) (int, int) { return 0, 10000 })
+	if len(a.Rows) == 0 || len(a.Rows) > mostBytes/10000 || a.Next != fmt.Sprintf("%04d", len(a.Rows)-1) || a.Total != 1000 {
+		t.Errorf("%d rows, next %q", len(a.Rows), a.Next)
+	}
+	a = pageOf(About{}, p, func(string, int) (int, int) { return 0, 2 * mostBytes })
+	if len(a.Rows) != 1 || a.Next != "0000" {
+		t.Errorf("one row at least, to get on: %+v", a)
+	}
+}
+
+// However long a list, little more than a page is kept of it.
+func TestAPageKeepsLittle(t *testing.T) {
+	p := newPage[int](Page{Most: 5})
+	for i := range 3 {
+		p.add("0", i) // changed while the list was read
+	}
+	if p.trim(); p.total != 1 || len(p.rows) != 1 || p.rows[0].of != 2 {
+		t.Errorf("%+v of %d", p.rows, p.total)
+	}
+	for i := range 100000 {
+		p.add(fmt.Sprint(i), i)
+		if cap(p.rows) > 64 {
+			t.Fatalf("%d rows kept for 5", cap(p.rows))
+		}
+	}
+	if p.trim(); p.total != 100000 || len(p.rows) != 6 || p.rows[5].key != "10000" {
+		t.Errorf("%+v of %d", p.rows, p.total)
+	}
+}
--- /dev/null
+++ b/internal/control/querycounters.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"context"
+	"strings"
+
+	"walkrudder/internal/usage"
+)
+
+// CountersAsk asks for the counters whose name begins with Prefix.
+type CountersAsk struct {
+	Page
+	Prefix string `validate:"max=256"`
+}
+
+// CounterRow is one of them, since the start; those of memory and of what is known here
+// are as they are now.
+type CounterRow struct {
+	Name  string `json:"name"`
+	Value uint64 `json:"value"`
+}
+
+// counterRows reads them all.
+func (n *Node) counterRows() (out []CounterRow) {
+	add := func(name string, v uint64) { out = append(out, CounterRow{name, v}) }
+	for _, c := range []struct {
+		name string
+		*count
+	}{{"beats", &n.counts.beats}, {"leavings", &n.counts.leaves}, {"changes", &n.counts.changes}, {"reads", &n.counts.reads}, {"marks", &n.counts.marks}, {"queries", &n.counts.queries}} {
+		add(c.name, c.all.Load())
+		add(c.name+"_failed", c.failed.Load())
+		add(c.name+"_refused", c.refused.Load())
+	}
+	end, u := n.Board.End(), usage.Now()
+	add("asks", n.teller.Asks())
+	add("item_merges", end.Items)
+	add("run_merges", end.Runs)
+	add("heap_bytes", u.Heap)
+	add("held_bytes", u.Held)
+	add("goroutines", u.Goroutines)
+	add("uptime_seconds", uint64(n.Clock.Now().Sub(n.started).Seconds()))
+	return out
+}
+
+// counters lists them.
+func (n *Node) counters(_ context.Context, a CountersAsk) (Answer[CounterRow], error) {
+	p := newPage[CounterRow](a.Page)
+	for _, r := range n.counterRows() {
+		if strings.HasPrefix(r.Name, a.Prefix) {
+			p.add(r.Name, r)
+		}
+	}
+	return pageOf(n.about(), p, func(_ string, r CounterRow) (CounterRow, int) { return r, len(r.Name) }), nil
+}
--- /dev/null
+++ b/internal/control/queryitems_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/item"
+	"walkrudder/internal/news"
+)
+
+func TestItemsTellWhatStandsAndWhoHasIt(t *testing.T) {
+	play(t, 24, small, func(w *world) {
+		l, m, o := w.operator(), w.minds[0], w.minds[1]
+		time.Sleep(6 * time.Second) // flows that began at any mind have gone to their own
+		w.order(base(5), []*mindHost{m})
+		w.order(Change{Drops: []Drop{{Kind: item.Route, Name: "r0", Version: 2}}}, []*mindHost{m})
+		time.Sleep(bound)
+		by := func(rows []ItemRow) map[string]ItemRow {
+			return lo.SliceToMap(rows, func(r ItemRow) (string, ItemRow) { return r.Kind + "/" + r.Name, r })
+		}
+		a := look[ItemRow](w, l, m, ItemsAsk{})
+		if a.Node != m.id || a.Zone != m.zone || !a.Fresh || a.Total != 8 || len(a.Rows) != 8 || a.Next != "" {
+			t.Fatalf("%+v", a)
+		}
+		if !slices.IsSortedFunc(a.Rows, func(x, y ItemRow) int { return strings.Compare(x.Kind+"/"+x.Name, y.Kind+"/"+y.Name) }) {
+			t.Errorf("in no order: %+v", a.Rows)
+		}
+		all := by(a.Rows)
+		if r := all["route/r0"]; r.State != Dropped || r.Version != 2 || r.Place != "" || !r.Held {
+			t.Errorf("%+v", r)
+		}
+		if r := all["route/r1"]; r.State != InForce || r.Version != 1 || r.Place != "h.example/r1/" || !slices.Equal(r.Services, []string{"a"}) || !r.Held || r.Flows == 0 || r.Behind > 0 {
+			t.Errorf("%+v", r)
+		}
+		if r := by(look[ItemRow](w, l, o, ItemsAsk{}).Rows)["route/r1"]; r.Held || r.State != InForce {
+			t.Errorf("a mind that did not take the change: %+v", r)
+		}
+		for prefix, want := range map[string]int{"r1": 1, "h.example/r": 4, "h.example/r3/": 1, "limits": 1, "none": 0, "": 8} {
+			if a := look[ItemRow](w, l, m, ItemsAsk{Prefix: prefix}); len(a.Rows) != want || a.Total != want {
+				t.Errorf("%q: %d rows, %d in all, want %d", prefix, len(a.Rows), a.Total, want)
+			}
+		}
+		// A flow that stands still has not heard of a change, until it does.
+		frozen, ok := lo.Find(w.flows, func(x *flowHost) bool {
+			return lo.ContainsBy(m.control().attached(), func(f news.Follower) bool { return f.ID == x.id })
+		})
+		if !ok {
+			t.Fatal("no flow follows the mind")
+		}
+		frozen.freeze()
+		w.order(Change{Routes: nil, Drops: []Drop{{Kind: item.Route, Name: "r1", Version: 7}}}, []*mindHost{m})
+		time.Sleep(500 * time.Millisecond)
+		a = look[ItemRow](w, l, m, ItemsAsk{Prefix: "r"})
+		if r := by(a.Rows)["route/r1"]; r.Version != 7 || r.Behind != 1 || len(r.Late) != 1 || r.Late[0].Flow != frozen.id || r.Late[0].AskedMS < 400 || r.Flows < 1 {
+			t.Errorf("%s stands still: %+v", frozen.id, r)
+		}
+		if r := by(a.Rows)["route/r2"]; r.Behind > 0 {
+			t.Errorf("of an older change: %+v", r)
+		}
+		frozen.thaw()
+		time.Sleep(bound)
+		if r := by(look[ItemRow](w, l, m, ItemsAsk{}).Rows)["route/r1"]; r.Behind > 0 {
+			t.Errorf("%s has heard: %+v", frozen.id, r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/queryruns.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+	"math"
+	"strings"
+	"time"
+
+	"walkrudder/internal/defect"
+	"walkrudder/internal/target"
+)
+
+// RunsAsk asks for the runs of a service, or of all, whose ID begins with Prefix.
+type RunsAsk struct {
+	Page
+	Service string `validate:"max=256"`
+	Prefix  string `validate:"max=256"`
+}
+
+// RunRow is one run as this node sees it.
+type RunRow struct {
+	ID      string `json:"run"`
+	Service string `json:"service"`
+	Addr    string `json:"address"`
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+	// Held says that this node saw a majority of the voters hold that the run drains or
+	// has ended.
+	Held bool `json:"held"`
+	// Home is the inner address of the mind at which its beats should come in: that one
+	// judges it.
+	Home string `json:"home"`
+	Beat uint64 `json:"beat"`
+	// BeatMS is how long ago its last beat came in here, and NewsMS when anything was
+	// heard of it, also from other minds.
+	BeatMS Maybe `json:"beat_ago_ms"`
+	NewsMS Maybe `json:"news_ago_ms"`
+	// Suspicion is w_d now, where its beats come in here. Suspected is what all minds
+	// hold.
+	Suspicion Maybe `json:"suspicion"`
+	Suspected bool  `json:"suspected"`
+	Recalled  bool  `json:"recalled"`
+}
+
+var stateNames = map[target.State]string{target.Ready: "ready", target.Draining: "draining", target.Ended: "ended"}
+
+// runs lists runs.
+func (n *Node) runs(ctx context.Context, a RunsAsk) (r Answer[RunRow], err error) {
+	p := newPage[target.Run](a.Page)
+	for from, more := uint64(0), true; more; {
+		if ctx.Err() != nil {
+			return r, defect.At("runs", n.ID, ctx.Err())
+		}
+		var got []target.Run
+		n.Board.Table(func(t *target.Table, now time.Time) bool {
+			got, from, more = t.Since(from, chunk, 0, now)
+			return false
+		})
+		for _, x := range got {
+			if (a.Service == "" || x.Service == a.Service) && strings.HasPrefix(x.ID, a.Prefix) {
+				p.add(x.ID, x)
+			}
+		}
+	}
+	p.trim()
+	rows := make(map[string]RunRow, len(p.rows))
+	for at := 0; at < len(p.rows); at += chunk {
+		n.Board.Table(func(t *target.Table, now time.Time) bool {
+			for _, k := range p.rows[at:min(at+chunk, len(p.rows))] {
+				x := k.of
+				row := RunRow{ID: x.ID, Service: x.Service, Addr: x.Addr, Zone: x.Zone, Slots: x.Slots, State: stateNames[x.State], Beat: x.Seq,
+					Suspected: x.Suspected(), Recalled: x.Recalled, Held: n.marks.has(x)}
+				beat, last := t.Heard(x.ID)
+				row.BeatMS, row.NewsMS = ago(now, beat), ago(now, last)
+				if w, ok := n.watch.Suspicion(x.ID, now); ok {
+					if _, newest := t.Own(x.ID); newest {
+						row.Suspicion = some(math.Round(w*1e6) / 1e6)
+					}
+				}
+				rows[k.key] = row
+			}
+			return false
+		})
+	}
+	homes := map[[2]string]string{}
+	return pageOf(n.about(), p, func(key string, _ target.Run) (RunRow, int) {
+		x := rows[key]
+		if x.State != stateNames[target.Ended] {
+			at := [2]string{x.Service, x.Zone}
+			if _, ok := homes[at]; !ok {
+				homes[at] = n.Home(x.Service, x.Zone)
+			}
+			x.Home = homes[at]
+		}
+		return x, len(x.ID) + len(x.Service) + len(x.Addr) + len(x.Zone) + len(x.Home)
+	}), nil
+}
--- /dev/null
+++ b/internal/control/queryruns_test.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"walkrudder/internal/target"
+)
+
+func TestRunsTellHowTheyAre(t *testing.T) {
+	play(t, 26, small, func(w *world) {
+		w.order(base(1), w.minds[:1])
+		stops := map[string]func(){}
+		for i := range 4 {
+			id := fmt.Sprintf("i-%d", i)
+			stops[id] = w.beats(id, "a", "z0", fmt.Sprintf("10.0.0.%d:80", i))
+		}
+		other := w.beats("x-0", "b", "z1", "10.0.1.0:80")
+		time.Sleep(20 * time.Second)
+		l := w.operator()
+		addr := w.minds[0].control().Home("a", "z0")
+		home, _ := lo.Find(w.minds, func(m *mindHost) bool { return m.addr == addr })
+		away, _ := lo.Find(w.minds, func(m *mindHost) bool { return m.zone != "z0" })
+		row := func(m *mindHost, id string) RunRow {
+			t.Helper()
+			a := look[RunRow](w, l, m, RunsAsk{Service: "a", Prefix: id})
+			if len(a.Rows) != 1 || a.Total != 1 {
+				t.Fatalf("%s: %+v", id, a)
+			}
+			return a.Rows[0]
+		}
+		r := row(home, "i-1")
+		if r.Service != "a" || r.Addr != "10.0.0.1:80" || r.Zone != "z0" || r.Slots != 2 || r.State != "ready" || r.Home != home.addr || r.Held || r.Suspected || r.Recalled ||
+			!r.BeatMS.Known || r.BeatMS.Value > 1100 || !r.Suspicion.Known || r.Suspicion.Value >= target.Threshold {
+			t.Errorf("at home: %+v", r)
+		}
+		if r := row(away, "i-1"); r.State != "ready" || r.Home != home.addr || r.Suspicion.Known || !r.NewsMS.Known {
+			t.Errorf("elsewhere: %+v", r)
+		}
+		if a := look[RunRow](w, l, home, RunsAsk{}); a.Total != 5 || len(a.Rows) != 5 {
+			t.Errorf("%d of %d", len(a.Rows), a.Total)
+		}
+		if a := look[RunRow](w, l, home, RunsAsk{Service: "b"}); len(a.Rows) != 1 || a.Total != 1 || a.Rows[0].ID != "x-0" {
+			t.Errorf("of the other service: %+v", a)
+		}
+		// Where a run was heard once, its silence shows nothing after it moved on.
+		for seq, m := range []*mindHost{away, home} {
+			if err := w.beat(m, target.Beat{ID: "y-0", Service: "a", Addr: "10.0.0.9:80", Zone: "z0", Slots: 2, Seq: uint64(seq + 1)}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if here, there := row(home, "y-0"), row(away, "y-0"); !here.Suspicion.Known || there.Suspicion.Known || !there.BeatMS.Known {
+			t.Errorf("moved: at home %+v, where it was %+v", here, there)
+		}
+		// Suspicion is fresh at each look, and a drain shows with its mark.
+		stops["i-2"]()
+		time.Sleep(1200 * time.Millisecond)
+		one := row(home, "i-2")
+		time.Sleep(300 * time.Millisecond)
+		if two := row(home, "i-2"); two.Suspicion.Value <= one.Suspicion.Value || two.BeatMS.Value < one.BeatMS.Value+300 {
+			t.Errorf("first %+v, 300 ms later %+v", one, two)
+		}
+		time.Sleep(6 * time.Second)
+		if r := row(away, "i-2"); !r.Suspected {
+			t.Errorf("silent: %+v", r)
+		}
+		stops["i-3"]()
+		time.Sleep(1100 * time.Millisecond)
+		if err := w.beat(away, target.Beat{ID: "i-3", Service: "a", Addr: "10.0.0.3:80", Zone: "z0", Slots: 2, Seq: 1000, Draining: true}); err != nil {
+			t.Fatal(err)
+		}
+		if r := row(away, "i-3"); r.State != "draining" || !r.Held {
+			t.Errorf("drains: %+v", r)
+		}
+		if err := away.control().Leave(w.ctx, "i-3"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(bound)
+		if r := row(home, "i-3"); r.State != "ended" || r.Held || r.Home != "" {
+			t.Errorf("ended, at a mind that did not take it: %+v", r)
+		}
+		other()
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/report_test.go
@@ -0,0 +1,34 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"walkrudder/internal/target"
+)
+
+func TestAMindReportsWhatItSees(t *testing.T) {
+	play(t, 31, small, func(w *world) {
+		m := w.minds[0]
+		time.Sleep(6 * time.Second)
+		w.order(base(1), []*mindHost{m})
+		for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"} {
+			if err := w.beat(m, target.Beat{ID: id, Service: "a", Addr: "10.0.0." + id[2:] + ":80", Zone: "z0", Slots: 2, Seq: 1, Draining: id == "i-2"}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := m.control().Leave(w.ctx, "i-1"); err != nil {
+			t.Fatal(err)
+		}
+		r := m.control().Report()
+		if r.Node != m.id || !r.Fresh || r.Epoch != 1 || r.Seats != 3 || r.Votes != 1 || r.Minds != 5 || r.Flows != 6 || r.Items != 4 || len(r.Files) != 2 || r.Counters["beats"] != 6 ||
+			r.Runs["ended"] != 1 || r.Runs["draining"] != 1 || r.Runs["ready"] != 4 {
+			t.Errorf("%+v", r)
+		}
+		time.Sleep(10 * time.Second)
+		// All are silent; two of the five that live are held for it.
+		if r := m.control().Report(); r.Suspected != 2 || r.Runs["ready"] != 4 {
+			t.Errorf("silent for 10 s: %+v", r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/keep/anew_test.go
@@ -0,0 +1,47 @@
+package keep
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// A damaged file is kept under the name that was told, and what is opened is empty; a
+// sound one, torn tail or not, is opened as it is.
+func TestADamagedFileIsSetAside(t *testing.T) {
+	raw, second := filled(t)
+	bad := bytes.Clone(raw)
+	for i := second - 20; i < second-5; i++ {
+		bad[i] = '#'
+	}
+	for name, c := range map[string]struct {
+		raw   []byte
+		aside bool
+	}{"sound": {raw, false}, "torn": {raw[:len(raw)-3], false}, "damaged": {bad, true}, "none": {nil, false}} {
+		dir := t.TempDir()
+		if c.raw != nil {
+			if err := os.WriteFile(filepath.Join(dir, "x.db"), c.raw, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var asides []string
+		b, err := OpenAnew(dir, "x.db", func(s string) { asides = append(asides, s) })
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		m := load(t, b)
+		_ = b.Close()
+		if len(asides) > 0 != c.aside || c.aside == (m["a"] != "") && c.raw != nil {
+			t.Errorf("%s: aside %q, holds %v", name, asides, m)
+		}
+		if c.aside {
+			if got, err := os.ReadFile(filepath.Join(dir, asides[0])); err != nil || !bytes.Equal(got, bad) {
+				t.Errorf("the damaged file is not kept: %v", err)
+			}
+		}
+	}
+	if _, err := OpenAnew(filepath.Join(t.TempDir(), "none"), "x.db", nil); err == nil {
+		t.Error("opened in a folder that isn't there")
+	}
+}
--- a/internal/keep/bunt.go
+++ b/internal/keep/bunt.go
@@ -154,6 +154,9 @@
 	return err == nil || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
+// Path is the file's.
+func (b *Bunt) Path() string { return b.path }
+
 // Load reads all values.
 func (b *Bunt) Load() (map[string][]byte, error) {
 	b.mu.Lock()
--- a/internal/keep/journal.go
+++ b/internal/keep/journal.go
@@ -43,6 +43,9 @@
 // OpenJournal names the file; it is made by the first Replace.
 func OpenJournal(dir, name string) *FileJournal { return &FileJournal{path: filepath.Join(dir, name)} }
 
+// Path is the file's.
+func (j *FileJournal) Path() string { return j.path }
+
 // encode puts records one behind the other.
 func encode(records [][]byte) []byte {
 	var b []byte
--- /dev/null
+++ b/internal/news/follower.go
@@ -0,0 +1,46 @@
+package news
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Follower is a node that asked here lately, as people are told of it. Seen is how far it
+// had heard this node out when it asked last.
+type Follower struct {
+	Member
+	Seen Cursor
+}
+
+// Gone tells whether a flow no longer counts as attached.
+func (f Follower) Gone() bool { return f.Age >= flowGone }
+
+// Followers are the nodes that asked here lately, by ID.
+func (t *Teller) Followers() []Follower {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	out := make([]Follower, 0, len(t.askers))
+	for _, a := range t.askers {
+		f := Follower{a.Member, a.seen}
+		f.Age = now.Sub(a.at)
+		out = append(out, f)
+	}
+	t.mu.Unlock()
+	slices.SortFunc(out, func(a, b Follower) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Asks is how often this node was asked for news.
+func (t *Teller) Asks() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.asks
+}
+
+// End is how far whoever heard all of this board out has got. Each change of an item
+// or a run counts one.
+func (b *Board) End() Cursor {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Cursor{Items: b.items.Seq(), Runs: b.runs.Seq()}
+}
--- /dev/null
+++ b/internal/news/report.go
@@ -0,0 +1,58 @@
+package news
+
+import "walkrudder/internal/item"
+
+// Report is what a flow tells people of the minds it follows and of what they told.
+type Report struct {
+	Synced bool `json:"synced"`
+	// BehindMS is how long ago everything acknowledged until then was known here; -1 is
+	// never yet.
+	BehindMS int64      `json:"behind_ms"`
+	Follows  []Followed `json:"follows"`
+	// Newest is the item that changed last here, and Items and Runs how many changes of
+	// each came.
+	Newest  string `json:"newest_item"`
+	Version uint64 `json:"newest_version"`
+	Dropped bool   `json:"newest_dropped"`
+	Items   uint64 `json:"item_changes"`
+	Runs    uint64 `json:"run_changes"`
+}
+
+// Followed is one mind that is followed now.
+type Followed struct {
+	Mind    string `json:"mind"` // "" before its first answer
+	Inner   string `json:"inner"`
+	Zone    string `json:"zone"`
+	SinceMS int64  `json:"since_ms"`
+	Fresh   bool   `json:"fresh"`
+	// Items and Runs are how far this mind was heard out, by its own counting.
+	Items uint64 `json:"items"`
+	Runs  uint64 `json:"runs"`
+}
+
+// Report tells of the minds followed.
+func (s *Subscriber) Report() Report {
+	now := s.Clock.Now()
+	r := Report{BehindMS: -1, Follows: []Followed{}}
+	s.mu.Lock()
+	r.Synced = s.synced
+	if !s.asOf.IsZero() {
+		r.BehindMS = now.Sub(s.asOf).Milliseconds()
+	}
+	for i, a := range s.at {
+		if a != "" {
+			p := s.places[a]
+			r.Follows = append(r.Follows, Followed{Mind: p.mind.ID, Inner: a, Zone: p.mind.Zone, SinceMS: now.Sub(s.since[i]).Milliseconds(),
+				Fresh: s.told[i].Fresh, Items: p.seen.Items, Runs: p.seen.Runs})
+		}
+	}
+	s.mu.Unlock()
+	s.board.Items(func(x *item.Set) {
+		r.Items = x.Seq()
+		if last, _, _ := x.Since(x.Seq()-min(x.Seq(), 1), 1, 0); len(last) > 0 {
+			r.Newest, r.Version, r.Dropped = last[0].Name, last[0].Version, last[0].Gone
+		}
+	})
+	r.Runs = s.board.End().Runs
+	return r
+}
--- a/internal/news/subscriber.go
+++ b/internal/news/subscriber.go
@@ -65,8 +65,9 @@
 	telling sync.Mutex // held from the merging of an answer until OnNews has run
 
 	mu     sync.Mutex
-	places map[string]place // how far each mind was heard out, by inner address
-	at     [followed]string // the minds followed now
+	places map[string]place    // how far each mind was heard out, by inner address
+	at     [followed]string    // the minds followed now
+	since  [followed]time.Time // from when on
 	seeds  []string
 	peers  map[string]Member // by inner address
 	shun   map[string]shun
@@ -208,6 +209,7 @@
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	was := s.at[slot]
 	s.at[slot], s.told[slot].Fresh = "", false
 	all := s.minds()
 	if slot > 0 {
@@ -221,7 +223,11 @@
 		slices.SortStableFunc(all, func(a, b string) int { return cmp.Compare(last(a), last(b)) })
 	}
 	back = mostShun
-	defer func() { s.at[slot] = addr }()
+	defer func() {
+		if s.at[slot] = addr; addr != was {
+			s.since[slot] = now
+		}
+	}()
 	for _, a := range all {
 		if slices.Contains(s.at[:], a) {
 			continue
--- a/internal/news/teller.go
+++ b/internal/news/teller.go
@@ -53,6 +53,7 @@
 
 	mu     sync.Mutex
 	askers map[string]*asker
+	asks   uint64
 	peers  []Member
 	near   map[string]string // zones of the flows that follow this node, by ID
 	all    map[string]int    // flows that follow any, by zone
@@ -62,7 +63,8 @@
 
 type asker struct {
 	Member
-	at time.Time
+	at   time.Time
+	seen Cursor // with its last ask
 }
 
 // Serve teaches d to answer those who follow.
@@ -123,6 +125,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.count()
+	if x := t.askers[a.Me.ID]; x != nil {
+		x.seen = a.Seen
+	}
 	if r.Seen.Peers = t.ver; a.Seen.Peers != t.ver {
 		r.Peers = append(slices.Clone(t.peers), me)
 		if t.askers[a.Me.ID].kind() == Mind {
@@ -147,6 +152,7 @@
 		return false
 	}
 	t.mu.Lock()
+	t.asks++
 	old := t.askers[m.ID]
 	switch {
 	case whole:
@@ -156,7 +162,7 @@
 		if old == nil && len(t.askers) >= maxAskers {
 			delete(t.askers, lo.MinBy(lo.Keys(t.askers), func(a, b string) bool { return t.askers[a].at.Before(t.askers[b].at) }))
 		}
-		t.askers[m.ID] = &asker{m, now}
+		t.askers[m.ID] = &asker{Member: m, at: now}
 	case old == nil || old.Inc != m.Inc:
 		t.mu.Unlock()
 		return false
--- a/internal/route/code.go
+++ b/internal/route/code.go
@@ -122,30 +122,29 @@
 	return f
 }
 
-// open starts on an item's body.
-func open(it item.Item, want item.Kind) *reader {
-	r := &reader{rest: it.Body}
+// read decodes the body of an item of a kind by its fields; where it can't be read whole
+// there is nothing.
+func read[T any](it item.Item, want item.Kind, fields func(*reader) T) (T, error) {
+	var zero T
+	d := &reader{rest: it.Body}
 	switch {
 	case it.Kind != want:
-		r.fail("another kind of item")
+		d.fail("another kind of item")
 	case it.Gone:
-		r.fail("dropped")
+		d.fail("dropped")
 	default:
-		if f := r.byte(); r.why == "" && f != format {
-			r.fail("unknown format")
+		if f := d.byte(); d.why == "" && f != format {
+			d.fail("unknown format")
 		}
 	}
-	return r
-}
-
-func (r *reader) close(name string) error {
-	if r.why == "" && len(r.rest) > 0 {
-		r.why = "too long"
+	v := fields(d)
+	if d.why == "" && len(d.rest) > 0 {
+		d.why = "too long"
 	}
-	if r.why == "" {
-		return nil
+	if d.why != "" {
+		return zero, defect.New("read item", it.Name, "%s", d.why)
 	}
-	return defect.New("read item", name, "%s", r.why)
+	return v, nil
 }
 
 // Item encodes the route.
@@ -169,23 +168,21 @@
 
 // FromItem decodes a route that stands. Its Source shares the item's bytes.
 func FromItem(it item.Item) (Route, error) {
-	d := open(it, item.Route)
-	r := Route{
-		Name: it.Name, Version: it.Version,
-		Repeat: Repeat(d.byte()), Host: d.text(), Prefix: d.text(),
-		HoldMS: d.int(), AimMS: d.int(), Priority: d.int(), Attempts: d.int(),
-	}
-	if n := d.count(9); n > 0 {
-		r.Shares = make([]Share, n)
-		for i := range r.Shares {
-			r.Shares[i] = Share{Service: d.text(), Weight: d.real()}
+	return read(it, item.Route, func(d *reader) Route {
+		r := Route{
+			Name: it.Name, Version: it.Version,
+			Repeat: Repeat(d.byte()), Host: d.text(), Prefix: d.text(),
+			HoldMS: d.int(), AimMS: d.int(), Priority: d.int(), Attempts: d.int(),
 		}
-	}
-	r.Source = d.raw()
-	if err := d.close(it.Name); err != nil {
-		return Route{}, err
-	}
-	return r, nil
+		if n := d.count(9); n > 0 {
+			r.Shares = make([]Share, n)
+			for i := range r.Shares {
+				r.Shares[i] = Share{Service: d.text(), Weight: d.real()}
+			}
+		}
+		r.Source = d.raw()
+		return r
+	})
 }
 
 // Item encodes the service.
@@ -200,15 +197,12 @@
 
 // ServiceFromItem decodes a service that stands.
 func ServiceFromItem(it item.Item) (Service, error) {
-	d := open(it, item.Service)
-	s := Service{
-		Name: it.Name, Version: it.Version,
-		Health: d.text(), MaxConns: d.int(), Source: d.raw(),
-	}
-	if err := d.close(it.Name); err != nil {
-		return Service{}, err
-	}
-	return s, nil
+	return read(it, item.Service, func(d *reader) Service {
+		return Service{
+			Name: it.Name, Version: it.Version,
+			Health: d.text(), MaxConns: d.int(), Source: d.raw(),
+		}
+	})
 }
 
 // Item encodes the limits.
@@ -225,14 +219,11 @@
 
 // LimitsFromItem decodes limits that stand.
 func LimitsFromItem(it item.Item) (Limits, error) {
-	d := open(it, item.Limits)
-	l := Limits{
-		Version:     it.Version,
-		HeaderBytes: d.int(), BodyBytes: d.int(), HeaderMS: d.int(), IdleMS: d.int(),
-		Source: d.raw(),
-	}
-	if err := d.close(it.Name); err != nil {
-		return Limits{}, err
-	}
-	return l, nil
+	return read(it, item.Limits, func(d *reader) Limits {
+		return Limits{
+			Version:     it.Version,
+			HeaderBytes: d.int(), BodyBytes: d.int(), HeaderMS: d.int(), IdleMS: d.int(),
+			Source: d.raw(),
+		}
+	})
 }
