Fates of requests are arrivals in windows of their own; answers stand in for probes

Change: a window of gaps between proper answers for each run, in units of the service's expected time, failures as absences, judged by the service's own pooled Weibull window; an ill run is passed over, then on trial with repeatable requests, one at a time at first; where more than half are ill, fates count for nothing.

Ruled out: that turned-away requests or resets at all runs alike make runs ill (tests).

--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -162,12 +162,7 @@
 		// A Weibull's ln t has the standard deviation π/(√6·β).
 		hi = min(hi, math.Exp(ml)/fl*math.Pi/math.Sqrt(6))
 	}
-	b := hi
-	if ok {
-		b = min(f.Beta, hi)
-	}
-	b = max(b, d.o.MinBeta)
-	return Fit{Alpha: math.Exp(ml - ranks(d.win.Len()).mean/b), Beta: b}
+	return d.win.clamp(f, ok, d.o.MinBeta, hi)
 }
 
 // Suspicion is w_d now; it is worked out afresh at each call. Time that this
--- a/internal/liveness/window.go
+++ b/internal/liveness/window.go
@@ -84,6 +84,24 @@
 	return f, true
 }
 
+// FitWithin is the fit with its shape clamped to lo..hi; equal gaps get hi. The window
+// must hold a gap.
+func (w *Window) FitWithin(lo, hi float64) Fit {
+	f, ok := w.Fit()
+	return w.clamp(f, ok, lo, hi)
+}
+
+// clamp takes α again for the clamped shape, so that the line still runs through the
+// mean point.
+func (w *Window) clamp(f Fit, ok bool, lo, hi float64) Fit {
+	b := hi
+	if ok {
+		b = min(f.Beta, hi)
+	}
+	b = max(b, lo)
+	return Fit{Alpha: math.Exp(w.MeanLog() - ranks(w.Len()).mean/b), Beta: b}
+}
+
 // MeanLog is the mean of the gaps' logarithms.
 func (w *Window) MeanLog() float64 {
 	s := 0.0
--- a/internal/liveness/window_test.go
+++ b/internal/liveness/window_test.go
@@ -62,3 +62,30 @@
 		w.Push(1)
 	}
 }
+
+// The shape stays within its bounds, and the line through the mean point.
+func TestFitWithin(t *testing.T) {
+	w := NewWindow(20)
+	for range 20 {
+		w.Push(2)
+	}
+	if f := w.FitWithin(1, 4); f.Beta != 4 || f.Alpha < 2 || f.Alpha > 2.5 {
+		t.Errorf("equal gaps: %+v", f)
+	}
+	for i := range 20 {
+		w.Push(math.Pow(10, float64(i%5)))
+	}
+	if f, ok := w.Fit(); !ok || f.Beta >= 1 {
+		t.Fatalf("%+v was to be below 1", f)
+	}
+	if f := w.FitWithin(1, 4); f.Beta != 1 {
+		t.Errorf("wide gaps: %+v", f)
+	}
+	for i := range 20 {
+		w.Push(Fit{3, 2}.After((float64(i) + 0.5) / 20))
+	}
+	plain, _ := w.Fit()
+	if f := w.FitWithin(1, 4); math.Abs(f.Beta-plain.Beta) > 1e-9 || math.Abs(f.Alpha-plain.Alpha) > 1e-9 {
+		t.Errorf("%+v, plain %+v", f, plain)
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -22,8 +22,13 @@
 	mute                           // silence for longer than its answers make plausible
 	cutShort                       // given up, or out of time, before that
 	withheld                       // not sent, for no fault of the run
+	erred                          // with a proper answer that tells of the run's own failure
+	outcomes
 )
 
+// whole tells whether there is an answer for the caller.
+func (o outcome) whole() bool { return o == answered || o == erred }
+
 // attempt sends the request to one run and reads its answer.
 func (n *Node) attempt(x *exchange, g grant) (o outcome) {
 	x.try(g.e)
@@ -31,9 +36,10 @@
 	paused := n.pauses.At(began)
 	o = n.send(x, g.e, began)
 	now := n.clock.Now()
-	took := now.Sub(began)
 	// Time in which this node itself stood still tells nothing of the run.
-	if o == cutShort && n.pauses.At(now) == paused {
+	still := n.pauses.At(now) - paused
+	took := max(0, now.Sub(began)-still)
+	if o == cutShort && still == 0 {
 		g.e.svc.mu.Lock()
 		if took >= g.e.plausible(x.aim, x.deadline.Sub(began)) {
 			o = mute
@@ -115,6 +121,7 @@
 // take deals with a whole answer.
 func (n *Node) take(x *exchange, e *endpoint, c *conn, a *answer, p reply) (o outcome) {
 	x.leave(c, false, p.notRun)
+	status := a.status
 	if p.close || c.r.Buffered() > 0 || c.stop.Load() {
 		// Bytes behind a whole answer belong to no request.
 		e.discard(c, true)
@@ -130,6 +137,8 @@
 		return misdirected
 	case p.notRun:
 		return turnedAway
+	case status >= 500:
+		return erred
 	}
 	return answered
 }
--- a/internal/proxy/endpoint.go
+++ b/internal/proxy/endpoint.go
@@ -29,9 +29,10 @@
 
 // endpoint is one run of a target as this node sees it. Its service's lock guards it.
 //
-// Two things speak of its health. The detector (docs/detector.md) watches the node's
-// own probes: numbered, matched to their replies, judged afresh at each choice. What
-// requests show is the second: an answer is a sign of life and ends a penalty; a failed
+// Three things speak of its health. The detector (docs/detector.md) watches the node's
+// own probes, and proper answers in their place: numbered, judged afresh at each choice.
+// The fates of requests are judged against those at the service's other runs (fates.go).
+// The third are penalties: an answer is a sign of life and ends a penalty; a failed
 // connect, a reset, silence until the deadline or a spoilt answer begins one, which
 // doubles while it goes on. After one as long as firstPenalty, one request at a time
 // tries the run, until one of them gets an answer.
@@ -65,6 +66,9 @@
 	nextProbe time.Time
 	seq       uint64
 	det       *liveness.Detector
+	proof     time.Time // of the last proper answer that is no arrival yet
+	fates     *fates    // nil until a request ended here
+	excused   bool      // too many are ill by their fates for that to say anything
 }
 
 // takes tells whether work may be sent to the run at all.
@@ -72,6 +76,15 @@
 
 // suspicion is how much the run is to be passed over now; from suspectAt on it is.
 func (e *endpoint) suspicion(now time.Time) float64 {
+	w := e.presumed(now)
+	if !e.excused {
+		w = max(w, e.illness(now))
+	}
+	return w
+}
+
+// presumed is the suspicion without the fates of requests.
+func (e *endpoint) presumed(now time.Time) float64 {
 	if d := e.barred.Sub(now); d > 0 {
 		return 1 + d.Seconds()
 	}
@@ -158,6 +171,9 @@
 	if e.trial && !e.pardoned {
 		most = 1
 	}
+	if e.onTrial() {
+		most = min(most, 1+e.fates.good)
+	}
 	return min(most, e.svc.maxOpen()) - len(e.starts)
 }
 
--- a/internal/proxy/lead.go
+++ b/internal/proxy/lead.go
@@ -47,7 +47,7 @@
 		if o == unreachable {
 			dials++
 		}
-		if o != answered {
+		if !o.whole() {
 			// One that is under way may still answer.
 			n.await(x)
 		}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -67,6 +67,8 @@
 	ended      atomic.Bool // the listener is closed on purpose
 	warned     atomic.Int64
 	maxCallers int64
+	// noStandIn and noFates leave an extension of the detector out, for measurement.
+	noStandIn, noFates bool
 
 	mu       sync.Mutex // news
 	items    *item.Set
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -12,19 +12,38 @@
 // probeTick is how often the node looks whose probe is due, and what lies idle.
 const probeTick = 500 * time.Millisecond
 
+// probeStep is the least time between two looks for probes that are due: each goes out
+// about when it is due, and few wake-ups serve many runs.
+const probeStep = 50 * time.Millisecond
+
 // probe sends health probes beside the requests: to the runs of its own zone that the
 // node works with or, where there are none, to those of others. They are numbered, and
 // a reply that names the run is arrival j for the run's detector; what a choice reads is
-// its fresh suspicion.
+// its fresh suspicion. A proper answer to a request stands in for the reply to the probe
+// that would be due.
 func (n *Node) probe(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for n.clock.Sleep(ctx, probeTick) == nil {
+	var swept time.Time
+	for wait := probeTick; n.clock.Sleep(ctx, wait) == nil; {
 		now := n.clock.Now()
+		next := now.Add(probeTick)
 		for _, s := range n.all() {
-			for _, p := range s.due(now) {
+			ps, at := s.due(now)
+			for _, p := range ps {
 				wg.Go(func() { n.ask(ctx, p) })
 			}
+			if at.Before(next) {
+				next = at
+			}
+		}
+		wait = max(probeStep, next.Sub(now))
+		if now.Sub(swept) < probeTick {
+			continue
+		}
+		swept = now
+		for _, s := range n.all() {
+			s.sweep(now)
 		}
 		n.mu.Lock()
 		n.forget(now)
@@ -32,36 +51,85 @@
 	}
 }
 
-// due lists the runs to be probed now, and closes idle connections.
-func (s *service) due(now time.Time) []probing {
+// sweep closes idle connections.
+func (s *service) sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	near := false
 	for _, e := range s.all {
 		e.sweep(now)
 	}
+}
+
+// due lists the runs to be probed now, and tells when to look again.
+func (s *service) due(now time.Time) (out []probing, next time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next = now.Add(probeTick)
+	near := false
 	for _, e := range s.work {
 		near = near || e.near && e.takes()
 	}
+	every := float64(s.n.set.ProbeEvery)
 	used := s.def.Health != "" && !s.usedAt.IsZero() && now.Sub(s.usedAt) < usedFor
-	var out []probing
 	for _, e := range s.work {
 		want := used && e.takes() && (e.near || !near)
 		if want != e.probed {
 			// Nobody looked before: silence until now says nothing.
 			e.probed = want
 			e.det.Restart(now)
-			e.nextProbe = now.Add(time.Duration(rand.Float64() * float64(s.n.set.ProbeEvery)))
+			e.proof = time.Time{}
+			e.nextProbe = now.Add(time.Duration(rand.Float64() * every))
 		}
-		if !want || e.probing || now.Before(e.nextProbe) {
+		if !want || e.probing {
 			continue
 		}
-		e.nextProbe = now.Add(time.Duration((0.8 + 0.4*rand.Float64()) * float64(s.n.set.ProbeEvery)))
+		if late := now.Sub(e.nextProbe); late > 2*probeTick {
+			// This node stood still; what fell due meanwhile is spread anew.
+			e.nextProbe = now.Add(time.Duration(rand.Float64() * every / 4))
+		}
+		if !now.Before(e.nextProbe) && !e.proof.IsZero() {
+			// The answer is the arrival, and the next probe is due an interval after it.
+			e.nextProbe = e.proof.Add(spreadProbe(every))
+			e.arrive()
+		}
+		if now.Before(e.nextProbe) {
+			if e.nextProbe.Before(next) {
+				next = e.nextProbe
+			}
+			continue
+		}
+		e.nextProbe = now.Add(spreadProbe(every))
 		e.probing = true
 		e.seq++
 		out = append(out, probing{e, e.seq, s.def.Health, e.run.ID, e.run.Addr, e.run.Seq})
 	}
-	return out
+	return out, next
+}
+
+// spreadProbe draws the time to the next probe anew each time, so that nodes and runs
+// don't fall into step.
+func spreadProbe(every float64) time.Duration {
+	return time.Duration((0.8 + 0.4*rand.Float64()) * every)
+}
+
+// prove notes a proper answer. It is taken in at once where the run is suspected, else
+// when a probe is due.
+func (e *endpoint) prove(now time.Time) {
+	if e.svc.n.noStandIn || !e.probed {
+		return
+	}
+	e.proof = now
+	if e.det.Suspicion(now) >= suspectAt {
+		e.arrive()
+	}
+}
+
+// arrive takes the last proper answer for the reply to the probe that it saves.
+func (e *endpoint) arrive() {
+	e.seq++
+	e.svc.n.stats.probesSaved.Add(1)
+	e.det.Arrive(e.seq, e.proof)
+	e.proof = time.Time{}
 }
 
 // probing is one probe.
@@ -99,7 +167,12 @@
 	s.mu.Unlock()
 	if well {
 		n.stats.probesAnswered.Add(1)
-		e.det.Arrive(p.seq, n.clock.Now())
+		s.mu.Lock()
+		if e.det.Arrive(p.seq, n.clock.Now()) {
+			// Answers before it are no news any more.
+			e.proof = time.Time{}
+		}
+		s.mu.Unlock()
 	}
 	if keep > 0 {
 		e.keep(c, keep)
--- a/internal/proxy/probe_test.go
+++ b/internal/proxy/probe_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,3 +122,162 @@
 		l.close()
 	})
 }
+
+// TestAnswersStandIn: proper answers stand in for the replies to probes: a run that
+// answers requests is not probed and not suspected, though its health says unwell; one
+// that answers none is probed as before.
+func TestAnswersStandIn(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLab(t, newPipes(), func(s *Settings) { s.ProbeEvery = 4 * time.Second })
+			l.node.noStandIn = without
+			l.routes(2)
+			busy := l.stand("busy", nil, sealed)
+			idle := l.stand("idle", func(r *target.Run) { r.Zone = "a" }, sealed)
+			asked := map[string]int{}
+			for _, s := range []*stand{busy, idle} {
+				s.mu.Lock()
+				s.health = func(l *lab, c net.Conn, q *seen) bool {
+					l.mu.Lock()
+					asked[q.run]++
+					l.mu.Unlock()
+					if q.run == "busy" {
+						return unwell(l, c, q)
+					}
+					return healthy(l, c, q)
+				}
+				s.mu.Unlock()
+			}
+			l.call("/idem/x", "q", time.Second)
+			s := l.node.all()[0]
+			s.mu.Lock()
+			e, other := s.all["busy"], s.all["idle"]
+			// The other is slower, so that whoever chooses takes the first.
+			other.took = 10 * time.Second
+			s.mu.Unlock()
+			worst := 0.0
+			for i := range 60 {
+				if i < 10 || !without {
+					l.call("/idem/x", fmt.Sprint("q", i), time.Second)
+				}
+				time.Sleep(time.Second)
+				s.mu.Lock()
+				s.usedAt = time.Now()
+				worst = max(worst, e.suspicion(time.Now()))
+				s.mu.Unlock()
+			}
+			l.mu.Lock()
+			probes, others := asked["busy"], asked["idle"]
+			l.mu.Unlock()
+			if others < 10 {
+				t.Errorf("%d probes of a run without requests", others)
+			}
+			if without {
+				if probes < 10 || worst < suspectAt {
+					t.Errorf("without: %d probes, suspicion %v", probes, worst)
+				}
+			} else if probes > 2 || worst >= suspectAt || e.det.Seq() < 10 {
+				t.Errorf("%d probes, suspicion %v, %d arrivals", probes, worst, e.det.Seq())
+			}
+			l.close()
+		})
+	}
+}
+
+// TestErrorsAreNoProof: an answer that tells of the run's own failure saves no probe.
+func TestErrorsAreNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), func(s *Settings) { s.ProbeEvery = 4 * time.Second })
+		l.routes(1)
+		l.stand("r", nil, fails)
+		for i := range 40 {
+			l.call("/idem/x", fmt.Sprint("q", i), time.Second)
+			time.Sleep(time.Second)
+		}
+		if st := l.node.Stats(); st.ProbesSaved != 0 || st.Probes < 8 || st.Erred == 0 || st.Answered < st.Erred {
+			t.Errorf("%+v", st)
+		}
+		l.close()
+	})
+}
+
+// TestProbesAreSpread: probes go out at their own times and not at those of a tick, also
+// in the first seconds and after this node stood still.
+func TestProbesAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), func(s *Settings) { s.ProbeEvery = 4 * time.Second })
+		l.routes(1)
+		var at []time.Time
+		for i := range nearMost {
+			s := l.stand(fmt.Sprint("r", i), nil, sealed)
+			s.mu.Lock()
+			s.health = func(l *lab, c net.Conn, q *seen) bool {
+				l.mu.Lock()
+				at = append(at, time.Now())
+				l.mu.Unlock()
+				return healthy(l, c, q)
+			}
+			s.mu.Unlock()
+		}
+		most := func() (k int) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			for i := range at {
+				n := 0
+				for _, u := range at[i:] {
+					if u.Sub(at[i]) < 100*time.Millisecond {
+						n++
+					}
+				}
+				k = max(k, n)
+			}
+			at = nil
+			return k
+		}
+		l.call("/idem/x", "q", time.Second)
+		time.Sleep(20 * time.Second)
+		l.mu.Lock()
+		n := len(at)
+		l.mu.Unlock()
+		if n < 4*nearMost {
+			t.Errorf("%d probes in 20 s", n)
+		}
+		if k := most(); k > nearMost/3 {
+			t.Errorf("%d probes in 100 ms", k)
+		}
+		// All fell due long ago.
+		s := l.node.all()[0]
+		s.mu.Lock()
+		for _, e := range s.work {
+			e.nextProbe = time.Now().Add(-5 * time.Second)
+		}
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		if k := most(); k > nearMost/2 {
+			t.Errorf("%d probes in 100 ms after standing still", k)
+		}
+		l.close()
+	})
+}
+
+// TestAnswerEndsSuspicion: a run that is suspected is so no longer once it answers a
+// request, with no wait for the next probe.
+func TestAnswerEndsSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := plan(at("r0", "a", 4), at("r1", "a", 4))
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		go n.pauses.Run(ctx)
+		e := s.all["r0"]
+		s.usedAt = n.clock.Now()
+		s.due(n.clock.Now())
+		time.Sleep(time.Minute)
+		if w := e.suspicion(n.clock.Now()); w < suspectAt {
+			t.Errorf("suspicion %v after a minute of silence", w)
+		}
+		s.release(s.hold(e, n.clock.Now()), answered, 100*time.Millisecond)
+		if w := e.suspicion(n.clock.Now()); w >= suspectAt {
+			t.Errorf("suspicion %v right after an answer", w)
+		}
+	})
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -52,15 +52,17 @@
 	queue   waiting
 	pace    pace
 	limit   limit
+	norm    norm
 	took    time.Duration
 	staleAt time.Time
 	usedAt  time.Time
 	bad     []judged // for use again
 }
 
+// judged is a run and its suspicion, without its requests' fates and by them.
 type judged struct {
-	e *endpoint
-	w float64
+	e      *endpoint
+	w, ill float64
 }
 
 func newService(n *Node, name string) *service {
@@ -154,7 +156,9 @@
 }
 
 // judge marks whom to pass over: at most half of the runs together, for where more go
-// silent at once the fault is likelier here; beyond that the least suspected stay.
+// silent at once the fault is likelier here; beyond that the least suspected stay. Where
+// more than half are to be passed over or on trial, the fates of requests count for
+// nothing: so the service is now.
 func (s *service) judge(now time.Time) []judged {
 	bad := s.bad[:0]
 	n := 0
@@ -163,12 +167,23 @@
 			continue
 		}
 		n++
-		e.pardoned = false
-		if w := e.suspicion(now); w >= suspectAt {
-			bad = append(bad, judged{e, w})
+		e.pardoned, e.excused = false, false
+		w := e.presumed(now)
+		if ill := e.illness(now); max(w, ill) >= suspectAt || e.onTrial() {
+			bad = append(bad, judged{e, w, ill})
 		}
 	}
 	s.bad = bad
+	excused := 2*len(bad) > n
+	bad = slices.DeleteFunc(bad, func(j judged) bool {
+		j.e.excused = excused
+		return j.w < suspectAt && (excused || j.ill < suspectAt)
+	})
+	if !excused {
+		for i, j := range bad {
+			bad[i].w = max(j.w, j.ill)
+		}
+	}
 	if most := n / 2; len(bad) > most {
 		slices.SortStableFunc(bad, func(a, b judged) int { return cmp.Compare(b.w, a.w) })
 		for _, j := range bad[most:] {
@@ -189,7 +204,7 @@
 	bad := s.judge(now)
 	bestTier, bestScore := 0, 0.0
 	for _, e := range s.work {
-		if !e.takes() || x.didTry(e) || slices.ContainsFunc(bad, func(j judged) bool { return j.e == e }) {
+		if !e.takes() || x.once && e.onTrial() || x.didTry(e) || slices.ContainsFunc(bad, func(j judged) bool { return j.e == e }) {
 			continue
 		}
 		known = true
@@ -375,9 +390,19 @@
 		e.starts = slices.Delete(e.starts, i, i+1)
 	}
 	s.limit.end(now, o == turnedAway || o == reset || o == stale)
+	if !s.n.noFates {
+		e.met(now, began, o, took)
+	} else if o == erred {
+		o = answered
+	}
 	switch o {
+	case erred:
+		e.cleared()
+		s.pace.fade(now)
+		s.pace.done++
 	case answered:
 		e.answered(now, took)
+		e.prove(now)
 		w := slower / 4
 		if s.took == 0 {
 			w = 1
--- a/internal/proxy/stand_test.go
+++ b/internal/proxy/stand_test.go
@@ -131,10 +131,12 @@
 type act func(l *lab, c net.Conn, s *seen) bool
 
 type stand struct {
-	id    string
-	ln    net.Listener
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	id string
+	ln net.Listener
+	// health answers its probes; nil is healthy.
+	health act
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
 }
 
 func newLab(t *testing.T, nw network, tune func(*Settings)) *lab {
@@ -272,7 +274,11 @@
 		}
 		l.mu.Unlock()
 		if s.id == "" {
-			if !healthy(l, c, s) {
+			h := healthy
+			if st.health != nil {
+				h = st.health
+			}
+			if !h(l, c, s) {
 				return
 			}
 			continue
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -8,10 +8,13 @@
 	Requests, NoRoute, Refused, Late        uint64
 	Unknown, Waited, Hedges, OverBudget     uint64
 	Dials, DialsFailed                      uint64
-	Probes, ProbesAnswered                  uint64
+	Probes, ProbesAnswered, ProbesSaved     uint64
 	Answered, TurnedAway, Misdirected       uint64
 	Unreachable, Reset, Stale, Spoilt, Mute uint64
 	CutShort, Withheld, Malformed, Overfull uint64
+	// Erred are those of Answered that tell of the run's own failure, PassedOver how often
+	// requests' fates had a run passed over.
+	Erred, PassedOver uint64
 	// Surplus are answers to earlier requests that were passed over.
 	Surplus uint64
 }
@@ -21,9 +24,10 @@
 	requests, noRoute, refused, late    atomic.Uint64
 	unknown, waited, hedges, overBudget atomic.Uint64
 	dials, dialsFailed                  atomic.Uint64
-	probes, probesAnswered              atomic.Uint64
+	probes, probesAnswered, probesSaved atomic.Uint64
 	malformed, overfull, surplus        atomic.Uint64
-	outcomes                            [withheld + 1]atomic.Uint64
+	passedOver                          atomic.Uint64
+	outcomes                            [outcomes]atomic.Uint64
 }
 
 func (s *stats) note(o outcome) { s.outcomes[o].Add(1) }
@@ -37,10 +41,10 @@
 		Requests: s.requests.Load(), NoRoute: s.noRoute.Load(), Refused: s.refused.Load(), Late: s.late.Load(),
 		Unknown: s.unknown.Load(), Waited: s.waited.Load(), Hedges: s.hedges.Load(), OverBudget: s.overBudget.Load(),
 		Dials: s.dials.Load(), DialsFailed: s.dialsFailed.Load(),
-		Probes: s.probes.Load(), ProbesAnswered: s.probesAnswered.Load(),
-		Answered: of(answered), TurnedAway: of(turnedAway), Misdirected: of(misdirected),
+		Probes: s.probes.Load(), ProbesAnswered: s.probesAnswered.Load(), ProbesSaved: s.probesSaved.Load(),
+		Answered: of(answered) + of(erred), Erred: of(erred), TurnedAway: of(turnedAway), Misdirected: of(misdirected),
 		Unreachable: of(unreachable), Reset: of(reset), Stale: of(stale), Spoilt: of(spoilt), Mute: of(mute),
 		CutShort: of(cutShort), Withheld: of(withheld), Malformed: s.malformed.Load(), Overfull: s.overfull.Load(),
-		Surplus: s.surplus.Load(),
+		PassedOver: s.passedOver.Load(), Surplus: s.surplus.Load(),
 	}
 }
