Limit what is under way by slowness too; work with runs as the load asks; kept connections first

Change: the limit also comes down where over a slow mean of 16 ends more than a fifth took longer than their whole aim; a node works with 12 to 24 runs of its zone and as many of others, two for each request under way of late; a run without a usable kept connection counts 150 ms more in a choice. Whoever leaves the runs worked with and comes back is looked at anew. TestProbesAreSpread keeps its bounds and holds the load up for them.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -46,7 +46,7 @@
 		}
 		g.e.svc.mu.Unlock()
 	}
-	g.e.svc.release(g, o, took)
+	g.e.svc.release(g, o, took, x.aim)
 	n.stats.note(o)
 	return o
 }
--- a/internal/proxy/choice_test.go
+++ b/internal/proxy/choice_test.go
@@ -300,3 +300,76 @@
 		}
 	})
 }
+
+// TestRunsFollowTheLoad: with little under way a node works with few runs of a service,
+// with more at once with more, and it lets go of them only slowly. A run that comes back
+// is not suspected for the time in which nobody asked it.
+func TestRunsFollowTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var runs []target.Run
+		for i := range 60 {
+			runs = append(runs, at(fmt.Sprintf("a%d", i), "a", 2))
+		}
+		n, s := plan(runs...)
+		s.usedAt = n.clock.Now()
+		look := func(times int) {
+			for range times {
+				time.Sleep(probeTick)
+				s.sweep(n.clock.Now())
+				s.due(n.clock.Now())
+			}
+		}
+		look(1)
+		if len(s.work) != mostRuns {
+			t.Errorf("works with %d at first, want %d", len(s.work), mostRuns)
+		}
+		look(60)
+		if len(s.work) != fewRuns {
+			t.Errorf("works with %d when idle, want %d", len(s.work), fewRuns)
+		}
+		var held []grant
+		for range mostRuns {
+			held = append(held, s.take(ask(n, s, route.Idempotent)))
+		}
+		look(1)
+		if len(s.work) != mostRuns {
+			t.Errorf("works with %d under load, want %d", len(s.work), mostRuns)
+		}
+		for _, e := range s.work[fewRuns:] {
+			if w := e.suspicion(n.clock.Now()); w > 0.5 {
+				t.Errorf("%s came back with a suspicion of %.2f", e.run.ID, w)
+			}
+		}
+		for _, g := range held {
+			s.release(g, answered, 100*time.Millisecond, time.Second)
+		}
+		look(2)
+		if len(s.work) != mostRuns {
+			t.Errorf("works with %d a second after the load, want %d", len(s.work), mostRuns)
+		}
+	})
+}
+
+// TestKeptConnectionsFirst: of runs alike else one with a connection at hand is asked, but
+// not for a request that may run once where that has lain idle for too long.
+func TestKeptConnectionsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := plan(at("a1", "a", 2), at("a2", "a", 2), at("a3", "a", 2))
+		last := s.work[2]
+		last.idle = []*conn{{idleAt: n.clock.Now(), life: idleTime}}
+		for kind, want := range map[route.Repeat]bool{route.Idempotent: true, route.Once: true} {
+			g := s.take(ask(n, s, kind))
+			if got := g.e == last; got != want {
+				t.Errorf("%d: the kept connection is used: %v", kind, got)
+			}
+			s.release(g, withheld, 0, time.Second)
+		}
+		time.Sleep(onceIdle)
+		if g := s.take(ask(n, s, route.Once)); g.e == last {
+			t.Error("asked for a kept connection that may be dead")
+		}
+		if g := s.take(ask(n, s, route.Idempotent)); g.e != last {
+			t.Error("a kept connection was left aside")
+		}
+	})
+}
--- a/internal/proxy/fates_test.go
+++ b/internal/proxy/fates_test.go
@@ -35,7 +35,7 @@
 	g := s.hold(s.all[id], n.clock.Now())
 	s.mu.Unlock()
 	time.Sleep(d)
-	s.release(g, o, d)
+	s.release(g, o, d, 0)
 }
 
 // usable are the runs that a request of a kind may be sent to, and with how many.
@@ -140,7 +140,7 @@
 		if s.all["r0"].illness(n.clock.Now()) < suspectAt {
 			t.Error("not suspected after 1.15 s; answers take 0.1 s")
 		}
-		s.release(g, answered, 1150*time.Millisecond)
+		s.release(g, answered, 1150*time.Millisecond, 0)
 		if s.all["r0"].illness(n.clock.Now()) >= suspectAt {
 			t.Error("still suspected after its answer")
 		}
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -9,6 +9,10 @@
 	fewEnds    = 4
 	// fullPart is the part of requests that may meet full targets: some do by chance.
 	fullPart = 0.04
+	// slowMost is the part of requests that may take longer at their target than their whole
+	// aim, over the last slowOver or so: beyond that most of what is under way only waits
+	// there. Few ends make a part by chance, hence the slow mean.
+	slowMost, slowOver = 0.2, 16
 	// limitDown and limitUp are by what the limit goes down and up.
 	limitDown, limitUp = 0.9, 1.0
 	// leastLimit is what a node may always have under way at a service.
@@ -16,7 +20,7 @@
 )
 
 // limit is how many requests a node may have under way at a service: less while targets
-// say that they are full, slowly more while they do not (additive increase, multiplicative
+// say that they are full or are slower than the aim, slowly more while they are not (additive increase, multiplicative
 // decrease). Every node meets the same targets, so that all come down together; what is
 // beyond waits at this node, by rank, or is told when to come back.
 type limit struct {
@@ -25,6 +29,7 @@
 	peak  int
 	ends  int
 	fulls int
+	slow  float64 // part of the last ends that were slower than their aim
 	at    time.Time
 }
 
@@ -35,18 +40,23 @@
 	l.peak = max(l.peak, l.under)
 }
 
-// end notes how a request ended.
-func (l *limit) end(now time.Time, full bool) {
+// end notes how a request ended: full where its target had no room for it, slow where it
+// was there for longer than its aim.
+func (l *limit) end(now time.Time, full, slow bool) {
 	l.under--
 	l.ends++
 	if full {
 		l.fulls++
 	}
+	l.slow -= l.slow / slowOver
+	if slow {
+		l.slow += 1.0 / slowOver
+	}
 	if now.Sub(l.at) < limitEvery || l.ends < fewEnds {
 		return
 	}
 	switch {
-	case float64(l.fulls) > fullPart*float64(l.ends):
+	case float64(l.fulls) > fullPart*float64(l.ends), l.slow > slowMost:
 		if l.most == 0 {
 			l.most = float64(l.peak)
 		}
--- a/internal/proxy/limit_test.go
+++ b/internal/proxy/limit_test.go
@@ -18,7 +18,7 @@
 		}
 		for k := l.under; k > 0; k-- {
 			o := k > room
-			l.end(now, o)
+			l.end(now, o, false)
 			if i > steps/2 {
 				ends++
 				if o {
@@ -54,7 +54,7 @@
 			free.begin()
 		}
 		for range 30 {
-			free.end(now, false)
+			free.end(now, false, false)
 		}
 	}
 	// It never shuts a node out, however full all are.
@@ -62,10 +62,48 @@
 		now = now.Add(limitEvery)
 		for range fewEnds {
 			free.begin()
-			free.end(now, true)
+			free.end(now, true, false)
 		}
 	}
 	if !free.room() || free.most < leastLimit {
 		t.Errorf("shut out: %+v", free)
 	}
 }
+
+// TestLimitOfSlowness: where what is under way makes each answer slower than its aim, the
+// limit comes down to what is done in time; a few slow answers among many do nothing.
+func TestLimitOfSlowness(t *testing.T) {
+	const room = 10
+	l, now, slows, ends := &limit{}, time.Unix(1, 0), 0, 0
+	for i := range 3000 {
+		now = now.Add(20 * time.Millisecond)
+		for l.room() && l.under < 4*room {
+			l.begin()
+		}
+		for k := l.under; k > 0; k-- {
+			slow := l.under > room+k%3
+			l.end(now, false, slow)
+			if i > 1500 {
+				ends++
+				if slow {
+					slows++
+				}
+			}
+		}
+	}
+	if l.most > 1.6*room || l.most < 0.6*room {
+		t.Errorf("limit %.1f where %d are done in time", l.most, room)
+	}
+	if part := float64(slows) / float64(ends); part > 0.5 {
+		t.Errorf("%.2f of all are slow", part)
+	}
+	some := &limit{}
+	for i := range 3000 {
+		now = now.Add(20 * time.Millisecond)
+		some.begin()
+		some.end(now, false, i%8 == 0)
+	}
+	if !some.room() || some.most != 0 {
+		t.Errorf("limited to %.1f by one slow answer in eight", some.most)
+	}
+}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -42,6 +42,16 @@
 	return c, false, nil
 }
 
+// warm tells whether there is an idle connection for such a use.
+func (e *endpoint) warm(now time.Time, once bool) bool {
+	if len(e.idle) == 0 || once && !e.svc.staleAt.IsZero() && now.Sub(e.svc.staleAt) < freshFor {
+		return false
+	}
+	c := e.idle[len(e.idle)-1]
+	idle := now.Sub(c.idleAt)
+	return idle < c.life && (!once || idle < onceIdle)
+}
+
 // idleConn takes an idle connection out, the last used first.
 func (e *endpoint) idleConn(now time.Time, once bool) *conn {
 	s := e.svc
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -51,13 +51,14 @@
 	}
 }
 
-// sweep closes idle connections.
+// sweep closes idle connections and looks with how many runs to work.
 func (s *service) sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.all {
 		e.sweep(now)
 	}
+	s.fit()
 }
 
 // due lists the runs to be probed now, and tells when to look again.
--- a/internal/proxy/probe_test.go
+++ b/internal/proxy/probe_test.go
@@ -208,7 +208,7 @@
 		l := newLab(t, newPipes(), func(s *Settings) { s.ProbeEvery = 4 * time.Second })
 		l.routes(1)
 		var at []time.Time
-		for i := range nearMost {
+		for i := range mostRuns {
 			s := l.stand(fmt.Sprint("r", i), nil, sealed)
 			s.mu.Lock()
 			s.health = func(l *lab, c net.Conn, q *seen) bool {
@@ -234,26 +234,30 @@
 			at = nil
 			return k
 		}
+		// It is to work with all of them all the while.
+		s := l.node.all()[0]
+		s.mu.Lock()
+		s.busy = 1000
+		s.mu.Unlock()
 		l.call("/idem/x", "q", time.Second)
 		time.Sleep(20 * time.Second)
 		l.mu.Lock()
 		n := len(at)
 		l.mu.Unlock()
-		if n < 4*nearMost {
+		if n < 4*mostRuns {
 			t.Errorf("%d probes in 20 s", n)
 		}
-		if k := most(); k > nearMost/3 {
+		if k := most(); k > mostRuns/3 {
 			t.Errorf("%d probes in 100 ms", k)
 		}
 		// All fell due long ago.
-		s := l.node.all()[0]
 		s.mu.Lock()
 		for _, e := range s.work {
 			e.nextProbe = time.Now().Add(-5 * time.Second)
 		}
 		s.mu.Unlock()
 		time.Sleep(5 * time.Second)
-		if k := most(); k > nearMost/2 {
+		if k := most(); k > mostRuns/2 {
 			t.Errorf("%d probes in 100 ms after standing still", k)
 		}
 		l.close()
@@ -275,7 +279,7 @@
 		if w := e.suspicion(n.clock.Now()); w < suspectAt {
 			t.Errorf("suspicion %v after a minute of silence", w)
 		}
-		s.release(s.hold(e, n.clock.Now()), answered, 100*time.Millisecond)
+		s.release(s.hold(e, n.clock.Now()), answered, 100*time.Millisecond, 0)
 		if w := e.suspicion(n.clock.Now()); w >= suspectAt {
 			t.Errorf("suspicion %v right after an answer", w)
 		}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -14,9 +14,16 @@
 )
 
 const (
-	// nearMost is how many runs of its own zone, and how many of all others, a node
-	// works with: each costs probes and connections.
-	nearMost = 24
+	// mostRuns is how many runs of its own zone, and how many of all others, a node works
+	// with at most, and fewRuns with how many while it has little to do: each costs probes,
+	// and the fewer they are the more use their connections are.
+	mostRuns, fewRuns = 24, 12
+	// runsEach is how many runs there are to be for each request under way, and calmer by
+	// how much in each look (probeTick) what was under way is forgotten.
+	runsEach, calmer = 2, 0.95
+	// freshCost is what a new connection counts in a choice: besides its own time it may
+	// hold a slot at the target, and it is paid for.
+	freshCost = 150 * time.Millisecond
 	// queueMost bounds the requests that wait for a target of one service.
 	queueMost = 256
 	// spreadBias is how much a run's place in this node's own order counts, in
@@ -53,6 +60,8 @@
 	pace    pace
 	limit   limit
 	norm    norm
+	runs    int     // how many this node works with, of its own zone and of others
+	busy    float64 // requests under way, the most of late
 	took    time.Duration
 	staleAt time.Time
 	usedAt  time.Time
@@ -66,7 +75,7 @@
 }
 
 func newService(n *Node, name string) *service {
-	return &service{name: name, n: n, acct: n.budget.Of(name), all: map[string]*endpoint{}, queue: waiting{most: queueMost}}
+	return &service{name: name, n: n, acct: n.budget.Of(name), all: map[string]*endpoint{}, queue: waiting{most: queueMost}, runs: mostRuns, busy: mostRuns / runsEach}
 }
 
 func (s *service) usual() time.Duration { return cmp.Or(s.took, unknownTime) }
@@ -135,7 +144,12 @@
 			rest = append(rest, e)
 		}
 	}
+	was := s.work
 	s.work = append(s.first(near), s.first(rest)...)
+	for _, e := range was {
+		// Whoever comes back was not looked at meanwhile.
+		e.probed = e.probed && slices.Contains(s.work, e)
+	}
 }
 
 func (s *service) first(es []*endpoint) []*endpoint {
@@ -144,17 +158,28 @@
 	for i, e := range es {
 		ids[i] = e.run.ID
 	}
-	out := make([]*endpoint, 0, min(len(es), nearMost))
+	out := make([]*endpoint, 0, min(len(es), s.runs))
 	for i, at := range spread.Order(s.n.set.ID, ids) {
-		if i == nearMost {
+		if i == s.runs {
 			break
 		}
-		es[at].rank = float64(i) / float64(min(len(es), nearMost))
+		es[at].rank = float64(i) / float64(min(len(es), s.runs))
 		out = append(out, es[at])
 	}
 	return out
 }
 
+// fit lets the number of runs that this node works with follow what it has under way:
+// up at once, down slowly and, but for the last step, by no less than a quarter.
+func (s *service) fit() {
+	s.busy = max(calmer*s.busy, float64(s.limit.under))
+	want := min(mostRuns, max(fewRuns, int(runsEach*s.busy+1)))
+	if want > s.runs || want <= s.runs*3/4 || want == fewRuns && want < s.runs {
+		s.runs = want
+		s.arrange()
+	}
+}
+
 // judge marks whom to pass over: at most half of the runs together, for where more go
 // silent at once the fault is likelier here; beyond that the least suspected stay. Where
 // more than half are to be passed over or on trial, the fates of requests count for
@@ -213,6 +238,9 @@
 			continue
 		}
 		score := (float64(len(e.starts)+1) + spreadBias*e.rank) * float64(e.expected(now)) * e.far
+		if !e.warm(now, x.once) {
+			score += float64(freshCost)
+		}
 		if best == nil || tier < bestTier || tier == bestTier && score < bestScore {
 			best, bestTier, bestScore = e, tier, score
 		}
@@ -381,7 +409,7 @@
 
 // release ends the counting of a request at a run, notes what it showed, and hands
 // the room on.
-func (s *service) release(g grant, o outcome, took time.Duration) {
+func (s *service) release(g grant, o outcome, took, aim time.Duration) {
 	e, began := g.e, g.at
 	now := s.n.clock.Now()
 	s.mu.Lock()
@@ -389,7 +417,7 @@
 	if i := slices.IndexFunc(e.starts, began.Equal); i >= 0 {
 		e.starts = slices.Delete(e.starts, i, i+1)
 	}
-	s.limit.end(now, o == turnedAway || o == reset || o == stale)
+	s.limit.end(now, o == turnedAway || o == reset || o == stale, aim > 0 && took > aim)
 	if !s.n.noFates {
 		e.met(now, began, o, took)
 	} else if o == erred {
