A request that waited goes by the routes that stand when it is sent

Ruled out: that the choice of a run alone is looked at again (that was so, and finds only what drains).

Change: after the wait for a download's place and after the choice of a run, before the first byte leaves, the routes are looked at once more; where the route's item changed the request is placed anew, or refused with 404 where it is gone.

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -128,7 +127,7 @@
 	n.stats.requests.Add(1)
 	x, why := c.request(l)
 	if why == nil {
-		why = n.place(x, &c.h)
+		why = n.place(x)
 	}
 	if !c.h.IsHTTP11() {
 		c.h.SetConnectionClose()
@@ -186,7 +185,7 @@
 // request checks the head, and reads the body.
 func (c *caller) request(l route.Limits) (*exchange, *refused) {
 	n, h, d := c.n, &c.h, &c.n.set.Dialect
-	x := &exchange{n: n, came: c.first, noBody: h.IsHead()}
+	x := &exchange{n: n, came: c.first, noBody: h.IsHead(), host: h.Host()}
 	bad := func(why string) (*exchange, *refused) {
 		n.stats.malformed.Add(1)
 		return x, &refused{status: 400, why: why, id: x.id}
@@ -229,6 +228,8 @@
 	case uri[0] != '/' || bytes.IndexByte(uri, 0) >= 0:
 		return bad("a path is wanted")
 	}
+	x.path, _, _ = bytes.Cut(uri, []byte{'?'})
+	x.wait = wait
 	x.deadline = x.came.Add(wait)
 	x.head = n.appendRequest(getBuffer(), h, drop)
 	if why := c.readBody(x, l); why != nil {
@@ -321,38 +322,6 @@
 	return &refused{}
 }
 
-// place finds the route and the service.
-func (n *Node) place(x *exchange, h *fasthttp.RequestHeader) *refused {
-	path, _, _ := bytes.Cut(h.RequestURI(), []byte{'?'})
-	v := n.view.Load()
-	e := v.table.MatchBytes(h.Host(), path)
-	switch {
-	case e != nil:
-	case !n.synced.Load():
-		// It may be one that this node has yet to hear of.
-		n.stats.refused.Add(1)
-		return &refused{status: 503, why: "this node does not know its routes yet", retry: n.spreadOut(3 * minRetry), id: x.id, keep: true}
-	default:
-		n.stats.noRoute.Add(1)
-		return &refused{status: 404, why: "no route", id: x.id, keep: true}
-	}
-	if x.svc = v.services[e.Pick(rand.Uint64())]; x.svc == nil {
-		n.stats.refused.Add(1)
-		return &refused{status: 503, why: "too many services", retry: time.Second, id: x.id, keep: true}
-	}
-	x.kind, x.once = e.Repeat, !e.Repeat.Repeatable()
-	x.attempts, x.priority = max(1, e.Attempts), e.Priority
-	x.aim = time.Duration(e.AimMS) * time.Millisecond
-	wait := x.deadline.Sub(x.came)
-	if e.HoldMS > 0 {
-		wait = min(wait, time.Duration(e.HoldMS)*time.Millisecond)
-	}
-	// The answer is to be there before the caller has gone.
-	x.deadline = x.came.Add(wait - 8*time.Millisecond - wait/100)
-	x.svc.acct.First()
-	return nil
-}
-
 // refuse writes an answer of this node's own, and tells whether the connection stays.
 func (c *caller) refuse(w *refused) bool {
 	if w.status == 0 {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -19,7 +19,12 @@
 	priority int
 	aim      time.Duration
 	came     time.Time
-	deadline time.Time // by which the caller has an answer
+	wait     time.Duration // for which the caller waits
+	deadline time.Time     // by which the caller has an answer
+
+	host, path []byte // the caller's, until its next request is read
+	view       *view  // by which it was placed last
+	entry      *route.Entry
 
 	id     []byte // of the request, as the caller gave it
 	head   []byte // request line and fields, up to those of each attempt
@@ -118,6 +123,13 @@
 	return x.won
 }
 
+// sent tells whether any byte may have left, or is about to.
+func (x *exchange) sent() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.arrivals > 0
+}
+
 // mayHaveRun tells whether some target may have run it.
 func (x *exchange) mayHaveRun() bool {
 	x.mu.Lock()
--- a/internal/proxy/lead.go
+++ b/internal/proxy/lead.go
@@ -21,6 +21,9 @@
 			return x.end(n.refusal(x, 3*minRetry, "too many downloads at once"))
 		}
 		defer n.leaveBulk()
+		if w := n.reroute(x); w != nil {
+			return x.end(n.own(x.id, w.status, w.retry, w.why))
+		}
 	}
 	dials := 0
 	for {
@@ -43,6 +46,14 @@
 			}
 			return x.end(n.refusal(x, retry, "no target has room"))
 		}
+		if w := n.reroute(x); w != nil {
+			g.e.svc.release(g, withheld, 0, 0)
+			return x.end(n.own(x.id, w.status, w.retry, w.why))
+		}
+		if g.e.svc != x.svc {
+			g.e.svc.release(g, withheld, 0, 0)
+			continue
+		}
 		o := n.attempt(x, g)
 		if o == unreachable {
 			dials++
