A node whose news is late refuses for a moment instead of going by old routes

Change: the age is handed to the request path (SetAsOf). From the time in which a change has to be in force (config_apply_ms) up to that from which a node is no longer in touch (contact_ms) a request is refused with 503 and Retry-After, and its caller goes to another node; a node whose news is older is cut off, and serves with what it knows as before. What has been taken in before goes on.

Weighed: to be not ready instead (callers with a connection keep it); to refuse for as long as the news is old (a node that is cut off would serve nobody).

Test: TestLateNews.

--- a/internal/news/subscriber.go
+++ b/internal/news/subscriber.go
@@ -119,6 +119,13 @@
 	return s.best().Fresh && s.Clock.Now().Sub(s.asOf) <= flowBehind+leastAnswer
 }
 
+// AsOf is until when all that was acknowledged is known here.
+func (s *Subscriber) AsOf() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asOf
+}
+
 // Flows is how many flows there are, in all and in the own zone, by the last answer.
 func (s *Subscriber) Flows() (all, near int) {
 	s.mu.Lock()
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -62,6 +62,7 @@
 	flows      atomic.Int64
 	flowsNear  atomic.Int64
 	synced     atomic.Bool
+	asOf       atomic.Pointer[time.Time] // until when all changes are known
 	stopping   atomic.Bool
 	leaving    atomic.Bool // idle callers are closed
 	ended      atomic.Bool // the listener is closed on purpose
@@ -225,6 +226,20 @@
 // SetSynced tells whether a fresh node of the control plane has told everything once.
 func (n *Node) SetSynced(ok bool) { n.synced.Store(ok) }
 
+// SetAsOf tells until when the node knows all that came into force.
+func (n *Node) SetAsOf(t time.Time) { n.asOf.Store(&t) }
+
+// behind tells whether a change may be in force that the node has yet to hear of, though
+// it is in touch, but for a while.
+func (n *Node) behind() bool {
+	at := n.asOf.Load()
+	if at == nil || n.set.NewsWithin <= 0 {
+		return false
+	}
+	age := n.clock.Now().Sub(*at)
+	return age > n.set.NewsWithin && age < n.set.NewsLost
+}
+
 // Ready tells whether callers may be sent here.
 func (n *Node) Ready() bool {
 	return n.synced.Load() && !n.stopping.Load() && n.view.Load().table.Len() > 0
--- a/internal/proxy/order_test.go
+++ b/internal/proxy/order_test.go
@@ -46,6 +46,44 @@
 	}
 }
 
+// TestLateNews: while what a node knows is so old that a change may be in force that it has
+// yet to hear of, it refuses, also what it has no route for; later it is cut off, and
+// serves with what it knows; news makes it serve at once.
+func TestLateNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), func(s *Settings) { s.NewsWithin, s.NewsLost = 2*time.Second, 3*time.Second })
+		l.stand("one", nil, sealed)
+		l.routes(1)
+		told := time.Now()
+		l.node.SetAsOf(told)
+		for i, c := range []struct {
+			at             time.Duration
+			served, nowher int
+		}{{0, 200, 404}, {1990 * time.Millisecond, 200, 404}, {2010 * time.Millisecond, 503, 503}, {2990 * time.Millisecond, 503, 503}, {3010 * time.Millisecond, 200, 404}} {
+			time.Sleep(c.at - time.Since(told))
+			for path, want := range map[string]int{"/once/x": c.served, "/nowhere/x": c.nowher} {
+				id := fmt.Sprint(path, i)
+				g := l.call(path, id, time.Second)
+				if g.status != want || (g.status == 503) != (g.head.Get(dialect.RetryAfter) != "") || (want == 200) != (l.runs(id) == 1) {
+					t.Errorf("%v old: %s: %+v, ran %d times", c.at, path, g, l.runs(id))
+				}
+			}
+		}
+		if st := l.node.Stats(); st.Behind != 4 || st.Refused != 4 {
+			t.Errorf("%+v", st)
+		}
+		l.node.SetAsOf(time.Now().Add(-2500 * time.Millisecond))
+		if g := l.call("/once/x", "late", time.Second); g.status != 503 {
+			t.Errorf("late again: %+v", g)
+		}
+		l.node.SetAsOf(time.Now())
+		if g := l.call("/once/x", "new", time.Second); g.status != 200 {
+			t.Errorf("with news: %+v", g)
+		}
+		l.close()
+	})
+}
+
 // TestNoTarget: a service without a run is refused at once.
 func TestNoTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/proxy/place.go
+++ b/internal/proxy/place.go
@@ -7,6 +7,11 @@
 
 // place finds the route and the service.
 func (n *Node) place(x *exchange) *refused {
+	if n.behind() {
+		n.stats.refused.Add(1)
+		n.stats.behind.Add(1)
+		return &refused{status: 503, why: "this node's news is late", retry: n.spreadOut(minRetry), id: x.id, keep: true}
+	}
 	if w := n.lay(x); w != nil {
 		return w
 	}
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -47,6 +47,12 @@
 	ProbeEvery time.Duration `validate:"gte=0"`
 	// DialTime bounds a connect within the region; 0 is 400 ms. A cut is silent.
 	DialTime time.Duration `validate:"gte=0"`
+	// NewsWithin is how old what the node knows of routes may be for it to go by that, and
+	// NewsLost the age from which on it takes itself for cut off, and serves with what it
+	// knows; 0 is any age. Between the two it refuses: a change may be in force that it has
+	// yet to hear of.
+	NewsWithin time.Duration `validate:"gte=0"`
+	NewsLost   time.Duration `validate:"gte=0"`
 	// MaxAnswer bounds a target's answer, which is held whole; 0 is 8 MiB.
 	MaxAnswer int `validate:"gte=0"`
 }
