Lost answers push the limit no lower than a node's part of the slots

Cause: the limit on what is under way takes resets for targets without room.

Change: turned-away and reset requests lower the limit to the node's part of all slots at most; with no more under way anywhere no target is full for want of room. Slowness lowers it further, as before.

Test: TestLimitKeepsItsShare.

--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -25,6 +25,7 @@
 // beyond waits at this node, by rank, or is told when to come back.
 type limit struct {
 	most  float64 // 0 is none yet
+	share float64 // this node's part of all slots: with no more under way none is full
 	under int
 	peak  int
 	ends  int
@@ -56,13 +57,22 @@
 		return
 	}
 	switch {
-	case float64(l.fulls) > fullPart*float64(l.ends), l.slow > slowMost:
-		if l.most == 0 {
-			l.most = float64(l.peak)
-		}
-		l.most = max(leastLimit, l.most*limitDown)
+	case l.slow > slowMost:
+		l.down(leastLimit)
+	case float64(l.fulls) > fullPart*float64(l.ends):
+		// What is turned away or reset though no node has more than its part under way is
+		// not so for want of room.
+		l.down(max(leastLimit, l.share))
 	case l.most > 0 && float64(l.peak) > 0.8*l.most:
 		l.most += limitUp
 	}
 	l.at, l.ends, l.fulls, l.peak = now, 0, 0, l.under
 }
+
+// down lowers the limit, to no less than least; one that is lower already stays.
+func (l *limit) down(least float64) {
+	if l.most == 0 {
+		l.most = max(leastLimit, float64(l.peak))
+	}
+	l.most = max(min(l.most, least), l.most*limitDown)
+}
--- a/internal/proxy/limit_test.go
+++ b/internal/proxy/limit_test.go
@@ -107,3 +107,28 @@
 		t.Errorf("limited to %.1f by one slow answer in eight", some.most)
 	}
 }
+
+// TestLimitKeepsItsShare: where answers are lost though this node has no more under way
+// than its part of the slots, that is not for want of room, and the limit stays there.
+func TestLimitKeepsItsShare(t *testing.T) {
+	l, now := &limit{share: 12}, time.Unix(1, 0)
+	for i := range 3000 {
+		now = now.Add(20 * time.Millisecond)
+		for l.room() && l.under < 40 {
+			l.begin()
+		}
+		l.end(now, i%5 == 0, false)
+	}
+	if l.most < 12 || l.most > 13 {
+		t.Errorf("limit %.1f with a share of 12 where a fifth of all is reset", l.most)
+	}
+	l.most, l.slow = 5, 0
+	for range fewEnds {
+		now = now.Add(limitEvery)
+		l.begin()
+		l.end(now, true, false)
+	}
+	if l.most != 5 {
+		t.Errorf("limit %.1f, which slowness had lowered to 5", l.most)
+	}
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -173,6 +173,13 @@
 // up at once, down slowly and, but for the last step, by no less than a quarter.
 func (s *service) fit() {
 	s.busy = max(calmer*s.busy, float64(s.limit.under))
+	slots := 0
+	for _, e := range s.all {
+		if e.takes() {
+			slots += e.slots()
+		}
+	}
+	s.limit.share = float64(slots) / float64(max(1, s.n.flows.Load()))
 	want := min(mostRuns, max(fewRuns, int(runsEach*s.busy+1)))
 	if want > s.runs || want <= s.runs*3/4 || want == fewRuns && want < s.runs {
 		s.runs = want
