--- a/internal/control/beat_test.go
+++ b/internal/control/beat_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"walkrudder/internal/pulse"
 	"walkrudder/internal/target"
 )
 
@@ -30,7 +31,7 @@
 				}
 				to = ""
 			}
-			if (clock{h: w.minds[0].host}).Wall.Sleep(ctx, time.Second) != nil {
+			if (pulse.Wall{}).Sleep(ctx, time.Second) != nil {
 				return
 			}
 		}
@@ -40,7 +41,7 @@
 
 // beat sends one beat over the network, as it were.
 func (w *world) beat(m *mindHost, b target.Beat) error {
-	run, _ := m.up()
+	run := m.up()
 	if run == nil {
 		return errRefused
 	}
--- a/internal/control/change_test.go
+++ b/internal/control/change_test.go
@@ -168,7 +168,7 @@
 				l.lose(w)
 				time.Sleep(time.Duration(w.chance(500)) * time.Millisecond)
 				for _, m := range w.minds {
-					if run, _ := m.up(); run == nil {
+					if m.up() == nil {
 						m.boot()
 					}
 				}
@@ -409,14 +409,13 @@
 		w.order(base(50), w.minds)
 		time.Sleep(20 * time.Second)
 		count := func() (asks, bytes int) {
-			w.net.mu.Lock()
-			defer w.net.mu.Unlock()
-			for k, n := range w.net.asks {
+			kinds, bytes := w.net.Traffic()
+			for k, n := range kinds {
 				if strings.HasSuffix(k, "Ask") {
 					asks += n
 				}
 			}
-			return asks, w.net.bytes
+			return asks, bytes
 		}
 		const span = 60
 		a, b := count()
--- a/internal/control/query_test.go
+++ b/internal/control/query_test.go
@@ -14,11 +14,14 @@
 	"walkrudder/internal/item"
 	"walkrudder/internal/link"
 	"walkrudder/internal/pulse"
+	"walkrudder/internal/sim/simnet"
 	"walkrudder/internal/target"
 )
 
 // operator is a host from which nodes are asked.
-func (w *world) operator() *wire { return &wire{w.net.add("operator", nil), w.ctx} }
+func (w *world) operator() simnet.Line {
+	return simnet.Line{P: w.net.add("operator", nil).Start(w.ctx, "")}
+}
 
 // look asks a mind over the network, and must be answered.
 func look[R any](w *world, l link.Line, m *mindHost, ask any) Answer[R] {
@@ -133,7 +136,7 @@
 // alone is a mind that is asked without a network.
 func alone(tb testing.TB) *Node {
 	n, err := New(Parts{Settings: Settings{ID: "m", Zone: "z", Inner: "in-m", Seeds: []string{"in-m"}, BeatEvery: time.Second}, Inc: 1, Fresh: "x",
-		Line: &wire{}, Clock: pulse.Wall{}, Log: quietLog()})
+		Line: simnet.Line{}, Clock: pulse.Wall{}, Log: quietLog()})
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -19,6 +19,7 @@
 	"walkrudder/internal/link"
 	"walkrudder/internal/news"
 	"walkrudder/internal/route"
+	"walkrudder/internal/sim/simnet"
 	"walkrudder/internal/target"
 )
 
@@ -82,7 +83,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
 		w := &world{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), bear: s.bear, first: true, acked: map[item.Key]item.Item{}}
-		w.net = newNetwork(rand.New(rand.NewPCG(seed, 2)))
+		w.net = newNetwork(seed)
 		defer func() {
 			for _, m := range w.minds {
 				m.kill()
@@ -142,26 +143,26 @@
 
 // up starts the process of a mind.
 func (m *mindHost) boot() {
-	run, end := context.WithCancel(m.w.ctx)
+	proc := m.Start(m.w.ctx, "")
 	m.inc += 1 + uint64(m.w.chance(1000))
 	p := Parts{Settings: Settings{ID: m.id, Zone: m.zone, Inner: m.addr, Seeds: m.w.seedList(), Bear: m.w.bear, First: m.w.first, BeatEvery: time.Second},
-		Inc: m.inc, Fresh: fmt.Sprintf("%s-%d", m.id, m.inc), Line: &wire{m.host, run}, Clock: clock{h: m.host}, Log: quietLog(), OnBad: func(error) { end() }}
-	var h *handle
+		Inc: m.inc, Fresh: fmt.Sprintf("%s-%d", m.id, m.inc), Line: simnet.Line{P: proc}, Clock: simnet.Clock{P: proc}, Log: quietLog(), OnBad: func(error) { proc.Kill() }}
+	var h *simnet.Handle
 	if m.disk != nil {
-		h = &handle{h: m.host, run: run, calm: true}
-		p.Disk, p.Notes = h, &journal{h.h.disk, run}
+		h = &simnet.Handle{D: m.disk.Disk, P: proc, Calm: true}
+		p.Disk, p.Notes = h, &journal{m.disk, proc.Context()}
 	}
 	n, err := New(p)
 	if err != nil {
 		m.w.t.Fatal(err)
 	}
 	if h != nil {
-		h.calm = false
+		h.Calm = false
 	}
 	m.mu.Lock()
 	m.node = n
 	m.mu.Unlock()
-	m.start(m.w.ctx, n.Desk, run, end, n.Run)
+	m.start(proc, n.Desk, n.Run)
 }
 
 func (m *mindHost) control() *Node {
@@ -172,9 +173,9 @@
 
 // up starts the process of a flow, which knows nothing of its life before.
 func (x *flowHost) boot() {
-	run, end := context.WithCancel(x.w.ctx)
+	proc := x.Start(x.w.ctx, "")
 	x.inc++
-	s := &news.Subscriber{Me: news.Member{ID: x.id, Kind: news.Flow, Zone: x.zone, Inc: x.inc}, Line: &wire{x.host, run}, Clock: clock{h: x.host}, Log: quietLog()}
+	s := &news.Subscriber{Me: news.Member{ID: x.id, Kind: news.Flow, Zone: x.zone, Inc: x.inc}, Line: simnet.Line{P: proc}, Clock: simnet.Clock{P: proc}, Log: quietLog()}
 	items, runs := map[item.Key]item.Item{}, map[string]target.Run{}
 	s.OnNews = func(t news.WatchTold) {
 		x.mu.Lock()
@@ -196,7 +197,7 @@
 	x.mu.Lock()
 	x.sub, x.items, x.runs = s, items, runs
 	x.mu.Unlock()
-	x.start(x.w.ctx, newDesk(), run, end, s.Run)
+	x.start(proc, newDesk(), s.Run)
 }
 
 func (x *flowHost) subscriber() *news.Subscriber {
@@ -228,7 +229,7 @@
 
 // alive are the minds whose process runs.
 func (w *world) alive() []*mindHost {
-	return lo.Filter(w.minds, func(m *mindHost, _ int) bool { run, _ := m.up(); return run != nil })
+	return lo.Filter(w.minds, func(m *mindHost, _ int) bool { return m.up() != nil })
 }
 
 // disked are those of ms that have a disk.
@@ -297,7 +298,7 @@
 // apply sends a change once, over the network as it were: a frozen or dead mind does
 // not answer.
 func (w *world) apply(m *mindHost, c Change) ([]route.Problem, error) {
-	run, _ := m.up()
+	run := m.up()
 	if run == nil {
 		return nil, errRefused
 	}
--- /dev/null
+++ b/internal/sim/day/machine.go
@@ -0,0 +1,312 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"walkrudder/internal/control"
+	"walkrudder/internal/keep"
+	"walkrudder/internal/link"
+	"walkrudder/internal/news"
+	"walkrudder/internal/proxy"
+	"walkrudder/internal/sim/simnet"
+)
+
+const (
+	mindPart = "mind"
+	flowPart = "flow"
+	// goingTime is how long a mind that stops still answers.
+	goingTime = 300 * time.Millisecond
+	// readyEvery is how often a machine is asked whether it is ready; after two misses it
+	// gets no new callers.
+	readyEvery = time.Second
+)
+
+// Machine runs a flow, and where it serves a mind beside it.
+type Machine struct {
+	w      *World
+	ID     string
+	Zone   string
+	host   *simnet.Host
+	disk   *simnet.Disk
+	serves bool
+
+	booting sync.Mutex // held while a process is started, which takes no time
+
+	mu      sync.Mutex
+	mind    *control.Node
+	mindRun *life
+	flow    *proxy.Node
+	sub     *news.Subscriber
+	flowRun *life
+	lives   int // of the flow
+	in      bool
+	misses  int
+	inc     uint64
+	ending  bool // a planned stop is under way
+}
+
+// life is one run of a process.
+type life struct {
+	p    *simnet.Proc
+	done chan struct{}
+}
+
+func (w *World) addMachine(i int) {
+	s := w.Shape
+	id := fmt.Sprintf("m%d", i)
+	m := &Machine{w: w, ID: id, Zone: zone(i % s.Zones), host: w.net.Host(id, zone(i%s.Zones)), serves: i < max(s.Disks, 2*s.Zones), in: true}
+	if i < s.Disks {
+		dir := w.diskDir(id)
+		if err := os.Mkdir(dir, 0o700); err != nil {
+			w.t.Fatal(err)
+		}
+		m.disk = simnet.NewDisk(rand.New(rand.NewPCG(w.rnd.Uint64(), 3)), dir)
+	}
+	w.Machines = append(w.Machines, m)
+}
+
+func (m *Machine) innerAddr() string { return simnet.Addr(m.ID, mindPart) }
+func (m *Machine) frontAddr() string { return simnet.Addr(m.ID, flowPart) }
+
+func (m *Machine) nextInc() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inc += 1 + uint64(m.w.chance(1000))
+	return m.inc
+}
+
+// bootMind starts the mind, if the machine has one and it does not run.
+func (m *Machine) bootMind() {
+	w := m.w
+	m.booting.Lock()
+	defer m.booting.Unlock()
+	if !m.serves || m.mindLife() != nil || w.over() {
+		return
+	}
+	p := m.host.Start(w.ctx, mindPart)
+	inc := m.nextInc()
+	parts := control.Parts{Settings: control.Settings{ID: m.ID, Zone: m.Zone, Inner: m.innerAddr(), Door: m.innerAddr(), Seeds: w.seedList(), Bear: w.Shape.Bear, First: w.first, BeatEvery: beatEvery},
+		Inc: inc, Fresh: fmt.Sprintf("%s-%d", m.ID, inc), Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog()}
+	l := &life{p: p, done: make(chan struct{})}
+	parts.OnBad = func(error) { go m.endMind(l) }
+	var h *simnet.Handle
+	var notes *keep.FileJournal
+	if m.disk != nil {
+		h = &simnet.Handle{D: m.disk, P: p, Calm: true}
+		notes = keep.OpenJournal(m.disk.Dir, "runs.journal")
+		parts.Disk, parts.Notes = h, notes
+	}
+	n, err := control.New(parts)
+	if err != nil {
+		w.t.Errorf("%s can't start: %v", m.ID, err)
+		p.Kill()
+		return
+	}
+	if h != nil {
+		h.Calm = false
+	}
+	m.mu.Lock()
+	m.mind, m.mindRun = n, l
+	m.mu.Unlock()
+	p.Open(n.Desk)
+	w.procs.Go(func() {
+		n.Run(p.Context())
+		if notes != nil {
+			_ = notes.Close()
+		}
+		close(l.done)
+	})
+}
+
+// bootFlow starts the flow, if it does not run.
+func (m *Machine) bootFlow() {
+	w := m.w
+	m.booting.Lock()
+	defer m.booting.Unlock()
+	if m.flowLife() != nil || w.over() {
+		return
+	}
+	p := m.host.Start(w.ctx, flowPart)
+	s := w.Shape
+	set := proxy.Settings{ID: m.ID, Zone: m.Zone, Zones: w.zones, Dialect: dialect, BudgetRatio: s.Bounds.BudgetRatio, BudgetWindow: s.Bounds.BudgetWindow, BudgetSlack: s.Bounds.BudgetSlack,
+		MemoryMB: 284, MaxFiles: 4100, Grace: s.Bounds.Grace}
+	if err := set.Check(); err != nil {
+		w.t.Fatal(err)
+	}
+	n := proxy.New(proxy.Parts{Settings: set, Clock: simnet.Clock{P: p}, Log: quietLog(), Dial: p.Dial})
+	sub := &news.Subscriber{Me: news.Member{ID: m.ID, Kind: news.Flow, Zone: m.Zone, Inc: m.nextInc()}, Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog()}
+	sub.OnNews = func(t news.WatchTold) {
+		n.TakeItems(t.Items)
+		n.TakeRuns(t.Runs)
+		n.SetFlows(t.Flows, t.FlowsNear)
+		if sub.Synced() {
+			n.SetSynced(true)
+		}
+	}
+	sub.Init(w.seedList())
+	l := &life{p: p, done: make(chan struct{})}
+	ln := p.Listen()
+	m.mu.Lock()
+	m.flow, m.sub, m.flowRun = n, sub, l
+	m.lives++
+	m.mu.Unlock()
+	p.Open(link.NewDesk())
+	w.procs.Go(func() {
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = n.Serve(ln) }) // ends with the process
+		wg.Go(func() { sub.Run(p.Context()) })
+		wg.Go(func() { n.Run(p.Context()) })
+		wg.Wait()
+		close(l.done)
+	})
+}
+
+func (m *Machine) mindLife() *life {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mindRun
+}
+
+func (m *Machine) flowLife() *life {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.flowRun
+}
+
+func (m *Machine) node() *control.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mind
+}
+
+// endMind kills one life of the mind.
+func (m *Machine) endMind(l *life) {
+	if l == nil {
+		return
+	}
+	l.p.Kill()
+	<-l.done
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.mindRun == l {
+		m.mind, m.mindRun = nil, nil
+	}
+}
+
+func (m *Machine) endFlow(l *life) {
+	if l == nil {
+		return
+	}
+	l.p.Kill()
+	<-l.done
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.flowRun == l {
+		m.flow, m.sub, m.flowRun = nil, nil, nil
+	}
+}
+
+func (m *Machine) killMind() { m.endMind(m.mindLife()) }
+func (m *Machine) killFlow() { m.endFlow(m.flowLife()) }
+
+// killAll kills all processes of the machine at one moment.
+func (m *Machine) killAll() {
+	var wg sync.WaitGroup
+	wg.Go(m.killMind)
+	wg.Go(m.killFlow)
+	wg.Wait()
+}
+
+// bootAll starts what does not run.
+func (m *Machine) bootAll() {
+	m.bootMind()
+	m.bootFlow()
+}
+
+// powerLoss ends everything at one moment, with what the disk had not synced.
+func (m *Machine) powerLoss() {
+	m.host.Dark(true)
+	m.killAll()
+	if m.disk != nil {
+		if err := m.disk.PowerLoss(); err != nil {
+			m.w.t.Error(err)
+		}
+	}
+}
+
+// stop ends the machine's processes in order, as a SIGTERM does, and a SIGKILL after the
+// grace.
+func (m *Machine) stop() {
+	w := m.w
+	var wg sync.WaitGroup
+	m.mu.Lock()
+	if m.ending {
+		m.mu.Unlock()
+		return // the one who began it ends it
+	}
+	m.ending = true
+	fl, n, ml, mind := m.flowRun, m.flow, m.mindRun, m.mind
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.ending = false
+	}()
+	if fl != nil {
+		w.note(func(r *Record) { r.Stops = append(r.Stops, Stop{m.ID, w.now()}) })
+		wg.Go(func() {
+			cx, end := context.WithTimeout(fl.p.Context(), w.Shape.Bounds.Grace)
+			defer end()
+			_ = n.Stop(cx) // what it could not finish shows at the callers
+			m.endFlow(fl)
+		})
+	}
+	if ml != nil {
+		wg.Go(func() {
+			mind.Stop()
+			time.Sleep(goingTime)
+			m.endMind(ml)
+		})
+	}
+	wg.Wait()
+}
+
+// watchReadiness asks the machine each second, as the callers' side does.
+func (m *Machine) watchReadiness() {
+	me := m.w.net.Host("ready-"+m.ID, m.Zone).Start(m.w.ctx, "watch")
+	defer me.Kill()
+	for m.w.ctx.Err() == nil {
+		cx, end := context.WithTimeout(m.w.ctx, readyEvery)
+		ok, err := simnet.Do(cx, me, m.frontAddr(), func(context.Context, *simnet.Proc) (bool, error) {
+			m.mu.Lock()
+			n := m.flow
+			m.mu.Unlock()
+			return n != nil && n.Ready(), nil
+		})
+		end()
+		m.mu.Lock()
+		if ok && err == nil {
+			m.in, m.misses = true, 0
+		} else if m.misses++; m.misses >= 2 {
+			m.in = false
+		}
+		m.mu.Unlock()
+		t := time.NewTimer(readyEvery)
+		select {
+		case <-t.C:
+		case <-m.w.ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+func (m *Machine) isIn() (in bool, lives int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.in, m.lives
+}
--- /dev/null
+++ b/internal/sim/day/mix_test.go
@@ -0,0 +1,145 @@
+package day
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+var (
+	days      = flag.Int("days", 0, "how many days with troubles by chance to play, for hunting")
+	firstSeed = flag.Uint64("seed", 1, "the seed of the first of them")
+)
+
+// named is a trouble with the name under which a day's timeline tells of it.
+type named struct {
+	name  string
+	what  Trouble
+	wipes bool // it loses a disk
+}
+
+// catalogue are the troubles of which mixed days are made. wipes says that one loses a
+// disk: of these a day has one at most, for no more may be lost at once.
+func catalogue(r *rand.Rand, wipes bool) []named {
+	d := time.Second + time.Duration(r.Int64N(int64(8*time.Second)))
+	part := .2 + .4*r.Float64()
+	svc, other := "orders", "archive"
+	if r.IntN(2) == 0 {
+		svc, other = other, svc
+	}
+	n := 1 + r.IntN(2)
+	out := []named{
+		{name: "targets crash", what: Crashed(svc, part, Crash, d)},
+		{name: "targets are dark", what: Crashed(svc, part, Dark, d)},
+		{name: "targets are gone", what: Crashed(svc, min(part, .3), Gone, d)},
+		{name: "release", what: Release(svc, 300*time.Millisecond+d/8)},
+		{name: "reuse", what: Reused(svc, other, min(part, .4), false)},
+		{name: "reuse in order", what: Reused(svc, other, min(part, .4), true)},
+		{name: "scale-in", what: ScaleIn(svc, min(part, .4))},
+		{name: "silent answers", what: Faulty(svc, part, Fault{Silent: part}, d)},
+		{name: "reset answers", what: Faulty(svc, part, Fault{Resets: part}, d)},
+		{name: "garbled answers", what: Faulty(svc, part, Fault{Garbles: part, Garble: Garble(r.IntN(int(garbles)))}, d)},
+		{name: "slow targets", what: Faulty(svc, part, Fault{Factor: 2 + 5*r.Float64()}, d)},
+		{name: "grey targets", what: Faulty(svc, part, Fault{Grey: part}, d)},
+		{name: "mute targets", what: Faulty(svc, part, Fault{Mute: true}, d)},
+		{name: "unwell by their word", what: Faulty(svc, part, Fault{Unwell: true}, d)},
+		{name: "forgetful targets", what: Faulty(svc, 1, Fault{Forgets: true}, d)},
+		{name: "full targets", what: Faulty(svc, part, Fault{Full: true}, d)},
+		{name: "full by resets", what: Faulty(svc, part, Fault{FullHard: true}, d)},
+		{name: "flapping", what: Flapping(svc, part, d)},
+		{name: "targets reset", what: Again(3, time.Second, TargetsReset(svc, part))},
+		{name: "flows killed", what: Again(n, d, Killed(n, Flow, d/4))},
+		{name: "minds killed", what: Again(n, d, Killed(n, Mind, d/4))},
+		{name: "machines killed", what: Again(n, d, Killed(n, Both, d/2))},
+		{name: "machines frozen", what: Again(n, d, Froze(n, d/2))},
+		{name: "rolled", what: Rolled(d / 4)},
+		{name: "herd", what: Herd(part+.3, Both, d/2)},
+		{name: "herd of flows", what: Herd(part+.3, Flow, d/2)},
+		{name: "power after an acknowledgement", what: Again(n, d, AfterAck(false, d/2))},
+		{name: "slow disks", what: Together(DiskSlow(n, d), Changes(4, d/4))},
+		{name: "disk refuses", what: Together(DiskRefuses(d), Changes(3, d/3))},
+		{name: "core cut", what: Together(CoreCut(d), Changes(4, d/4))},
+		{name: "machines cut off", what: Together(NodeCut(n, true, d), Changes(4, d/4))},
+		{name: "machines cut off one way", what: Together(NodeCut(n, false, d), Changes(4, d/4))},
+		{name: "slow machines", what: Slowed(n, time.Duration(10+r.IntN(150))*time.Millisecond, d)},
+		{name: "lossy machines", what: Lossy(n, .02+.2*r.Float64(), d)},
+		{name: "machines reset", what: Again(3, time.Second, MachinesReset(n))},
+		{name: "seeds", what: Again(n, d, SeedTurnover)},
+		{name: "cut off until the end", what: Together(Lasting(CutOffNodes(n, r.IntN(2) == 0)), Changes(4, d/4))},
+		{name: "changes", what: Changes(8, d/4)},
+		{name: "race", what: Race(6)},
+		{name: "storm", what: Storm(25)},
+		{name: "older", what: Again(n, d/2, Older)},
+		{name: "invalid", what: Invalid(6)},
+		{name: "chained", what: Chained(6, d/4)},
+		{name: "power after a leaving", what: Again(n, d, AfterLeaving(svc, d/2))},
+		{name: "minds frozen", what: Together(MindsFroze(n+1, d+3*time.Second), Changes(6, d/4))},
+		{name: "rolled, slow targets", what: Together(Rolled(d/4), Faulty(svc, 1, Fault{Factor: 3}, 20*time.Second))},
+		{name: "burst", what: Burst(1.5+3*r.Float64(), d)},
+		{name: "abuse", what: Together(Abuse(d), Burst(2.5, d))},
+	}
+	if wipes {
+		out = append(out, named{"disk after an acknowledgement", AfterAck(true, d/2), true}, named{"cut off, told, and lost", CutAndLost(d/2, d/2), true})
+	}
+	return out
+}
+
+// mix draws a day's troubles.
+func mix(t *testing.T, seed uint64) (s Shape, length time.Duration, out []Trouble) {
+	r := rand.New(rand.NewPCG(seed, 7))
+	s, length = Small(), 30*time.Second
+	if r.IntN(4) == 0 {
+		s = Large()
+	}
+	wipes := true
+	for range 2 + r.IntN(4) {
+		c := catalogue(r, wipes)
+		x := c[r.IntN(len(c))]
+		wipes = wipes && !x.wipes
+		at := time.Duration(r.Int64N(int64(length / 2)))
+		t.Logf("at %v: %s", warmUp+at, x.name)
+		out = append(out, At(at, x.what))
+	}
+	if r.IntN(4) == 0 {
+		ends := []End{AllKilled, AllPower}
+		if wipes {
+			ends = append(ends, DisksLost)
+		}
+		end := ends[r.IntN(len(ends))]
+		at := length
+		length += 25 * time.Second
+		t.Logf("at %v: closing fault %d", warmUp+at, end)
+		out = append(out, At(at, Closes(end, 2*time.Second)))
+	}
+	return s, length, out
+}
+
+func playMix(t *testing.T, seed uint64) {
+	t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+		t.Parallel()
+		s, length, xs := mix(t, seed)
+		play(t, seed, s, length, .1, xs...)
+	})
+}
+
+// Days with several troubles by chance break no rule either.
+func TestMixes(t *testing.T) {
+	for seed := range lo.Ternary(raced, uint64(2), 10) {
+		playMix(t, 1+seed)
+	}
+}
+
+// TestHunt plays as many days as it is told to: go test ./internal/sim/day -run TestHunt
+// -days 200 -seed 1000.
+func TestHunt(t *testing.T) {
+	if *days == 0 {
+		t.Skip("no -days given")
+	}
+	for i := range *days {
+		playMix(t, *firstSeed+uint64(i))
+	}
+}
--- /dev/null
+++ b/internal/sim/day/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package day
+
+const raced = false
--- /dev/null
+++ b/internal/sim/day/trouble_machines.go
@@ -0,0 +1,390 @@
+package day
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Part is a process of a machine.
+type Part int
+
+// Parts.
+const (
+	Flow Part = 1 << iota
+	Mind
+	Both = Flow | Mind
+)
+
+func (m *Machine) kill(p Part) {
+	var wg sync.WaitGroup
+	if p&Flow != 0 {
+		wg.Go(m.killFlow)
+	}
+	if p&Mind != 0 {
+		wg.Go(m.killMind)
+	}
+	wg.Wait()
+}
+
+// among chooses n machines: all, those that serve the control plane, or those with a
+// disk. Of the latter no more than may be lost.
+func (w *World) among(n int, of []*Machine) []*Machine {
+	var out []*Machine
+	disks := 0
+	for _, m := range some(w, of, len(of)) {
+		if m.disk != nil {
+			if disks == w.Shape.Bear {
+				continue
+			}
+			disks++
+		}
+		if len(out) < n {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// MindsFroze freezes n machines that serve the control plane, and thaws them.
+func MindsFroze(n int, d time.Duration) Trouble {
+	return For(d, func(w *World) func() {
+		var ends []func()
+		for _, m := range w.among(n, w.minds()) {
+			over := w.trouble(m, Frozen)
+			m.host.Freeze()
+			ends = append(ends, func() { m.host.Thaw(); over() })
+		}
+		return all(ends)
+	})
+}
+
+// Killed kills processes of n machines and starts them again after a time.
+func Killed(n int, p Part, d time.Duration) Trouble {
+	return func(w *World) {
+		of := w.Machines
+		if p == Mind {
+			of = w.minds()
+		}
+		each(w.among(n, of), func(m *Machine) {
+			over := w.trouble(m, Down)
+			m.kill(p)
+			time.Sleep(d)
+			m.bootAll()
+			over()
+		})
+	}
+}
+
+// Herd kills many processes at one moment, core and all.
+func Herd(part float64, p Part, d time.Duration) Trouble {
+	return func(w *World) {
+		each(share(w, w.Machines, part), func(m *Machine) {
+			over := w.trouble(m, Down)
+			m.kill(p)
+			time.Sleep(d)
+			m.bootAll()
+			over()
+		})
+	}
+}
+
+// Froze freezes n machines and thaws them.
+func Froze(n int, d time.Duration) Trouble {
+	return func(w *World) {
+		each(w.among(n, w.Machines), func(m *Machine) {
+			over := w.trouble(m, Frozen)
+			m.host.Freeze()
+			time.Sleep(d)
+			m.host.Thaw()
+			over()
+		})
+	}
+}
+
+// Rolled stops and starts all machines in turn.
+func Rolled(pause time.Duration) Trouble {
+	return func(w *World) {
+		for _, m := range w.Machines {
+			over := w.trouble(m, Planned)
+			m.stop()
+			m.bootAll()
+			over()
+			time.Sleep(pause)
+		}
+	}
+}
+
+// AfterAck takes the power, or the whole disk, from the machine that has just
+// acknowledged a change.
+func AfterAck(disk bool, d time.Duration) Trouble {
+	return func(w *World) {
+		o := w.operator(w.id("ack"))
+		c, name := w.edit()
+		_, m := o.send(c, true)
+		if m == nil {
+			return
+		}
+		over := w.trouble(m, Down)
+		m.powerLoss()
+		if disk && m.disk != nil {
+			if err := m.disk.Wipe(); err != nil {
+				w.t.Error(err)
+			}
+		}
+		o.watch(name)
+		time.Sleep(d)
+		m.host.Dark(false)
+		m.bootAll()
+		over()
+	}
+}
+
+// CutAndLost cuts a machine with a disk off from all others, has an operator send a change
+// to it alone, and takes its power and its disk once it has said yes or the patience is
+// over. The change is then sent to the others.
+func CutAndLost(patience, d time.Duration) Trouble {
+	return func(w *World) {
+		m := pick(w, w.core())
+		mend := w.apart([]*Machine{m}, slices.DeleteFunc(slices.Clone(w.Machines), func(o *Machine) bool { return o == m }), true)
+		o := w.operator(w.id("alone"))
+		c, name := w.edit()
+		order := o.begin(c, true)
+		o.press(order, c, []*Machine{m}, w.now()+patience)
+		m.powerLoss()
+		if err := m.disk.Wipe(); err != nil {
+			w.t.Error(err)
+		}
+		mend()
+		over := w.trouble(m, Down)
+		o.watch(name)
+		if !order.settled() {
+			o.press(order, c, w.minds(), 1<<62)
+		}
+		time.Sleep(d)
+		m.host.Dark(false)
+		m.bootAll()
+		over()
+	}
+}
+
+// AfterLeaving takes the power from the machine that has just acknowledged that a target
+// leaves.
+func AfterLeaving(service string, d time.Duration) Trouble {
+	return func(w *World) {
+		list := w.herd.of(service)
+		if len(list) < 2 {
+			return
+		}
+		t := pick(w, list)
+		w.wg.Go(t.leave)
+		select {
+		case <-t.drained:
+		case <-t.gone:
+			return
+		}
+		t.mu.Lock()
+		m := w.machine(t.by)
+		t.mu.Unlock()
+		over := w.trouble(m, Down)
+		m.powerLoss()
+		time.Sleep(d)
+		m.host.Dark(false)
+		m.bootAll()
+		over()
+	}
+}
+
+// DiskSlow slows the syncs of n disks.
+func DiskSlow(n int, d time.Duration) Trouble {
+	return For(d, func(w *World) func() {
+		var ends []func()
+		for _, m := range some(w, w.core(), n) {
+			over := w.trouble(m, DiskTrouble)
+			m.disk.Pace(100*time.Millisecond, 900*time.Millisecond)
+			ends = append(ends, func() { m.disk.Pace(200*time.Microsecond, 3*time.Millisecond); over() })
+		}
+		return all(ends)
+	})
+}
+
+// DiskRefuses has a disk refuse its syncs; the mind on it ends, and comes back.
+func DiskRefuses(d time.Duration) Trouble {
+	return func(w *World) {
+		m := pick(w, w.core())
+		over := w.trouble(m, DiskTrouble)
+		m.disk.Refuse(true)
+		time.Sleep(d)
+		m.disk.Refuse(false)
+		m.killMind()
+		m.bootAll()
+		over()
+	}
+}
+
+func all(fs []func()) func() {
+	return func() {
+		for _, f := range fs {
+			f()
+		}
+	}
+}
+
+func ids(ms []*Machine) (out []string) {
+	for _, m := range ms {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// CoreCut cuts the machines in two, each with a part of the core; the smaller part counts
+// as troubled.
+func CoreCut(d time.Duration) Trouble {
+	return For(d, func(w *World) func() {
+		small := some(w, w.core(), (len(w.core())-1)/2)
+		var rest []*Machine
+		for _, m := range w.Machines {
+			switch {
+			case slices.Contains(small, m):
+			case m.disk == nil && w.chance(3) == 0:
+				small = append(small, m)
+			default:
+				rest = append(rest, m)
+			}
+		}
+		return w.apart(small, rest, true)
+	})
+}
+
+// apart cuts some machines off from others; the first count as troubled.
+func (w *World) apart(some, rest []*Machine, both bool) func() {
+	var ends []func()
+	for _, m := range some {
+		ends = append(ends, w.trouble(m, CutOff))
+	}
+	ends = append(ends, w.net.Between(ids(some), ids(rest), both))
+	if !both && w.chance(2) == 0 {
+		ends = append(ends, w.net.Between(ids(rest), ids(some), false))
+	}
+	return all(ends)
+}
+
+// NodeCut cuts n machines off from all others, and from the targets of other zones; one
+// way or both.
+func NodeCut(n int, both bool, d time.Duration) Trouble { return For(d, CutOffNodes(n, both)) }
+
+// CutOffNodes begins what NodeCut does.
+func CutOffNodes(n int, both bool) func(*World) func() {
+	return func(w *World) func() {
+		var ends []func()
+		for _, m := range w.among(n, w.Machines) {
+			rest := slices.DeleteFunc(slices.Clone(w.Machines), func(o *Machine) bool { return o == m })
+			ends = append(ends, w.apart([]*Machine{m}, rest, both))
+			for _, t := range w.herd.of("") {
+				if t.Zone != m.Zone {
+					ends = append(ends, w.harm(t.ID), w.net.Between([]string{m.ID}, []string{t.host.ID}, true))
+				}
+			}
+		}
+		return all(ends)
+	}
+}
+
+// Slowed adds a time to all that comes to and goes from n machines. What a machine does by
+// itself is not slower here.
+func Slowed(n int, by, d time.Duration) Trouble {
+	return For(d, func(w *World) func() {
+		var ends []func()
+		for _, m := range w.among(n, w.Machines) {
+			over := w.trouble(m, Slow)
+			m.host.Slow(by)
+			ends = append(ends, func() { m.host.Slow(0); over() })
+		}
+		return all(ends)
+	})
+}
+
+// Lossy loses a share of what comes to and goes from n machines.
+func Lossy(n int, part float64, d time.Duration) Trouble {
+	return For(d, func(w *World) func() {
+		var ends []func()
+		for _, m := range w.among(n, w.Machines) {
+			over := w.trouble(m, Links)
+			m.host.Lose(part)
+			ends = append(ends, func() { m.host.Lose(0); over() })
+		}
+		return all(ends)
+	})
+}
+
+// MachinesReset resets all connections of n machines.
+func MachinesReset(n int) Trouble {
+	return func(w *World) {
+		for _, m := range w.among(n, w.Machines) {
+			over := w.trouble(m, Links)
+			m.host.Reset()
+			over()
+		}
+	}
+}
+
+// SeedTurnover exchanges the seeds for other machines that serve the control plane.
+func SeedTurnover(w *World) {
+	var seeds []string
+	for _, m := range some(w, w.minds(), 3) {
+		seeds = append(seeds, m.innerAddr())
+	}
+	w.mu.Lock()
+	w.seeds = seeds
+	w.mu.Unlock()
+	for _, m := range w.Machines {
+		m.mu.Lock()
+		n, s := m.mind, m.sub
+		m.mu.Unlock()
+		if n != nil {
+			n.SetSeeds(seeds)
+		}
+		if s != nil {
+			s.SetSeeds(seeds)
+		}
+	}
+}
+
+// End is how a day's closing fault takes the machines.
+type End int
+
+// Ends of a day.
+const (
+	AllKilled End = iota
+	AllPower      // with what was not synced
+	DisksLost     // as many disks as may be lost, and all killed
+)
+
+// Closes ends all processes at one moment, and starts them again. The day goes on for
+// long enough to see whether requests are served.
+func Closes(how End, d time.Duration) Trouble {
+	return func(w *World) {
+		at := w.now()
+		w.note(func(r *Record) { r.Closing = &Closing{At: at} })
+		lost := some(w, w.core(), w.Shape.Bear)
+		each(w.Machines, func(m *Machine) {
+			over := w.trouble(m, Down)
+			switch how {
+			case AllPower:
+				m.powerLoss()
+			default:
+				m.killAll()
+			}
+			if how == DisksLost && slices.Contains(lost, m) {
+				if err := m.disk.Wipe(); err != nil {
+					w.t.Error(err)
+				}
+			}
+			time.Sleep(d)
+			m.host.Dark(false)
+			m.bootAll()
+			over()
+		})
+		w.note(func(r *Record) { r.Closing.Back = w.now() })
+	}
+}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -4,9 +4,7 @@
 package sim
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"errors"
 	"hash/fnv"
 	"math/rand/v2"
@@ -15,6 +13,7 @@
 	"time"
 
 	"walkrudder/internal/link"
+	"walkrudder/internal/sim/simnet"
 )
 
 var (
@@ -173,48 +172,10 @@
 	run context.Context
 }
 
-// parcel is what travels: a copy through gob, as on a real link.
-type parcel struct{ V any }
+// codecs copy what travels, as on a real link.
+var codecs simnet.Codecs
 
-// codec is both ends of one gob stream; the description of a type travels through
-// it once, as on a real link.
-type codec struct {
-	b   bytes.Buffer
-	enc *gob.Encoder
-	dec *gob.Decoder
-}
-
-func newCodec() *codec {
-	c := &codec{}
-	c.enc, c.dec = gob.NewEncoder(&c.b), gob.NewDecoder(&c.b)
-	return c
-}
-
-// codecs are those that nobody uses now. A sync.Pool would lose them at each garbage
-// collection and, under the race detector, one in four at random; a new one has to
-// learn every type again.
-var codecs = make(chan *codec, 64)
-
-func through(v any) (any, error) {
-	var c *codec
-	select {
-	case c = <-codecs:
-	default:
-		c = newCodec()
-	}
-	if err := c.enc.Encode(parcel{v}); err != nil {
-		return nil, err
-	}
-	var p parcel
-	if err := c.dec.Decode(&p); err != nil {
-		return nil, err
-	}
-	select {
-	case codecs <- c:
-	default:
-	}
-	return p.V, nil
-}
+func through(v any) (any, error) { return codecs.Through(v) }
 
 type told struct {
 	v   any
