--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -57,22 +57,15 @@
 		return
 	}
 	switch {
-	case l.slow > slowMost:
-		l.down(leastLimit)
-	case float64(l.fulls) > fullPart*float64(l.ends):
-		// What is turned away or reset though no node has more than its part under way is
-		// not so for want of room.
-		l.down(max(leastLimit, l.share))
+	case l.slow > slowMost, float64(l.fulls) > fullPart*float64(l.ends):
+		// With no more than each node's part under way nobody waits at a target: what is
+		// late, turned away or reset then is not so for want of room.
+		if l.most == 0 {
+			l.most = max(leastLimit, float64(l.peak))
+		}
+		l.most = max(leastLimit, min(l.most, l.share), l.most*limitDown)
 	case l.most > 0 && float64(l.peak) > 0.8*l.most:
 		l.most += limitUp
 	}
 	l.at, l.ends, l.fulls, l.peak = now, 0, 0, l.under
 }
-
-// down lowers the limit, to no less than least; one that is lower already stays.
-func (l *limit) down(least float64) {
-	if l.most == 0 {
-		l.most = max(leastLimit, float64(l.peak))
-	}
-	l.most = max(min(l.most, least), l.most*limitDown)
-}
