Flows ask for news more often where changes have less time than usual

Cause: a flow waits up to a second at a mind and looks for another after 1.9 s, made for changes in force within 2 s; a deployment that gives them one second would have flows go by older news, or, since late news are refused, refuse in a calm.

Change: the waits scale with config_apply_ms below 2 s, down to one; news younger than a second is never late.

Test: TestAFlowKnowsWhatIsYoungEnough (2, 1.5 and 1 s on a link of 240 ms both ways).

--- a/internal/news/subscriber.go
+++ b/internal/news/subscriber.go
@@ -41,6 +41,9 @@
 	homeEvery = 2 * time.Second
 	// tableEvery is how often runs that are over are forgotten.
 	tableEvery = time.Minute
+	// usualWithin is the time for a change that flowWait and flowBehind are made for, and
+	// leastWithin the shortest that asks are made more often for.
+	usualWithin, leastWithin = 2 * time.Second, time.Second
 )
 
 // followed is how many minds a flow follows at once. With one alone, what it missed while
@@ -57,6 +60,9 @@
 	Line  link.Line
 	Clock pulse.Clock
 	Log   *log.Logger
+	// Within is in what time a change has to be in force; 0 is usual. In less a flow asks
+	// more often, so that it never knows what is older.
+	Within time.Duration
 	// OnNews is told, in order and one call at a time, of what was news here: Items and
 	// Runs hold what changed, as it stands now. Flows counts come with each answer.
 	OnNews func(WatchTold)
@@ -105,6 +111,14 @@
 	}
 }
 
+// within is d where changes have the usual time, and less where they have less.
+func (s *Subscriber) within(d time.Duration) time.Duration {
+	if s.Within <= 0 || s.Within >= usualWithin {
+		return d
+	}
+	return d * max(s.Within, leastWithin) / usualWithin
+}
+
 // Synced tells whether a fresh mind has told everything once in this life.
 func (s *Subscriber) Synced() bool {
 	s.mu.Lock()
@@ -116,7 +130,7 @@
 func (s *Subscriber) Fresh() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.best().Fresh && s.Clock.Now().Sub(s.asOf) <= flowBehind+leastAnswer
+	return s.best().Fresh && s.Clock.Now().Sub(s.asOf) <= s.within(flowBehind)+leastAnswer
 }
 
 // AsOf is until when all that was acknowledged is known here.
@@ -280,9 +294,9 @@
 	if at.sums != nil {
 		return flowAnswer, 0
 	}
-	left := s.asOf.Add(flowBehind).Sub(s.Clock.Now())
+	left := s.asOf.Add(s.within(flowBehind)).Sub(s.Clock.Now())
 	answer = min(max(left, leastAnswer), flowAnswer)
-	return answer, min(answer-answerSlack, flowWait)
+	return answer, min(answer-answerSlack, s.within(flowWait))
 }
 
 // follow stays with one mind for as long as it will do; ok says that a better one than
--- a/internal/news/subscriber_test.go
+++ b/internal/news/subscriber_test.go
@@ -125,3 +125,43 @@
 		})
 	}
 }
+
+// TestAFlowKnowsWhatIsYoungEnough: where a change has less than the usual time, a flow asks so
+// often that it never goes by what is older, also on a slow link.
+func TestAFlowKnowsWhatIsYoungEnough(t *testing.T) {
+	oldest := func(t *testing.T, within time.Duration) (old time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &far{way: 120 * time.Millisecond, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
+			var all []Member
+			for _, id := range []string{"a", "b", "c"} {
+				b := newBench()
+				me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
+				b.Me = func() Member { return me }
+				b.Others = func() []Member { return all }
+				all = append(all, me)
+				f.minds[id] = b
+			}
+			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil), Within: within, OnNews: func(WatchTold) {}}
+			s.Init([]string{"b", "c"})
+			ctx, end := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { s.Run(ctx); close(done) }()
+			time.Sleep(5 * time.Second)
+			for range 2000 {
+				time.Sleep(10 * time.Millisecond)
+				old = max(old, time.Since(s.AsOf()))
+			}
+			end()
+			<-done
+		})
+		return old
+	}
+	for _, c := range []struct{ within, most time.Duration }{{0, usualWithin}, {5 * time.Second, usualWithin}, {1500 * time.Millisecond, 1500 * time.Millisecond}, {leastWithin, leastWithin}} {
+		if old := oldest(t, c.within); old >= c.most {
+			t.Errorf("within %v: went by what was %v old", c.within, old)
+		}
+	}
+	if old := oldest(t, 0); old < leastWithin {
+		t.Errorf("asks are as frequent without need: %v at the oldest", old)
+	}
+}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -31,6 +31,8 @@
 	farRegion = 6
 	// unknownFlows is how many nodes share the targets until that is told.
 	unknownFlows = 16
+	// leastNews is an age that news may reach on a slow link without any trouble.
+	leastNews = time.Second
 	// pauseTick is how often the node looks whether it stood still itself.
 	pauseTick = 500 * time.Millisecond
 )
@@ -237,7 +239,7 @@
 		return false
 	}
 	age := n.clock.Now().Sub(*at)
-	return age > n.set.NewsWithin && age < n.set.NewsLost
+	return age > max(n.set.NewsWithin, leastNews) && age < n.set.NewsLost
 }
 
 // Ready tells whether callers may be sent here.
