--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -29,6 +29,10 @@
 	// spreadBias is how much a run's place in this node's own order counts, in
 	// requests under way: nodes that know nothing of each other begin with others.
 	spreadBias = 0.5
+	// underWay is how much a request under way at a run counts, in expected times of an
+	// answer: more than its own time, for where this node has one there others have some too,
+	// and targets slow down when they are nearly full.
+	underWay = 2.5
 	// connShare is the part of a target's connections that all nodes use together.
 	connShare = 0.8
 	// freshFor is how long a request that may run once trusts no kept connection of a
@@ -244,7 +248,7 @@
 		if tier < 0 {
 			continue
 		}
-		score := (float64(len(e.starts)+1) + spreadBias*e.rank) * float64(e.expected(now)) * e.far
+		score := (1 + underWay*float64(len(e.starts)) + spreadBias*e.rank) * float64(e.expected(now)) * e.far
 		if !e.warm(now, x.once) {
 			score += float64(freshCost)
 		}
