A request under way counts 1.9, so that the own zone's slots still go first

With 2.5 the second slot of an own run comes after the first of another zone's (times 3), which the design forbids.

Change: 1.9, the most that keeps the order. The test is as it was.

--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -31,8 +31,9 @@
 	spreadBias = 0.5
 	// underWay is how much a request under way at a run counts, in expected times of an
 	// answer: more than its own time, for where this node has one there others have some too,
-	// and targets slow down when they are nearly full.
-	underWay = 2.5
+	// and targets slow down when they are nearly full; but with one the own zone's slot still
+	// goes before another's (farZone).
+	underWay = 1.9
 	// connShare is the part of a target's connections that all nodes use together.
 	connShare = 0.8
 	// freshFor is how long a request that may run once trusts no kept connection of a
