--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -28,7 +28,7 @@
 	// farZone is the weight of the way to a zone of the own region, farRegion that to
 	// any other.
 	farZone   = 3
-	farRegion = 6
+	farRegion = 9
 	// unknownFlows is how many nodes share the targets until that is told.
 	unknownFlows = 16
 	// leastNews is an age that news may reach on a slow link without any trouble.
