One joint of news and request path, and small twins made one

Cause: a read of the whole change. Besides: the check for forgotten connections stood twice in pool.go, the reading of report files twice in hollow, the end of a life twice in the simulator's machine.

Behaviour stays as it was: without NewsWithin the age of news refuses nothing in the simulator. No test changed.

--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -20,9 +20,9 @@
 )
 
 // limit is how many requests a node may have under way at a service: less while targets
-// say that they are full or are slower than the aim, slowly more while they are not (additive increase, multiplicative
-// decrease). Every node meets the same targets, so that all come down together; what is
-// beyond waits at this node, by rank, or is told when to come back.
+// say that they are full or are slower than the aim, slowly more while they are not
+// (additive increase, multiplicative decrease). Every node meets the same targets, so that
+// all come down together; what is beyond waits at this node, by rank, or is told when to come back.
 type limit struct {
 	most  float64 // 0 is none yet
 	share float64 // this node's part of all slots: with no more under way none is full
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -42,9 +42,14 @@
 	return c, false, nil
 }
 
+// forgets tells whether a kept connection of the service died under a request of late.
+func (s *service) forgets(now time.Time) bool {
+	return !s.staleAt.IsZero() && now.Sub(s.staleAt) < freshFor
+}
+
 // warm tells whether there is an idle connection for such a use.
 func (e *endpoint) warm(now time.Time, once bool) bool {
-	if len(e.idle) == 0 || once && !e.svc.staleAt.IsZero() && now.Sub(e.svc.staleAt) < freshFor {
+	if len(e.idle) == 0 || once && e.svc.forgets(now) {
 		return false
 	}
 	c := e.idle[len(e.idle)-1]
@@ -57,7 +62,7 @@
 	s := e.svc
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if once && !s.staleAt.IsZero() && now.Sub(s.staleAt) < freshFor {
+	if once && s.forgets(now) {
 		return nil
 	}
 	for len(e.idle) > 0 {
--- a/internal/sim/day/machine.go
+++ b/internal/sim/day/machine.go
@@ -140,14 +140,7 @@
 	}
 	n := proxy.New(proxy.Parts{Settings: set, Clock: simnet.Clock{P: p}, Log: quietLog(), Dial: p.Dial})
 	sub := &news.Subscriber{Me: news.Member{ID: m.ID, Kind: news.Flow, Zone: m.Zone, Inc: m.nextInc()}, Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog()}
-	sub.OnNews = func(t news.WatchTold) {
-		n.TakeItems(t.Items)
-		n.TakeRuns(t.Runs)
-		n.SetFlows(t.Flows, t.FlowsNear)
-		if sub.Synced() {
-			n.SetSynced(true)
-		}
-	}
+	n.Follow(sub)
 	sub.Init(w.seedList())
 	l := &life{p: p, done: make(chan struct{})}
 	ln := p.Listen()
@@ -184,8 +177,8 @@
 	return m.mind
 }
 
-// endMind kills one life of the mind.
-func (m *Machine) endMind(l *life) {
+// end kills one life, and has what was of it forgotten.
+func (m *Machine) end(l *life, forget func()) {
 	if l == nil {
 		return
 	}
@@ -193,22 +186,23 @@
 	<-l.done
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.mindRun == l {
-		m.mind, m.mindRun = nil, nil
-	}
+	forget()
+}
+
+func (m *Machine) endMind(l *life) {
+	m.end(l, func() {
+		if m.mindRun == l {
+			m.mind, m.mindRun = nil, nil
+		}
+	})
 }
 
 func (m *Machine) endFlow(l *life) {
-	if l == nil {
-		return
-	}
-	l.p.Kill()
-	<-l.done
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.flowRun == l {
-		m.flow, m.sub, m.flowRun = nil, nil, nil
-	}
+	m.end(l, func() {
+		if m.flowRun == l {
+			m.flow, m.sub, m.flowRun = nil, nil, nil
+		}
+	})
 }
 
 func (m *Machine) killMind() { m.endMind(m.mindLife()) }
--- a/tools/hollow/plot.go
+++ b/tools/hollow/plot.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -32,14 +31,10 @@
 func (a *PlotArgs) run(out io.Writer) error {
 	var all []Report
 	for _, name := range a.Files {
-		f, err := os.Open(name)
+		rs, err := reportsOf(name)
 		if err != nil {
 			return err
 		}
-		rs, err := reports(f)
-		if err := errors.Join(err, f.Close()); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
 		all = append(all, rs...)
 	}
 	if err := os.MkdirAll(a.Out, 0o755); err != nil {
--- a/tools/hollow/slopes.go
+++ b/tools/hollow/slopes.go
@@ -80,14 +80,10 @@
 func (a *SlopesArgs) run(out io.Writer) error {
 	var all []Report
 	for _, name := range a.Files {
-		f, err := os.Open(name)
+		rs, err := reportsOf(name)
 		if err != nil {
 			return err
 		}
-		rs, err := reports(f)
-		if err := errors.Join(err, f.Close()); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
 		slopes(out, rs)
 		all = append(all, rs...)
 	}
@@ -97,6 +93,19 @@
 	return nil
 }
 
+// reportsOf reads the reports of a file.
+func reportsOf(name string) ([]Report, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	rs, err := reports(f)
+	if err := errors.Join(err, f.Close()); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return rs, nil
+}
+
 func reports(r io.Reader) (rs []Report, err error) {
 	for dec := json.NewDecoder(r); ; {
 		var x Report
