--- a/internal/sim/day/machine.go
+++ b/internal/sim/day/machine.go
@@ -134,12 +134,12 @@
 	p := m.host.Start(w.ctx, flowPart)
 	s := w.Shape
 	set := proxy.Settings{ID: m.ID, Zone: m.Zone, Zones: w.zones, Dialect: dialect, BudgetRatio: s.Bounds.BudgetRatio, BudgetWindow: s.Bounds.BudgetWindow, BudgetSlack: s.Bounds.BudgetSlack,
-		MemoryMB: 284, MaxFiles: 4100, Grace: s.Bounds.Grace}
+		MemoryMB: 284, MaxFiles: 4100, Grace: s.Bounds.Grace, NewsWithin: s.Bounds.Apply, NewsLost: s.Bounds.Contact}
 	if err := set.Check(); err != nil {
 		w.t.Fatal(err)
 	}
 	n := proxy.New(proxy.Parts{Settings: set, Clock: simnet.Clock{P: p}, Log: quietLog(), Dial: p.Dial})
-	sub := &news.Subscriber{Me: news.Member{ID: m.ID, Kind: news.Flow, Zone: m.Zone, Inc: m.nextInc()}, Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog()}
+	sub := &news.Subscriber{Me: news.Member{ID: m.ID, Kind: news.Flow, Zone: m.Zone, Inc: m.nextInc()}, Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog(), Within: s.Bounds.Apply}
 	n.Follow(sub)
 	sub.Init(w.seedList())
 	l := &life{p: p, done: make(chan struct{})}
