Large answers to downloads go on to the caller while they come in, on narrow links

Change: the body goes on once the answer's head has passed every check and told its length. One goroutine reads it in, another writes it out; what breaks off ends early by its own framing; a caller that goes away is not held against the run.

Its check of MIXED took any answer that ends early for a breach; the rule wants only that it does not look whole. Where answers go on while they come in, one that began properly and ended before the length it told is no breach now; anywhere else it still is, and two planted faults hold both.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -23,9 +23,14 @@
 	// close asks for the end of the caller's connection.
 	close bool
 	held  int // bytes reserved
+	// passing is the body of an answer that still comes in; nil is one that is held whole.
+	passing *passing
 }
 
 func (a *answer) free() {
+	if a.passing != nil {
+		putBuffer(a.passing.body)
+	}
 	putBuffer(a.head)
 	putBuffer(a.body)
 	a.head, a.body = nil, nil
@@ -75,9 +80,12 @@
 // answer that names another request: a target in trouble may answer an earlier request
 // once more, in the place where the next answer is due, and the one that is due comes
 // behind it. Such a connection is not used again.
-func (n *Node) readAnswer(c *conn, id []byte, head bool) (*answer, reply, error) {
+//
+// pass is asked whether a large body goes on to the caller while it comes in; such an
+// answer is returned also where it broke off, and belongs to who took it. nil is never.
+func (n *Node) readAnswer(c *conn, id []byte, head bool, pass func(*answer) bool) (*answer, reply, error) {
 	for surplus := 0; ; surplus++ {
-		a, p, err := n.readOne(c, id, head)
+		a, p, err := n.readOne(c, id, head, pass)
 		if errors.Is(err, errSurplus) && c.uses > 1 && surplus < mostSurplus {
 			n.stats.surplus.Add(1)
 			continue
@@ -88,7 +96,7 @@
 }
 
 // readOne reads one answer. errSurplus says that it was a whole one to another request.
-func (n *Node) readOne(c *conn, id []byte, head bool) (*answer, reply, error) {
+func (n *Node) readOne(c *conn, id []byte, head bool, pass func(*answer) bool) (*answer, reply, error) {
 	h := &c.h
 	for {
 		h.Reset()
@@ -109,6 +117,19 @@
 	a := &answer{status: h.StatusCode(), length: -1, head: getBuffer()}
 	p, err := n.readFields(h, a, id)
 	other := errors.Is(err, errSurplus)
+	if size := c.h.ContentLength(); err == nil && pass != nil && !head && a.status < 300 && size >= bulkFrom && size <= n.set.MaxAnswer {
+		a.passing = newPassing(c, size)
+		if pass(a) {
+			err := a.passing.read(c.r, func(k int) {
+				n.in.wait(size, k, c.hard)
+				n.mem.force(k)
+				a.held += k
+			})
+			a.passing.end(err)
+			return a, p, err
+		}
+		a.passing = nil
+	}
 	if err == nil || other {
 		// What answers another request is read to its end, and that is all.
 		if e := n.readAnswerBody(c, a, head && !other); e != nil {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -105,9 +105,14 @@
 		}
 		var a *answer
 		var p reply
-		if a, p, err = n.readAnswer(c, x.id, x.noBody); err == nil {
+		if a, p, err = n.readAnswer(c, x.id, x.noBody, n.passer(x, e, c)); err == nil {
 			return n.take(x, e, c, a, p), false
 		}
+		if a != nil && c.stop.Load() {
+			// The caller went away while its answer came, for no fault of the run.
+			e.discard(c, true)
+			return withheld, false
+		}
 	}
 	x.leave(c, false, false)
 	e.discard(c, true)
@@ -128,7 +133,7 @@
 	} else {
 		e.keep(c, p.keep)
 	}
-	if p.notRun || !x.win(a) {
+	if a.passing == nil && (p.notRun || !x.win(a)) {
 		n.mem.give(a.held)
 		a.free()
 	}
@@ -208,6 +213,7 @@
 	n.stats.hedges.Add(1)
 	go func() {
 		n.attempt(x, g)
+		n.leavePassed(x, g)
 		x.mu.Lock()
 		x.hedge = nil
 		x.mu.Unlock()
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -140,6 +140,9 @@
 	}
 	a := n.lead(x)
 	keep := c.write(a, x.noBody, !c.h.ConnectionClose())
+	if a.passing != nil {
+		a.passing.stop()
+	}
 	n.mem.give(a.held)
 	a.free()
 	x.free()
@@ -358,7 +361,10 @@
 	b = append(b, "\r\n"...)
 	b = append(b, a.head...)
 	length := len(a.body)
-	if a.bare {
+	switch {
+	case a.passing != nil:
+		length = a.passing.size
+	case a.bare:
 		length = a.length
 	}
 	if length >= 0 {
@@ -378,6 +384,8 @@
 	var err error
 	if err = c.nc.SetWriteDeadline(c.n.clock.Now().Add(writeTime)); err == nil {
 		switch {
+		case a.passing != nil:
+			err = c.writePassing(b, a.passing)
 		case noBody || a.bare || len(a.body) == 0:
 			_, err = c.nc.Write(b)
 		case len(a.body) <= together:
@@ -403,16 +411,40 @@
 		return err
 	}
 	for rest := body; len(rest) > 0; {
-		k := min(len(rest), bulkStep)
-		now := c.n.clock.Now()
-		c.n.out.wait(len(body), k, now.Add(writeTime))
-		if err := c.nc.SetWriteDeadline(c.n.clock.Now().Add(writeTime)); err != nil {
+		k, err := c.writeStep(rest, len(body))
+		if err != nil {
 			return err
 		}
-		if _, err := c.nc.Write(rest[:k]); err != nil {
+		rest = rest[k:]
+	}
+	return nil
+}
+
+// writeStep writes the next piece of a large body.
+func (c *caller) writeStep(rest []byte, size int) (int, error) {
+	k := min(len(rest), bulkStep)
+	c.n.out.wait(size, k, c.n.clock.Now().Add(writeTime))
+	if err := c.nc.SetWriteDeadline(c.n.clock.Now().Add(writeTime)); err != nil {
+		return 0, err
+	}
+	return c.nc.Write(rest[:k])
+}
+
+// writePassing writes a body while it comes in.
+func (c *caller) writePassing(head []byte, p *passing) error {
+	if _, err := c.nc.Write(head); err != nil {
+		return err
+	}
+	for at := 0; at < p.size; {
+		b, err := p.from(at)
+		if len(b) == 0 {
 			return err
 		}
-		rest = rest[k:]
+		k, err := c.writeStep(b, p.size)
+		if err != nil {
+			return err
+		}
+		at += k
 	}
 	return nil
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -41,6 +41,8 @@
 	paid     bool // the next arrival is paid for from the budget
 	live     []*conn
 	won      *answer
+	passed   chan struct{} // closed once won goes on to the caller while it comes; nil where none may
+	reader   *endpoint     // the run that it comes from
 	hedge    chan struct{} // closed when the attempt besides is over; nil is none
 }
 
--- a/internal/proxy/lead.go
+++ b/internal/proxy/lead.go
@@ -15,12 +15,19 @@
 
 // lead brings a request to a target and returns its final answer. It runs in the
 // goroutine of the caller's connection; only an attempt besides has its own.
-func (n *Node) lead(x *exchange) *answer {
+func (n *Node) lead(x *exchange) (a *answer) {
 	if x.kind == route.Download {
 		if !n.enterBulk(x.deadline.Sub(n.clock.Now()) / 4) {
 			return x.end(n.refusal(x, 3*minRetry, "too many downloads at once"))
 		}
-		defer n.leaveBulk()
+		defer func() {
+			if a.passing == nil {
+				n.leaveBulk()
+			}
+		}()
+		if n.gate != nil {
+			x.passed, x.shared = make(chan struct{}), true
+		}
 		if w := n.reroute(x); w != nil {
 			return x.end(n.own(x.id, w.status, w.retry, w.why))
 		}
@@ -54,7 +61,7 @@
 			g.e.svc.release(g, withheld, 0, 0)
 			continue
 		}
-		o := n.attempt(x, g)
+		o := n.attemptPassing(x, g)
 		if o == unreachable {
 			dials++
 		}
@@ -65,6 +72,58 @@
 	}
 }
 
+// attemptPassing makes an attempt, and returns as soon as there is an answer to go on to
+// the caller, also one that has yet to come in whole.
+func (n *Node) attemptPassing(x *exchange, g grant) (o outcome) {
+	if x.passed == nil {
+		return n.attempt(x, g)
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		o := n.attempt(x, g)
+		n.leavePassed(x, g)
+		done <- o
+	}()
+	select {
+	case o = <-done:
+		return o
+	case <-x.passed:
+		return answered
+	}
+}
+
+// passer lets the first proper answer over c that is large go on to the caller while it
+// comes; nil where none may.
+func (n *Node) passer(x *exchange, e *endpoint, c *conn) func(*answer) bool {
+	if x.passed == nil {
+		return nil
+	}
+	return func(a *answer) bool {
+		c.slow = nil
+		x.leave(c, false, false)
+		if !x.win(a) {
+			return false
+		}
+		x.mu.Lock()
+		x.reader = e
+		x.mu.Unlock()
+		n.stats.passed.Add(1)
+		close(x.passed)
+		return true
+	}
+}
+
+// leavePassed gives the place of a download back once its body has come in, where the
+// answer went on before that.
+func (n *Node) leavePassed(x *exchange, g grant) {
+	x.mu.Lock()
+	passed := x.reader == g.e
+	x.mu.Unlock()
+	if passed {
+		n.leaveBulk()
+	}
+}
+
 // await waits for the attempt besides, and tells whether there was one.
 func (n *Node) await(x *exchange) bool {
 	c := x.besides()
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -17,6 +17,8 @@
 	Erred, PassedOver uint64
 	// Behind are those of Refused that came while the node's news was late.
 	Behind uint64
+	// Passed are large answers that went on to callers while they came in.
+	Passed uint64
 	// Surplus are answers to earlier requests that were passed over.
 	Surplus uint64
 }
@@ -28,7 +30,7 @@
 	dials, dialsFailed                  atomic.Uint64
 	probes, probesAnswered, probesSaved atomic.Uint64
 	malformed, overfull, surplus        atomic.Uint64
-	passedOver, behind                  atomic.Uint64
+	passedOver, behind, passed          atomic.Uint64
 	outcomes                            [outcomes]atomic.Uint64
 }
 
@@ -47,6 +49,6 @@
 		Answered: of(answered) + of(erred), Erred: of(erred), TurnedAway: of(turnedAway), Misdirected: of(misdirected),
 		Unreachable: of(unreachable), Reset: of(reset), Stale: of(stale), Spoilt: of(spoilt), Mute: of(mute),
 		CutShort: of(cutShort), Withheld: of(withheld), Malformed: s.malformed.Load(), Overfull: s.overfull.Load(),
-		PassedOver: s.passedOver.Load(), Behind: s.behind.Load(), Surplus: s.surplus.Load(),
+		PassedOver: s.passedOver.Load(), Behind: s.behind.Load(), Passed: s.passed.Load(), Surplus: s.surplus.Load(),
 	}
 }
--- a/internal/sim/day/record.go
+++ b/internal/sim/day/record.go
@@ -50,6 +50,9 @@
 	RetryAfter time.Duration
 	// Broken says that an answer began and ended early, or was none.
 	Broken bool
+	// Short says of a broken one that it began as it should, and ended before the length that
+	// it had told: it does not look whole.
+	Short bool
 	// Surplus says that bytes came that no request was waiting for.
 	Surplus bool
 	// GaveUp says that the caller stopped waiting.
@@ -132,9 +135,12 @@
 
 // Record is what a day showed.
 type Record struct {
-	Bounds   Bounds
-	Length   time.Duration
-	Core     []string // machines with a disk that serve control
+	Bounds Bounds
+	Length time.Duration
+	Core   []string // machines with a disk that serve control
+	// PassOn says that large answers go on while they come in, as on narrow links: what
+	// breaks off then, breaks off on the way out as well.
+	PassOn   bool
 	Requests []*Request
 	Arrivals []*Arrival
 	Orders   []*Order
--- a/internal/sim/day/rules_test.go
+++ b/internal/sim/day/rules_test.go
@@ -58,14 +58,16 @@
 		rule  string
 		plant func(r *Record)
 	}{
-		"no seal":              {"MIXED", func(r *Record) { r.Requests[0].Seal = "" }},
-		"half a body":          {"MIXED", func(r *Record) { r.Requests[0].Answer = "b" }},
-		"another's seal":       {"MIXED", func(r *Record) { r.Requests[0].Seal = r.Requests[1].Seal }},
-		"another's answer":     {"MIXED", func(r *Record) { r.Requests[0].AnswerID = "q2" }},
-		"a failure as success": {"MIXED", func(r *Record) { r.Arrivals[0].Status = 500 }},
-		"another's failure":    {"MIXED", func(r *Record) { r.Requests[0].Status, r.Requests[0].AnswerID = 503, "q2" }},
-		"surplus":              {"MIXED", func(r *Record) { r.Requests[0].Surplus = true }},
-		"no answer at all":     {"MIXED", func(r *Record) { r.Requests[0].Status, r.Requests[0].Broken = 0, true }},
+		"no seal":                            {"MIXED", func(r *Record) { r.Requests[0].Seal = "" }},
+		"half a body":                        {"MIXED", func(r *Record) { r.Requests[0].Answer = "b" }},
+		"another's seal":                     {"MIXED", func(r *Record) { r.Requests[0].Seal = r.Requests[1].Seal }},
+		"another's answer":                   {"MIXED", func(r *Record) { r.Requests[0].AnswerID = "q2" }},
+		"a failure as success":               {"MIXED", func(r *Record) { r.Arrivals[0].Status = 500 }},
+		"another's failure":                  {"MIXED", func(r *Record) { r.Requests[0].Status, r.Requests[0].AnswerID = 503, "q2" }},
+		"surplus":                            {"MIXED", func(r *Record) { r.Requests[0].Surplus = true }},
+		"no answer at all":                   {"MIXED", func(r *Record) { r.Requests[0].Status, r.Requests[0].Broken = 0, true }},
+		"short where answers are held whole": {"MIXED", func(r *Record) { r.Requests[0].Status, r.Requests[0].Broken, r.Requests[0].Short = 0, true, true }},
+		"no answer on a narrow link":         {"MIXED", func(r *Record) { r.PassOn, r.Requests[0].Status, r.Requests[0].Broken = true, 0, true }},
 		"run twice": {"TWICE", func(r *Record) {
 			r.Requests[0].Once = true
 			b := *r.Arrivals[0]
@@ -175,6 +177,9 @@
 			q, a := add(r, "q9", "b", "i2", at(61))
 			q.Status, q.Seal, q.Done, q.Deadline, a.Done = 0, "", at(66), at(70), 0
 		},
+		"short on a narrow link": func(r *Record) {
+			r.PassOn, r.Requests[0].Status, r.Requests[0].Broken, r.Requests[0].Short = true, 0, true, true
+		},
 		"a target that broke off": func(r *Record) {
 			q, a := add(r, "q9", "b", "i2", at(61))
 			q.Status, q.Seal, q.Broken, a.BrokeOff = 0, "", true, true
--- a/internal/sim/day/session.go
+++ b/internal/sim/day/session.go
@@ -93,6 +93,7 @@
 	}
 	b, err := io.ReadAll(p.Body)
 	if err != nil {
+		got.Short = p.ContentLength > int64(len(b)) && p.StatusCode == 200 && p.Header.Get(dialect.RequestID) == q.ID && p.Header.Get(dialect.Seal) != ""
 		return fail(err, true)
 	}
 	got.Status, got.AnswerID, got.Seal, got.Answer = p.StatusCode, p.Header.Get(dialect.RequestID), p.Header.Get(dialect.Seal), digest(string(b))
--- a/internal/sim/day/world.go
+++ b/internal/sim/day/world.go
@@ -52,6 +52,8 @@
 	Slots, Queue, MaxConns       int
 	Streams                      []Stream
 	Bounds                       Bounds
+	// LinkMbps is the width of each machine's link, as its flow is told it; 0 is wide.
+	LinkMbps float64
 }
 
 // Small is a deployment with three machines that have a disk, of which one may be lost.
@@ -65,6 +67,20 @@
 		}}
 }
 
+// Narrow is the small deployment on narrow links, with downloads large enough to go on to
+// the caller while they come in.
+func Narrow() Shape {
+	s := Small()
+	s.LinkMbps = 3.2
+	s.Streams = slices.Clone(s.Streams)
+	for i := range s.Streams {
+		if s.Streams[i].Repeat == route.Download {
+			s.Streams[i].Body, s.Streams[i].Aim = 40<<10, 1500*time.Millisecond
+		}
+	}
+	return s
+}
+
 // Large is a deployment with six machines that have a disk, of which two may be lost.
 func Large() Shape {
 	s := Small()
@@ -111,7 +127,7 @@
 	ctx, end := context.WithCancel(t.Context())
 	w := &World{t: t, Shape: s, ctx: ctx, began: time.Now(), dir: t.TempDir(), first: true, press: 1, version: 1,
 		net: simnet.New(seed, 300*time.Microsecond, 600*time.Microsecond, 700*time.Microsecond), rnd: rand.New(rand.NewPCG(seed, 1)), zones: map[string]string{},
-		rec: &Record{Bounds: s.Bounds, Harmed: map[string][]*Span{}}}
+		rec: &Record{Bounds: s.Bounds, PassOn: s.LinkMbps > 0, Harmed: map[string][]*Span{}}}
 	for i := range s.Zones {
 		w.zones[zone(i)] = "region"
 	}
