The interval of probes follows what a node is asked: two a second are free, then a tenth

Cause: every node probed each run that it works with about every 4 s.

Ruled out: fewer runs to work with (the load's own bound, 12, is shared with the choice).

Change: at most 2 probes a second or a tenth of the requests; the interval doubles up to 32 s for it, with hysteresis. A new interval begins new detectors, so no window holds two rhythms. What is passed over is still probed every 4 s.

--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -56,6 +56,7 @@
 	budget *budget.Budget
 	call   func(ctx context.Context, addr string) (net.Conn, error)
 	pauses *liveness.Pauses
+	rhythm rhythm
 	in     bulk // large bodies from targets
 	out    bulk // and to callers
 	gate   chan struct{}
@@ -114,6 +115,8 @@
 		n.log = log.New(io.Discard)
 	}
 	n.in, n.out, n.gate = newBulk(n, s.LinkMbps), newBulk(n, s.LinkMbps), newBulkGate(s.LinkMbps)
+	n.rhythm.base, n.rhythm.free = s.ProbeEvery, s.FreeProbes
+	n.rhythm.every.Store(int64(s.ProbeEvery))
 	n.flows.Store(unknownFlows)
 	n.view.Store(&view{})
 	return n
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -41,6 +41,9 @@
 		if now.Sub(swept) < probeTick {
 			continue
 		}
+		if !swept.IsZero() {
+			n.keepTime(now, now.Sub(swept))
+		}
 		swept = now
 		for _, s := range n.all() {
 			s.sweep(now)
@@ -70,10 +73,10 @@
 	for _, e := range s.work {
 		near = near || e.near && e.takes()
 	}
-	every := float64(s.n.set.ProbeEvery)
 	used := s.def.Health != "" && !s.usedAt.IsZero() && now.Sub(s.usedAt) < usedFor
 	for _, e := range s.work {
 		want := used && e.takes() && (e.near || !near)
+		every := e.interval(now)
 		if want != e.probed {
 			// Nobody looked before: silence until now says nothing.
 			e.probed = want
@@ -88,6 +91,9 @@
 			// This node stood still; what fell due meanwhile is spread anew.
 			e.nextProbe = now.Add(time.Duration(rand.Float64() * every / 4))
 		}
+		if e.nextProbe.Sub(now) > time.Duration(1.2*every) {
+			e.nextProbe = now.Add(spreadProbe(every))
+		}
 		if !now.Before(e.nextProbe) && !e.proof.IsZero() {
 			// The answer is the arrival, and the next probe is due an interval after it.
 			e.nextProbe = e.proof.Add(spreadProbe(every))
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -111,7 +111,7 @@
 				continue
 			}
 			e = &endpoint{svc: s, near: r.Zone == s.n.set.Zone, far: s.n.far(r.Zone)}
-			e.det = liveness.New(liveness.Defaults(s.n.set.ProbeEvery), s.n.pauses, now)
+			e.det = liveness.New(liveness.Defaults(s.n.rhythm.interval()), s.n.pauses, now)
 			s.all[r.ID] = e
 		}
 		if r.Cold > 0 && e.run.Cold != r.Cold {
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -43,8 +43,11 @@
 	// ones kept: those who send callers here notice late. 0 is 2.5 s.
 	Linger time.Duration `validate:"gte=0"`
 	// ProbeEvery is the mean interval of health probes to one run; 0 is 4 s. Probes
-	// wait for a slot at their target as requests do, so they are few.
+	// wait for a slot at their target as requests do, so they are few: the interval grows,
+	// up to eight times, where they would be more than FreeProbes a second (0 is 2) and
+	// more than a tenth of the requests.
 	ProbeEvery time.Duration `validate:"gte=0"`
+	FreeProbes float64       `validate:"gte=0"`
 	// DialTime bounds a connect within the region; 0 is 400 ms. A cut is silent.
 	DialTime time.Duration `validate:"gte=0"`
 	// NewsWithin is how old what the node knows of routes may be for it to go by that, and
@@ -69,6 +72,7 @@
 	def(&s.Grace, 6*time.Second)
 	def(&s.Linger, 2500*time.Millisecond)
 	def(&s.ProbeEvery, 4*time.Second)
+	def(&s.FreeProbes, 2)
 	def(&s.DialTime, 400*time.Millisecond)
 	def(&s.MaxAnswer, 8<<20)
 	def(&s.BudgetWindow, 10*time.Second)
