A flow that starts is told what there is by one mind, and asks its second after that

Cause: a flow follows two minds and asked both at its start, each with the sums of nothing, so it was told, and took in, everything twice; at 680 flows and 6,600 routes that is the most that minds and flows do in a minute.

Change: the second slot waits until the first heard everything, or no word for 100 ms (1 s for a further word), so that a mind that is down costs 100 ms at the most before the next is asked.

--- a/internal/news/subscriber.go
+++ b/internal/news/subscriber.go
@@ -39,6 +39,9 @@
 	staleWait = 400 * time.Millisecond
 	// homeEvery is how often a flow that follows a mind of another zone tries its own.
 	homeEvery = 2 * time.Second
+	// waitTick is how long a flow that starts waits for the first word of one mind before it
+	// asks a second, and waitMost for each further word.
+	waitTick, waitMost = 100 * time.Millisecond, time.Second
 	// tableEvery is how often runs that are over are forgotten.
 	tableEvery = time.Minute
 	// usualWithin is the time for a change that flowWait and flowBehind are made for, and
@@ -80,6 +83,7 @@
 	told   [followed]WatchTold // the last complete answers, without their news
 	asOf   time.Time           // until when all that was acknowledged is known here
 	synced bool
+	heard  int           // answers to the first slot
 	moved  chan struct{} // the seeds changed
 }
 
@@ -181,6 +185,9 @@
 // keep follows one mind after the other. The first slot is of the own zone where it can
 // be, and goes by that; the others keep to minds that no other slot follows.
 func (s *Subscriber) keep(ctx context.Context, slot int) {
+	if slot > 0 {
+		s.wait(ctx)
+	}
 	swept := s.Clock.Now()
 	for ctx.Err() == nil {
 		addr, ok, back := s.next(slot)
@@ -265,6 +272,28 @@
 	return addr, false, back
 }
 
+// wait returns once a flow that starts knows everything, or hears nothing more: what it does
+// not hold yet is to be told once, and not by two minds at the same time.
+func (s *Subscriber) wait(ctx context.Context) {
+	for still := 0; still*int(waitTick) < int(waitMost); still++ {
+		s.mu.Lock()
+		was, synced := s.heard, s.synced
+		s.mu.Unlock()
+		if synced || s.Clock.Sleep(ctx, waitTick) != nil {
+			return
+		}
+		s.mu.Lock()
+		is := s.heard
+		s.mu.Unlock()
+		switch {
+		case is == 0:
+			return // this mind may be down
+		case is != was:
+			still = -1
+		}
+	}
+}
+
 func b2i(b bool) int { return lo.Ternary(b, 1, 0) }
 
 // avoid passes a mind over for a while.
@@ -354,6 +383,9 @@
 func (s *Subscriber) take(slot int, addr string, at place, t WatchTold, begun time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if slot == 0 {
+		s.heard++
+	}
 	if len(s.places) > 4*maxMinds {
 		s.places = map[string]place{}
 	}
--- a/internal/news/subscriber_test.go
+++ b/internal/news/subscriber_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"walkrudder/internal/accord"
@@ -23,6 +25,7 @@
 	minds map[string]*bench
 	met   map[string]bool
 	mute  map[string]bool
+	bytes int // of news
 }
 
 func (f *far) Call(ctx context.Context, addr string, ask any) (any, error) {
@@ -51,6 +54,12 @@
 	if err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	f.bytes += len(r.Packed)
+	for _, i := range r.Items {
+		f.bytes += len(i.Name) + len(i.Body)
+	}
+	f.mu.Unlock()
 	return r, (pulse.Wall{}).Sleep(ctx, f.way)
 }
 
@@ -165,3 +174,63 @@
 		t.Errorf("asks are as frequent without need: %v at the oldest", old)
 	}
 }
+
+// TestAStartIsToldOnce: a flow that starts is told what there is by one mind and not by two
+// at once; where the first says nothing, the second is asked without a long wait.
+func TestAStartIsToldOnce(t *testing.T) {
+	start := func(mute string) (bytes int, took time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &far{way: 5 * time.Millisecond, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{mute: true}}
+			var all []Member
+			for _, id := range []string{"a", "b", "c"} {
+				b := newBench()
+				me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
+				b.Me = func() Member { return me }
+				b.Others = func() []Member { return all }
+				all = append(all, me)
+				f.minds[id] = b
+				var items []item.Item
+				for i := range 6000 {
+					items = append(items, thing(fmt.Sprintf("%x-%d", xxhash.Sum64String(fmt.Sprint(i)), i), 1))
+				}
+				b.Board.MergeItems(items)
+			}
+			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
+			s.Init([]string{"a", "b", "c"})
+			ctx, end := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			began := time.Now()
+			go func() { s.Run(ctx); close(done) }()
+			for !s.Synced() && time.Since(began) < 10*time.Second {
+				time.Sleep(10 * time.Millisecond)
+			}
+			took = time.Since(began)
+			time.Sleep(5 * time.Second)
+			f.mu.Lock()
+			bytes = f.bytes
+			f.mu.Unlock()
+			if s.told[1].Inc == 0 {
+				t.Error("no second mind is followed")
+			}
+			end()
+			<-done
+		})
+		return bytes, took
+	}
+	one, took := start("")
+	if took > time.Second {
+		t.Errorf("took %v", took)
+	}
+	items := 0
+	for i := range 6000 {
+		items += len(fmt.Sprintf("%x-%d", xxhash.Sum64String(fmt.Sprint(i)), i))
+	}
+	if one > items*3/2 {
+		t.Errorf("%d bytes of news for names of %d", one, items)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if _, took := start(id); took > 800*time.Millisecond {
+			t.Errorf("took %v while %s is silent", took, id)
+		}
+	}
+}
