Heaps are collected when they grew by 40 in the hundred, not 100

Cause: a flow or mind holds little and makes little garbage, so at the library's setting a third of its memory was garbage that nobody had got round to; memory is priced at its peak on every site, and a mind at the plan's size is above its 64 MB.

Change: shell.Memory sets it for both programs, and for hollow's stand-ins of them.

--- a/tools/hollow/main.go
+++ b/tools/hollow/main.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"walkrudder/internal/shell"
 )
 
 type args struct {
@@ -50,6 +52,10 @@
 	}
 	ctx, end := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer end()
+	if a.Mind != nil || a.Flows != nil || a.Proxy != nil {
+		// As the programs that they stand for.
+		shell.Memory(0)
+	}
 	switch {
 	case a.Mind != nil:
 		err = child(ctx, a.Mind.For, in, out, a.Mind.start)
