Large bodies leave 1.28 Mbit/s of a narrow link free, not 0.4 of any

Cause: 0.4 of the link was kept free for requests, small answers and news, whatever its width; what these need does not grow with it.

Ruled out: 0.75 of every link.

Change: 0.6 of the link or all but 1.28 Mbit/s, whichever is more: 0.73 at 4.8, 0.6 at 3.2 as before. The state line of a flow tells the interval of its probes.

--- a/internal/proxy/bulk.go
+++ b/internal/proxy/bulk.go
@@ -12,8 +12,10 @@
 	// messages up.
 	wideMbps = 50
 	// bulkPart is the part of a narrow link that large bodies use together: what is left
-	// keeps the queue short in which requests, answers and news wait behind them.
-	bulkPart = 0.6
+	// keeps the queue short in which requests, answers and news wait behind them. These need
+	// no more for the link being wider, so no more than spareMbps is left.
+	bulkPart  = 0.6
+	spareMbps = 1.28
 	// bulkFrom is the size from which a body is large, and bulkStep what of it is passed
 	// on at once.
 	bulkFrom, bulkStep = 16 << 10, 4 << 10
@@ -32,9 +34,12 @@
 	if mbps <= 0 || mbps >= wideMbps {
 		return bulk{n: n}
 	}
-	return bulk{n, rate.NewLimiter(rate.Limit(bulkPart*mbps*1e6/8), 2*bulkStep)}
+	return bulk{n, rate.NewLimiter(rate.Limit(bulkMbps(mbps)*1e6/8), 2*bulkStep)}
 }
 
+// bulkMbps is what large bodies use together of a narrow link.
+func bulkMbps(mbps float64) float64 { return max(bulkPart*mbps, mbps-spareMbps) }
+
 // newBulkGate bounds the downloads under way at once on a narrow link; nil is no bound.
 // Reading slowly holds a sender back only when its window is full, and many windows make
 // a long queue before this machine: behind it the control plane's news come late.
--- a/internal/proxy/bulk_test.go
+++ b/internal/proxy/bulk_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +48,17 @@
 				t.Errorf("%d at once took %v, want about %v", writers, d, want)
 			}
 		}
+		for mbps, want := range map[float64]float64{2: 1.2, 3.2: 1.92, 4.8: 3.52, 10: 8.72} {
+			if got := bulkMbps(mbps); math.Abs(got-want) > 1e-9 {
+				t.Errorf("%v of %v Mbit/s, want %v", got, mbps, want)
+			}
+			time.Sleep(time.Minute)
+			size := 1 << 20
+			want := time.Duration(float64(size-2*bulkStep) / (want * 1e6 / 8) * float64(time.Second))
+			if d := pass(newBulk(n, mbps), size, 2); d < 2*want*98/100 || d > 2*want*102/100 {
+				t.Errorf("%v Mbit/s: took %v, want about %v", mbps, d, 2*want)
+			}
+		}
 		began := time.Now()
 		for range 1000 {
 			b.wait(1<<20, bulkStep, began.Add(300*time.Millisecond))
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -20,7 +20,9 @@
 	Services  int   `json:"services"`
 	Flows     int64 `json:"flows"`
 	FlowsNear int64 `json:"flows_near"`
-	Runs      Runs  `json:"runs"`
+	// ProbeMS is the interval at which a run that is well is probed now.
+	ProbeMS int64 `json:"probe_ms"`
+	Runs    Runs  `json:"runs"`
 	// Budget is of the services that had a request lately, those with the least left
 	// first.
 	Budget   []Left `json:"budget"`
@@ -90,7 +92,7 @@
 	now := n.clock.Now()
 	v := n.view.Load()
 	r := Report{Ready: n.Ready(), Synced: n.synced.Load(), Stopping: n.stopping.Load(), Routes: v.table.Len(), Services: len(v.services),
-		Flows: n.flows.Load(), FlowsNear: n.flowsNear.Load(), Budget: []Left{}, Counters: n.Stats()}
+		Flows: n.flows.Load(), FlowsNear: n.flowsNear.Load(), ProbeMS: n.rhythm.interval().Milliseconds(), Budget: []Left{}, Counters: n.Stats()}
 	for _, s := range n.all() {
 		if s.count(&r.Runs, now) {
 			r.Budget = append(r.Budget, Left{s.name, s.acct.Left()})
--- a/internal/proxy/report_test.go
+++ b/internal/proxy/report_test.go
@@ -21,6 +21,13 @@
 		if got, want := n.Report().Runs, (Runs{Known: 6, Ready: 5, Draining: 1, Worked: 5, Suspected: 1, Doubted: 1, PassedOver: 1}); got != want {
 			t.Errorf("%+v, want %+v", got, want)
 		}
+		if got := n.Report().ProbeMS; got != 4000 {
+			t.Errorf("probes each %d ms", got)
+		}
+		n.rhythm.every.Store(int64(16 * time.Second))
+		if got := n.Report().ProbeMS; got != 16000 {
+			t.Errorf("probes each %d ms, want 16000", got)
+		}
 		// Three of four that could be asked are doubted: two are passed over.
 		now := n.clock.Now()
 		for _, id := range []string{"a1", "a2"} {
