--- a/internal/proxy/endpoint.go
+++ b/internal/proxy/endpoint.go
@@ -65,10 +65,11 @@
 	probing   bool
 	nextProbe time.Time
 	seq       uint64
-	det       *liveness.Detector
-	proof     time.Time // of the last proper answer that is no arrival yet
-	fates     *fates    // nil until a request ended here
-	excused   bool      // too many are ill by their fates for that to say anything
+	det       *liveness.Detector // nil until the run is to be probed
+	detEvery  time.Duration      // the rhythm for which it was made
+	proof     time.Time          // of the last proper answer that is no arrival yet
+	fates     *fates             // nil until a request ended here
+	excused   bool               // too many are ill by their fates for that to say anything
 }
 
 // takes tells whether work may be sent to the run at all.
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -62,6 +62,9 @@
 		e.sweep(now)
 	}
 	s.fit()
+	for _, e := range s.work {
+		e.hasten(now)
+	}
 }
 
 // due lists the runs to be probed now, and tells when to look again.
@@ -73,14 +76,15 @@
 	for _, e := range s.work {
 		near = near || e.near && e.takes()
 	}
+	every := float64(s.n.rhythm.interval())
 	used := s.def.Health != "" && !s.usedAt.IsZero() && now.Sub(s.usedAt) < usedFor
 	for _, e := range s.work {
 		want := used && e.takes() && (e.near || !near)
-		every := e.interval(now)
 		if want != e.probed {
 			// Nobody looked before: silence until now says nothing.
-			e.probed = want
-			e.det.Restart(now)
+			if e.probed = want; want {
+				e.watch(now)
+			}
 			e.proof = time.Time{}
 			e.nextProbe = now.Add(time.Duration(rand.Float64() * every))
 		}
@@ -91,9 +95,6 @@
 			// This node stood still; what fell due meanwhile is spread anew.
 			e.nextProbe = now.Add(time.Duration(rand.Float64() * every / 4))
 		}
-		if e.nextProbe.Sub(now) > time.Duration(1.2*every) {
-			e.nextProbe = now.Add(spreadProbe(every))
-		}
 		if !now.Before(e.nextProbe) && !e.proof.IsZero() {
 			// The answer is the arrival, and the next probe is due an interval after it.
 			e.nextProbe = e.proof.Add(spreadProbe(every))
@@ -105,7 +106,7 @@
 			}
 			continue
 		}
-		e.nextProbe = now.Add(spreadProbe(every))
+		e.nextProbe = now.Add(spreadProbe(e.interval(now)))
 		e.probing = true
 		e.seq++
 		out = append(out, probing{e, e.seq, s.def.Health, e.run.ID, e.run.Addr, e.run.Seq})
--- a/internal/proxy/rhythm.go
+++ b/internal/proxy/rhythm.go
@@ -84,8 +84,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	every := s.n.rhythm.interval()
-	for _, e := range s.all {
-		e.det = liveness.New(liveness.Defaults(every), s.n.pauses, now)
+	for _, e := range s.work {
+		if !e.probed {
+			continue
+		}
+		e.watch(now)
 		e.proof = time.Time{}
 		if next := now.Add(spreadProbe(float64(every))); e.nextProbe.After(next) {
 			e.nextProbe = next
@@ -93,6 +96,17 @@
 	}
 }
 
+// watch begins to watch the run, with a detector for the rhythm that stands. Most of the
+// runs known are never probed, and have none.
+func (e *endpoint) watch(now time.Time) {
+	n := e.svc.n
+	if every := n.rhythm.interval(); e.det == nil || e.detEvery != every {
+		e.det, e.detEvery = liveness.New(liveness.Defaults(every), n.pauses, now), every
+		return
+	}
+	e.det.Restart(now)
+}
+
 // interval is the time between probes to the run: the usual one where it is passed over,
 // for then it has no answers that could stand in, and is to be found well soon.
 func (e *endpoint) interval(now time.Time) float64 {
@@ -102,3 +116,13 @@
 	}
 	return float64(r.interval())
 }
+
+// hasten has a run that is passed over probed as usual, whenever its next probe was due.
+func (e *endpoint) hasten(now time.Time) {
+	if !e.probed || e.nextProbe.Sub(now) <= 2*e.svc.n.rhythm.base {
+		return
+	}
+	if every := e.interval(now); e.nextProbe.Sub(now) > time.Duration(1.2*every) {
+		e.nextProbe = now.Add(spreadProbe(every))
+	}
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"walkrudder/internal/budget"
-	"walkrudder/internal/liveness"
 	"walkrudder/internal/route"
 	"walkrudder/internal/spread"
 	"walkrudder/internal/target"
@@ -111,7 +110,6 @@
 				continue
 			}
 			e = &endpoint{svc: s, near: r.Zone == s.n.set.Zone, far: s.n.far(r.Zone)}
-			e.det = liveness.New(liveness.Defaults(s.n.rhythm.interval()), s.n.pauses, now)
 			s.all[r.ID] = e
 		}
 		if r.Cold > 0 && e.run.Cold != r.Cold {
