--- a/internal/news/subscriber_test.go
+++ b/internal/news/subscriber_test.go
@@ -28,6 +28,21 @@
 	bytes int // of news
 }
 
+// newFar has minds that know each other, each in a zone of its own.
+func newFar(way time.Duration, ids ...string) *far {
+	f := &far{way: way, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
+	var all []Member
+	for _, id := range ids {
+		b := newBench()
+		me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
+		b.Me = func() Member { return me }
+		b.Others = func() []Member { return all }
+		all = append(all, me)
+		f.minds[id] = b
+	}
+	return f
+}
+
 func (f *far) Call(ctx context.Context, addr string, ask any) (any, error) {
 	f.mu.Lock()
 	b, first, mute := f.minds[addr], !f.met[addr], f.mute[addr]
@@ -71,16 +86,7 @@
 	for name, mute := range map[string]bool{"cut off": false, "silent": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &far{way: 120 * time.Millisecond, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
-				var all []Member
-				for _, id := range []string{"a", "b", "c", "d", "e"} {
-					b := newBench()
-					me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
-					b.Me = func() Member { return me }
-					b.Others = func() []Member { return all }
-					all = append(all, me)
-					f.minds[id] = b
-				}
+				f := newFar(120*time.Millisecond, "a", "b", "c", "d", "e")
 				var mu sync.Mutex
 				known := map[string]uint64{}
 				s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil),
@@ -140,16 +146,7 @@
 func TestAFlowKnowsWhatIsYoungEnough(t *testing.T) {
 	oldest := func(t *testing.T, within time.Duration) (old time.Duration) {
 		synctest.Test(t, func(t *testing.T) {
-			f := &far{way: 120 * time.Millisecond, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
-			var all []Member
-			for _, id := range []string{"a", "b", "c"} {
-				b := newBench()
-				me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
-				b.Me = func() Member { return me }
-				b.Others = func() []Member { return all }
-				all = append(all, me)
-				f.minds[id] = b
-			}
+			f := newFar(120*time.Millisecond, "a", "b", "c")
 			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil), Within: within, OnNews: func(WatchTold) {}}
 			s.Init([]string{"b", "c"})
 			ctx, end := context.WithCancel(t.Context())
@@ -180,15 +177,9 @@
 func TestAStartIsToldOnce(t *testing.T) {
 	start := func(mute string) (bytes int, took time.Duration) {
 		synctest.Test(t, func(t *testing.T) {
-			f := &far{way: 5 * time.Millisecond, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{mute: true}}
-			var all []Member
-			for _, id := range []string{"a", "b", "c"} {
-				b := newBench()
-				me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
-				b.Me = func() Member { return me }
-				b.Others = func() []Member { return all }
-				all = append(all, me)
-				f.minds[id] = b
+			f := newFar(5*time.Millisecond, "a", "b", "c")
+			f.mute[mute] = true
+			for _, b := range f.minds {
 				var items []item.Item
 				for i := range 6000 {
 					items = append(items, thing(fmt.Sprintf("%x-%d", xxhash.Sum64String(fmt.Sprint(i)), i), 1))
