A failed connect names its run from a copy: news may change the run meanwhile

Cause: a connect that failed read the run's name for its error without the service's lock, while news wrote the run.

Ruled out: the large answers that go on while they come in; the stack is an ordinary attempt's.

Change: the connect takes a copy of the run under the lock. TestNewsWhileConnecting fails under the race detector with the tree before, and passes now.

--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -542,3 +542,38 @@
 		}
 	}
 }
+
+// TestNewsWhileConnecting: news of a run may come while a connection to it fails; the race
+// detector looks at what both touch.
+func TestNewsWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), nil)
+		l.routes(3)
+		run := target.Run{ID: "none", Service: "svc", Addr: "pipe99", Zone: "a", Slots: 4, State: target.Ready, Seq: 1}
+		l.node.call = func(context.Context, string) (net.Conn, error) {
+			time.Sleep(2500 * time.Microsecond)
+			return nil, io.EOF
+		}
+		l.node.TakeRuns([]target.Run{run})
+		done := make(chan bool)
+		go func() {
+			defer close(done)
+			for range 200 {
+				run.Seq++
+				l.node.TakeRuns([]target.Run{run})
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		for i := range 50 {
+			if g := l.call("/idem/x", fmt.Sprint("q", i), 100*time.Millisecond); g.status != 503 {
+				t.Errorf("%+v", g)
+			}
+			time.Sleep(3 * time.Millisecond)
+		}
+		<-done
+		if s := l.node.Stats(); s.DialsFailed == 0 {
+			t.Error("nothing was dialled")
+		}
+		l.close()
+	})
+}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"walkrudder/internal/defect"
+	"walkrudder/internal/target"
 )
 
 // onceIdle is how long a connection may have lain idle to carry a request that may run
@@ -30,9 +31,9 @@
 		e.closeOldest()
 	}
 	e.open++
-	addr := e.run.Addr
+	run := e.run // news may change it meanwhile
 	s.mu.Unlock()
-	c, err = s.n.dial(e, addr, now, hard)
+	c, err = s.n.dial(run, e.far, now, hard)
 	if err != nil {
 		s.mu.Lock()
 		e.open--
@@ -143,23 +144,23 @@
 }
 
 // dial connects within the time that a connect may take.
-func (n *Node) dial(e *endpoint, addr string, now, hard time.Time) (*conn, error) {
+func (n *Node) dial(run target.Run, far float64, now, hard time.Time) (*conn, error) {
 	limit := n.set.DialTime
-	if e.far > farZone {
+	if far > farZone {
 		limit *= 2
 	}
 	// A try elsewhere needs time, too.
 	limit = min(limit, max(50*time.Millisecond, hard.Sub(now)/4))
 	n.stats.dials.Add(1)
-	nc, err := n.connectTo(addr, limit)
+	nc, err := n.connectTo(run.Addr, limit)
 	if err != nil {
 		n.stats.dialsFailed.Add(1)
-		return nil, defect.At("connect", e.run.ID, err)
+		return nil, defect.At("connect", run.ID, err)
 	}
 	c := newConn(nc)
 	if err := c.begin(hard); err != nil {
 		c.drop()
-		return nil, defect.At("connect", e.run.ID, err)
+		return nil, defect.At("connect", run.ID, err)
 	}
 	return c, nil
 }
