A hanging service's test no longer depends on the order of goroutines

Cause: TestHangingServiceLeavesTheOthersAlone sent 100 calls in one virtual instant to a service whose target has four slots. Whoever finds the room and the places of the wait taken is refused at once, as the design wants; how many do depends on how far the earlier ones have come within that instant, which is the scheduler's choice. Ruled out: a fault of the product (each refusal was 'busy, not run' with Retry-After after 0 s; nothing was left counted).

Change: the 100 calls go in groups of as many as the target has slots, all must be served as before. A crowd of 100 in one instant is sent besides: each must be served or refused within the waits' time, and at least as many as there are slots be served.

--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -42,10 +42,11 @@
 // no longer take is refused at once, not at its expiry.
 func TestHangingServiceLeavesTheOthersAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		const slots = 4
 		ctx, end := context.WithCancel(context.Background())
 		defer end()
 		p, _ := crowd(ctx, t, 2)
-		b := face.Beat{ID: "u", Service: "u", Zone: "z1", Addr: "127.0.0.1:9", Capacity: 4, Seq: 1, Inc: 1}
+		b := face.Beat{ID: "u", Service: "u", Zone: "z1", Addr: "127.0.0.1:9", Capacity: slots, Seq: 1, Inc: 1}
 		if err := p.Roster.Learn(ctx, "u", []home.Entry{{Beat: b}}); err != nil {
 			t.Fatal(err)
 		}
@@ -84,13 +85,42 @@
 			enter("/s")
 		}
 		time.Sleep(100 * time.Millisecond)
+		// As many at once as the target has slots, and the next once those are through. Of a
+		// hundred in one instant some find the room and the places of the wait taken, and
+		// are refused at once; how many do depends on the order of the goroutines within
+		// that instant. What must hold of such a crowd is checked below.
+		for range 25 {
+			for range slots {
+				enter("/u")
+			}
+			time.Sleep(time.Millisecond)
+		}
+		// A crowd for the sound service: each is served or refused, all at once.
+		crowded, turnedAway := 0, 0
 		for range 100 {
-			enter("/u")
+			wg.Go(func() {
+				from := time.Now()
+				x := p.Enter(ctx, "", "", &Request{Method: "POST", URI: "/u"})
+				took := time.Since(from)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case x.Out == nil && took <= roomWaits*waitTime:
+					crowded++
+				case x.Out != nil && x.Out.Code == face.BusyNotRun && x.Out.Retry > 0 && took <= roomWaits*waitTime:
+					turnedAway++
+				default:
+					t.Errorf("one of a crowd: %+v after %s", x.Out, took)
+				}
+			})
 		}
 		wg.Wait()
 		if served != 100 || hung == 0 || hung > laneWide || atOnce != 500-hung {
 			t.Errorf("%d of 100 served, %d hung, %d refused at once", served, hung, atOnce)
 		}
+		if crowded < slots || crowded+turnedAway != 100 {
+			t.Errorf("of a crowd of 100 %d were served and %d refused", crowded, turnedAway)
+		}
 		// Nothing is left counted.
 		for _, s := range append(p.Roster.Of("s"), p.Roster.Of("u")...) {
 			if n := s.Flying.Load(); n != 0 {
