--- a/cmd/flow/main.go
+++ b/cmd/flow/main.go
@@ -9,10 +9,10 @@
 
 	"github.com/charmbracelet/log"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/flow"
 	"walkrudder/internal/link"
 	"walkrudder/internal/passage"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/shell"
 	"walkrudder/internal/startup"
 	"walkrudder/internal/tally"
@@ -39,12 +39,12 @@
 	line := link.NewTCP(link.Who{ID: s.ID, Kind: "flow"}, s.Bind, lg)
 	courier := passage.NewHTTP(s.Bind)
 	count := tally.New("flow")
-	f := flow.New(flow.Parts{Startup: s, Inc: shell.Incarnation(), Line: line, Clock: pulse.Wall{}, Courier: courier, Log: lg, Count: count.Add})
+	f := flow.New(flow.Parts{Startup: s, Inc: shell.Incarnation(), Line: line, Clock: clock.Wall{}, Courier: courier, Log: lg, Count: count.Add})
 	go line.Serve(inner, f.Desk)
 	life, end := context.WithCancel(context.Background())
 	fin := make(chan struct{})
 	go func() { f.Run(life); close(fin) }()
-	go pulse.Every(life, pulse.Wall{}, time.Second, courier.Sweep)
+	go clock.Every(life, clock.Wall{}, time.Second, courier.Sweep)
 	app := f.Door(count.Handler())
 	served := shell.Serve(app, door)
 	lg.Info("started", "inner", s.Inner, "door", s.Door, "version", startup.Version)
--- a/cmd/mind/main.go
+++ b/cmd/mind/main.go
@@ -10,13 +10,13 @@
 
 	"github.com/charmbracelet/log"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/keep"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
 	"walkrudder/internal/mind"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/shell"
 	"walkrudder/internal/startup"
+	"walkrudder/internal/storage"
 	"walkrudder/internal/tally"
 	"walkrudder/platform"
 )
@@ -38,11 +38,11 @@
 // file is the name of the file in the data folder.
 const file = "items.db"
 
-func open(s startup.Mind, lg *log.Logger) (keep.Disk, error) {
+func open(s startup.Mind, lg *log.Logger) (storage.Disk, error) {
 	if s.Data == "" {
 		return nil, nil
 	}
-	d, err := keep.OpenAnew(s.Data, file, func(aside string) {
+	d, err := storage.OpenAnew(s.Data, file, func(aside string) {
 		lg.Error("file damaged, set aside; this disk starts empty", "step", "open data", "aside", aside)
 	})
 	if err != nil {
@@ -67,10 +67,10 @@
 	line := link.NewTCP(link.Who{ID: s.ID, Kind: "mind"}, s.Bind, lg)
 	count := tally.New("mind")
 	bad := make(chan error, 1)
-	m, err := mind.New(mind.Parts{Startup: s, Inc: shell.Incarnation(), Fresh: shell.Fresh(), Line: line, Clock: pulse.Wall{}, Disk: disk, Log: lg,
+	m, err := mind.New(mind.Parts{Startup: s, Inc: shell.Incarnation(), Fresh: shell.Fresh(), Line: line, Clock: clock.Wall{}, Disk: disk, Log: lg,
 		OnBad:  func(err error) { bad <- err },
 		WallMS: func() int64 { return time.Now().UnixMilli() }})
-	if errors.Is(err, accord.ErrOwner) {
+	if errors.Is(err, quorum.ErrOwner) {
 		return &shell.StartError{Field: "data", Err: err}
 	}
 	if err != nil {
--- a/cmd/mind/show_test.go
+++ b/cmd/mind/show_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"walkrudder/internal/control"
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 )
 
 // asked is a line to one node that answers as told, or not at all.
@@ -25,7 +25,7 @@
 	l.addr, l.ask = addr, ask
 	if l.told == nil && l.err == nil {
 		<-ctx.Done()
-		return nil, defect.At("ask", addr, ctx.Err())
+		return nil, steperr.At("ask", addr, ctx.Err())
 	}
 	return l.told, l.err
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 // The promise. In any window of the length W, over all nodes, a service gets at most
@@ -92,7 +92,7 @@
 
 // Budget is one node's part of the budgets of all services.
 type Budget struct {
-	clock       pulse.Clock
+	clock       clock.Clock
 	born        time.Time
 	slot        time.Duration
 	ratio, full float64
@@ -112,7 +112,7 @@
 
 // New makes the budget of a process that starts now, of which it is taken that it
 // follows another one that spent all it had.
-func New(ratio float64, window time.Duration, slack int, clock pulse.Clock) *Budget {
+func New(ratio float64, window time.Duration, slack int, clock clock.Clock) *Budget {
 	return &Budget{
 		clock: clock, born: clock.Now(), slot: max(1, window/fine),
 		ratio: share * ratio / 2, full: share * float64(slack), lean: leaning(share * float64(slack)),
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 const (
@@ -128,12 +128,12 @@
 func (f *fleet) play(l load, length time.Duration, double bool) {
 	few := len(f.nodes)
 	for i := range f.nodes {
-		f.nodes[i] = New(ratio, window, slack, pulse.Wall{})
+		f.nodes[i] = New(ratio, window, slack, clock.Wall{})
 	}
 	for at := time.Duration(0); at < length; at += tick {
 		if double && at == length/3 {
 			for range few {
-				f.nodes = append(f.nodes, New(ratio, window, slack, pulse.Wall{}))
+				f.nodes = append(f.nodes, New(ratio, window, slack, clock.Wall{}))
 				f.back = append(f.back, time.Time{})
 			}
 		}
@@ -143,7 +143,7 @@
 		for i, b := range f.nodes {
 			switch {
 			case b == nil && time.Since(f.back[i]) >= 0:
-				f.nodes[i] = New(ratio, window, slack, pulse.Wall{})
+				f.nodes[i] = New(ratio, window, slack, clock.Wall{})
 			case b != nil && f.rng.Float64() < f.churn*tick.Seconds():
 				f.nodes[i] = nil
 				f.back[i] = time.Now().Add(time.Duration(f.rng.Float64() * 8 * float64(time.Second)))
@@ -261,7 +261,7 @@
 
 func TestFreshNodeHasHalfOfItsOwnAndNoPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(ratio, window, slack, pulse.Wall{})
+		b := New(ratio, window, slack, clock.Wall{})
 		a := b.Of("s")
 		if a.Extra() {
 			t.Fatal("a fresh node without requests sends more")
@@ -316,7 +316,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := New(ratio, window, slack, pulse.Wall{})
+				b := New(ratio, window, slack, clock.Wall{})
 				c.then(b)
 				if n := spend(b.Of("s")); n != c.want {
 					t.Errorf("%d further sends, want %d", n, c.want)
@@ -337,7 +337,7 @@
 	nodes, weights := make([]*Budget, n), make([]float64, n)
 	sum := 0.0
 	for i := range nodes {
-		nodes[i] = New(ratio, window, slack, pulse.Wall{})
+		nodes[i] = New(ratio, window, slack, clock.Wall{})
 		weights[i] = 1
 		if skew {
 			weights[i] = 0.05 + rng.ExpFloat64()
@@ -348,7 +348,7 @@
 	for at := time.Duration(0); at < length; at += beat {
 		for i, b := range nodes {
 			if rng.Float64() < churn*beat.Seconds() {
-				nodes[i] = New(ratio, window, slack, pulse.Wall{})
+				nodes[i] = New(ratio, window, slack, clock.Wall{})
 				continue
 			}
 			if at%time.Second == 0 {
@@ -459,7 +459,7 @@
 // In the first window under a new lot the one before counts too, for both may fall into
 // one window.
 func TestLotsChangeOneWindowApart(t *testing.T) {
-	a := New(ratio, window, slack, pulse.Wall{}).Of("s")
+	a := New(ratio, window, slack, clock.Wall{}).Of("s")
 	for at := int64(0); at < 40*lot; at += 7 {
 		l := a.draw(at)
 		if early := at%lot < fine+2; early && l > a.before || l > a.lot || !early && l != a.lot {
@@ -482,7 +482,7 @@
 		n := int(math.Floor(share * slack))
 		all := 0
 		for i := range n {
-			b := New(ratio, window, slack, pulse.Wall{})
+			b := New(ratio, window, slack, clock.Wall{})
 			told := n
 			if i%2 > 0 {
 				told = 10 * n
@@ -502,7 +502,7 @@
 
 func TestAccountsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(ratio, window, slack, pulse.Wall{})
+		b := New(ratio, window, slack, clock.Wall{})
 		for i := range maxServices {
 			b.Of(fmt.Sprint(i))
 		}
@@ -522,7 +522,7 @@
 }
 
 func BenchmarkFirst(b *testing.B) {
-	a := New(ratio, window, slack, pulse.Wall{}).Of("s")
+	a := New(ratio, window, slack, clock.Wall{}).Of("s")
 	b.ReportAllocs()
 	for b.Loop() {
 		a.First()
@@ -530,7 +530,7 @@
 }
 
 func BenchmarkExtra(b *testing.B) {
-	a := New(ratio, window, slack, pulse.Wall{}).Of("s")
+	a := New(ratio, window, slack, clock.Wall{}).Of("s")
 	b.ReportAllocs()
 	for b.Loop() {
 		a.First()
--- a/internal/budget/left_test.go
+++ b/internal/budget/left_test.go
@@ -5,13 +5,13 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 // What is left is what can be taken, whatever was asked before; looking takes nothing.
 func TestLeftIsWhatCanBeTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(ratio, window, slack, pulse.Wall{})
+		b := New(ratio, window, slack, clock.Wall{})
 		a := b.Of("s")
 		if n := a.Left(); n != 0 {
 			t.Errorf("%d left of nothing", n)
@@ -51,7 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		some := false
 		for range 40 {
-			b := New(ratio, window, slack, pulse.Wall{})
+			b := New(ratio, window, slack, clock.Wall{})
 			a := b.Of("s")
 			for range 20 {
 				b.SetNodes(680)
--- a/internal/claim/circle.go
+++ b/internal/claim/circle.go
@@ -8,10 +8,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/lo"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
 	"walkrudder/internal/owner"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/steperr"
 )
 
 const (
@@ -83,7 +83,7 @@
 type Circle struct {
 	Me    string
 	Line  link.Line
-	Clock pulse.Clock
+	Clock clock.Clock
 	Keep  Keeper
 	Log   *log.Logger
 	// Members lists the inner addresses of the others with a lease, Mates those of
@@ -114,7 +114,7 @@
 func (c *Circle) Serve(d *link.Desk) {
 	link.On(d, func(ctx context.Context, _ link.Who, a MarkAsk) (r MarkTold, err error) {
 		if len(a.Marks) > 2*maxBatch {
-			return r, defect.New("mark", "", "%d marks at once", len(a.Marks))
+			return r, steperr.New("mark", "", "%d marks at once", len(a.Marks))
 		}
 		_, counts := c.Flows()
 		return owner.Get(ctx, c.own, func() MarkTold { return c.hear(a.Marks, counts) })
@@ -138,7 +138,7 @@
 	for range rounds {
 		go c.round(ctx)
 	}
-	pulse.Every(ctx, c.Clock, flushEvery, func() {
+	clock.Every(ctx, c.Clock, flushEvery, func() {
 		c.flush(ctx)
 		c.upload(ctx)
 	})
@@ -303,7 +303,7 @@
 		c.release(ctx, m)
 		return TakeTold{State: h.any.state()}, nil
 	case !h.most:
-		return TakeTold{}, defect.New("claim", "", "not more than half of the flows were heard")
+		return TakeTold{}, steperr.New("claim", "", "not more than half of the flows were heard")
 	}
 	return TakeTold{OK: true, State: m.state()}, nil
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -11,9 +11,9 @@
 	"fmt"
 	"time"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
 	"walkrudder/internal/link"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/steperr"
 )
 
 // Prefix is where claims are kept among the items.
@@ -79,7 +79,7 @@
 
 // Clerk keeps claims as items at a majority of the disks.
 type Clerk struct {
-	Prop *accord.Proposer
+	Prop *quorum.Proposer
 	// WallMS is the wall clock in milliseconds.
 	WallMS func() int64
 }
@@ -115,8 +115,8 @@
 func (c *Clerk) Take(ctx context.Context, a TakeAsk) (TakeTold, error) {
 	before, claim := buckets(c.WallMS())
 	raw, err := c.Prop.Read(ctx, item(before, a.Key))
-	if err != nil && !accord.Nothing(err) {
-		return TakeTold{}, defect.At("claim", "", err)
+	if err != nil && !quorum.Nothing(err) {
+		return TakeTold{}, steperr.At("claim", "", err)
 	}
 	if s := read(raw); s.State != Free && s.Call != a.Call {
 		return TakeTold{State: s}, nil
@@ -140,7 +140,7 @@
 			return TakeTold{State: read(raw)}, nil
 		}
 		if err != nil {
-			return TakeTold{}, defect.At("claim", "", err)
+			return TakeTold{}, steperr.At("claim", "", err)
 		}
 	}
 	return TakeTold{OK: true, State: read(mine)}, nil
@@ -182,7 +182,7 @@
 	for x := b - 1; x <= b+1; x++ {
 		k := item(x, a.Key)
 		raw, err := c.Prop.Read(ctx, k)
-		if err != nil && !accord.Nothing(err) {
+		if err != nil && !quorum.Nothing(err) {
 			return err
 		}
 		s := read(raw)
--- a/internal/pulse/pulse.go
+++ b/internal/clock/pulse.go
@@ -1,6 +1,6 @@
-// Package pulse is the only source of time in walkrudder (design 2.4). Daemons
+// Package clock is the only source of time in walkrudder (design 2.4). Daemons
 // use Wall; the simulator puts a clock with pauses and jumps in its place.
-package pulse
+package clock
 
 import (
 	"context"
--- a/internal/commands/beat.go
+++ b/internal/commands/beat.go
@@ -5,17 +5,17 @@
 	"sync"
 	"time"
 
-	"walkrudder/internal/defect"
 	"walkrudder/internal/face"
-	"walkrudder/internal/home"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
+	"walkrudder/internal/registry"
+	"walkrudder/internal/steperr"
 )
 
 // Beater hands beats on to the homes of their service.
 type Beater struct {
-	House   *home.House
-	Tenant  *mate.Tenant
+	House   *registry.House
+	Tenant  *membership.Tenant
 	Line    link.Line
 	Me      string
 	Drainer *Drainer
@@ -24,18 +24,18 @@
 // Take hands a beat to the service's home in every zone; where none answers, to
 // this mind's own house. A leaving beat returns only once no flow elects the
 // target.
-func (b *Beater) Take(ctx context.Context, t face.Beat) (home.BeatTold, error) {
+func (b *Beater) Take(ctx context.Context, t face.Beat) (registry.BeatTold, error) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	var told home.BeatTold
-	take := func(r home.BeatTold, err error) {
+	var told registry.BeatTold
+	take := func(r registry.BeatTold, err error) {
 		mu.Lock()
 		defer mu.Unlock()
 		if err == nil && r.OK {
 			told.OK, told.Seq, told.Gone = true, max(told.Seq, r.Seq), told.Gone || r.Gone
 		}
 	}
-	for _, m := range home.Homes(t.Service, b.Tenant.Members()) {
+	for _, m := range registry.Homes(t.Service, b.Tenant.Members()) {
 		wg.Go(func() {
 			if m.ID == b.Me {
 				take(b.House.Take(ctx, t))
@@ -43,20 +43,20 @@
 			}
 			cx, end := context.WithTimeout(ctx, 500*time.Millisecond)
 			defer end()
-			take(link.Ask[home.BeatTold](cx, b.Line, m.Inner, home.BeatAsk{Beat: t}))
+			take(link.Ask[registry.BeatTold](cx, b.Line, m.Inner, registry.BeatAsk{Beat: t}))
 		})
 	}
 	if t.Leaving {
 		if err := b.Drainer.Leave(ctx, t); err != nil {
 			// Some homes may still be answering into told.
-			return home.BeatTold{}, defect.At("leaving", t.ID, err)
+			return registry.BeatTold{}, steperr.At("leaving", t.ID, err)
 		}
 	}
 	wg.Wait()
 	if !told.OK {
 		var err error
 		if told, err = b.House.Take(ctx, t); err != nil {
-			return told, defect.At("take beat", t.ID, err)
+			return told, steperr.At("take beat", t.ID, err)
 		}
 	}
 	return told, nil
--- a/internal/commands/change.go
+++ b/internal/commands/change.go
@@ -9,12 +9,12 @@
 	"math/rand/v2"
 	"time"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/ledger"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/roll"
 	"walkrudder/internal/spec"
+	"walkrudder/internal/steperr"
 )
 
 // Order is an operator's wish to change the sheet.
@@ -56,7 +56,7 @@
 type Changer struct {
 	Book   *ledger.Book
 	Roller *roll.Roller
-	Clock  pulse.Clock
+	Clock  clock.Clock
 	Mind   string
 }
 
@@ -87,7 +87,7 @@
 		if ch.N%ledger.Whole == 0 {
 			ch.Sheet = &s
 		}
-		if len(ledger.Encode(ch)) > accord.MaxValue {
+		if len(ledger.Encode(ch)) > quorum.MaxValue {
 			return Result{Outcome: Invalid, Version: f.N, Problems: []spec.Problem{{Path: "edits", Why: "too large in all"}}}
 		}
 		// What is decided closes every flow that confirms until it is in force. While
@@ -117,7 +117,7 @@
 // undone is the result when the core did not answer; loose says that the change
 // may be decided all the same.
 func undone(err error, loose bool) Result {
-	step, _ := defect.Of(err)
+	step, _ := steperr.Of(err)
 	if loose {
 		return Result{Outcome: Unknown, Why: fmt.Sprintf("%s: %v; send it again with the same token", step, err)}
 	}
--- a/internal/commands/drain.go
+++ b/internal/commands/drain.go
@@ -5,22 +5,22 @@
 	"sync"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
-	"walkrudder/internal/home"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/membership"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/roll"
 )
 
 // Drainer stops new work to target runs that are leaving or let go.
 type Drainer struct {
 	Book   *ledger.Book
-	Tenant *mate.Tenant
+	Tenant *membership.Tenant
 	Line   link.Line
-	Clock  pulse.Clock
+	Clock  clock.Clock
 	Faults *fault.Set
 
 	mu   sync.Mutex
@@ -56,8 +56,8 @@
 		return err
 	}
 	d.Faults.At(fault.AfterLeaveNoted)
-	_, err := roll.Everyone(ctx, d.Tenant, d.Clock, nil, func(cx context.Context, m mate.Member) bool {
-		r, err := link.Ask[home.DrainTold](cx, d.Line, m.Inner, home.DrainAsk{Service: t.Service, ID: t.ID, Inc: t.Inc, Gone: prefix == ledger.GonePrefix})
+	_, err := roll.Everyone(ctx, d.Tenant, d.Clock, nil, func(cx context.Context, m membership.Member) bool {
+		r, err := link.Ask[registry.DrainTold](cx, d.Line, m.Inner, registry.DrainAsk{Service: t.Service, ID: t.ID, Inc: t.Inc, Gone: prefix == ledger.GonePrefix})
 		return err == nil && r.OK
 	})
 	if err != nil {
--- a/internal/commands/trim.go
+++ b/internal/commands/trim.go
@@ -8,19 +8,19 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/home"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/registry"
 )
 
 // Trimmer lets decisions go that are older than Keep, so that memory and disks
 // stay bounded (design 6.5).
 type Trimmer struct {
 	Book    *ledger.Book
-	Prop    *accord.Proposer
-	Tenant  *mate.Tenant
+	Prop    *quorum.Proposer
+	Tenant  *membership.Tenant
 	Line    link.Line
 	Drainer *Drainer
 	Keep    time.Duration
@@ -46,7 +46,7 @@
 	if err = errors.Join(err, e); err != nil {
 		return err
 	}
-	seen := lo.SliceToMap(home.Collect(ctx, t.Line, t.Tenant.Members()), func(s home.Seen) (ledger.Target, bool) {
+	seen := lo.SliceToMap(registry.Collect(ctx, t.Line, t.Tenant.Members()), func(s registry.Seen) (ledger.Target, bool) {
 		return ledger.Target{ID: s.Beat.ID, Service: s.Beat.Service, Inc: s.Beat.Inc}, !s.Gone
 	})
 	for _, n := range ns {
--- a/internal/commands/warden.go
+++ b/internal/commands/warden.go
@@ -10,20 +10,20 @@
 
 	"github.com/charmbracelet/log"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/fault"
-	"walkrudder/internal/home"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/membership"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/registry"
+	"walkrudder/internal/steperr"
 )
 
 const (
 	wardenEvery = 500 * time.Millisecond
 	// suspectAt is the suspicion from which a target is noted as suspected.
-	suspectAt = home.SuspectAt
+	suspectAt = registry.SuspectAt
 	// goneAt is the suspicion, and goneQuiet the silence, that all judges must see
 	// before a target run is let go.
 	goneAt    = 0.9999
@@ -40,13 +40,13 @@
 // silent targets go, and keeps the core's seats filled. It acts only while it
 // holds the duty's lease; every step is safe should two overlap.
 type Warden struct {
-	House   *home.House
+	House   *registry.House
 	Book    *ledger.Book
-	Tenant  *mate.Tenant
+	Tenant  *membership.Tenant
 	Drainer *Drainer
-	Prop    *accord.Proposer
+	Prop    *quorum.Proposer
 	Line    link.Line
-	Clock   pulse.Clock
+	Clock   clock.Clock
 	Faults  *fault.Set
 	Log     *log.Logger
 
@@ -88,7 +88,7 @@
 		}
 		w.suspect = m
 	}
-	all := home.Collect(ctx, w.Line, w.Tenant.Members())
+	all := registry.Collect(ctx, w.Line, w.Tenant.Members())
 	total, bad := map[string]int{}, map[string]int{}
 	for _, x := range all {
 		if x.Gone {
@@ -101,7 +101,7 @@
 	}
 	// Beats may fail to reach those that are asked here. A target that answers the
 	// flows' own probes is not silent (design 10.7).
-	var views map[ledger.Target]home.Watched
+	var views map[ledger.Target]registry.Watched
 	for _, x := range all {
 		t := ledger.Target{ID: x.Beat.ID, Service: x.Beat.Service, Inc: x.Beat.Inc}
 		if x.Gone {
@@ -110,7 +110,7 @@
 		}
 		if x.W >= suspectAt {
 			if views == nil {
-				views = home.Views(ctx, w.Line, w.Tenant.Members())
+				views = registry.Views(ctx, w.Line, w.Tenant.Members())
 			}
 			if views[t].Vouched() {
 				continue
@@ -150,7 +150,7 @@
 	var wg sync.WaitGroup
 	for _, m := range w.Tenant.Kind("mind") {
 		wg.Go(func() {
-			_, _ = link.Ask[home.MarkTold](cx, w.Line, m.Inner, home.MarkAsk{Service: t.Service, ID: t.ID, Inc: t.Inc, Suspect: suspect, Gone: gone})
+			_, _ = link.Ask[registry.MarkTold](cx, w.Line, m.Inner, registry.MarkAsk{Service: t.Service, ID: t.ID, Inc: t.Inc, Suspect: suspect, Gone: gone})
 		})
 	}
 	wg.Wait()
@@ -159,11 +159,11 @@
 // agreed asks the homes of the service, which all hear its beats: a majority of
 // them must suspect the run, and none may have heard of it lately.
 func (w *Warden) agreed(ctx context.Context, t ledger.Target) bool {
-	hs := home.Homes(t.Service, w.Tenant.Members())
+	hs := registry.Homes(t.Service, w.Tenant.Members())
 	yes := 0
 	for _, m := range hs {
 		cx, end := context.WithTimeout(ctx, 500*time.Millisecond)
-		r, err := link.Ask[home.JudgeTold](cx, w.Line, m.Inner, home.JudgeAsk{Service: t.Service, ID: t.ID, Inc: t.Inc})
+		r, err := link.Ask[registry.JudgeTold](cx, w.Line, m.Inner, registry.JudgeAsk{Service: t.Service, ID: t.ID, Inc: t.Inc})
 		end()
 		if err != nil {
 			continue
@@ -186,8 +186,8 @@
 	if done, err := w.finish(ctx, core); err != nil || !done {
 		return err
 	}
-	disks := map[string]mate.Member{}
-	var spare []mate.Member
+	disks := map[string]membership.Member{}
+	var spare []membership.Member
 	for _, m := range w.Tenant.Kind("mind") {
 		if m.Disk.Disk == "" {
 			continue
@@ -227,13 +227,13 @@
 func (w *Warden) Wish(ctx context.Context, out, in string) error {
 	core := w.Prop.Core()
 	if _, ok := core.Seat(out); !ok {
-		return defect.New("swap", out, "has no seat")
+		return steperr.New("swap", out, "has no seat")
 	}
 	if _, ok := core.Seat(in); ok {
-		return defect.New("swap", in, "has a seat already")
+		return steperr.New("swap", in, "has a seat already")
 	}
-	if !slices.ContainsFunc(w.Tenant.Kind("mind"), func(m mate.Member) bool { return m.ID == in && m.Disk.Disk != "" }) {
-		return defect.New("swap", in, "no such disk node has a lease now")
+	if !slices.ContainsFunc(w.Tenant.Kind("mind"), func(m membership.Member) bool { return m.ID == in && m.Disk.Disk != "" }) {
+		return steperr.New("swap", in, "no such disk node has a lease now")
 	}
 	raw := ledger.Encode(wish{out, in})
 	_, err := w.Prop.Change(ctx, ledger.WishItem, func([]byte) ([]byte, error) { return raw, nil })
@@ -241,17 +241,17 @@
 }
 
 // wished carries out what an operator asked for, while it still makes sense.
-func (w *Warden) wished(ctx context.Context, core accord.Core, disks map[string]mate.Member) error {
+func (w *Warden) wished(ctx context.Context, core quorum.Core, disks map[string]membership.Member) error {
 	raw, err := w.Prop.Read(ctx, ledger.WishItem)
-	if accord.Nothing(err) || err == nil && raw == nil {
+	if quorum.Nothing(err) || err == nil && raw == nil {
 		return nil
 	}
 	if err != nil {
-		return defect.At("read wish", "", err)
+		return steperr.At("read wish", "", err)
 	}
 	x, err := ledger.Decode[wish](raw)
 	if err != nil {
-		return defect.At("read wish", "", err)
+		return steperr.At("read wish", "", err)
 	}
 	out, has := core.Seat(x.Out)
 	if _, in := core.Seat(x.In); !has || in {
@@ -276,11 +276,11 @@
 }
 
 // swap decides the next core and carries it out.
-func (w *Warden) swap(ctx context.Context, core accord.Core, out, in accord.Seat) error {
+func (w *Warden) swap(ctx context.Context, core quorum.Core, out, in quorum.Seat) error {
 	if !w.Tenant.Holds(Duty) {
 		return nil
 	}
-	next := accord.Core{Epoch: core.Epoch + 1}
+	next := quorum.Core{Epoch: core.Epoch + 1}
 	for _, s := range core.Seats {
 		if s == out {
 			s = in
@@ -290,7 +290,7 @@
 	raw := ledger.Encode(next)
 	_, err := w.Prop.Change(ctx, ledger.CoreItem, func(old []byte) ([]byte, error) {
 		if old != nil {
-			o, err := ledger.Decode[accord.Core](old)
+			o, err := ledger.Decode[quorum.Core](old)
 			if err != nil {
 				return nil, err
 			}
@@ -302,7 +302,7 @@
 		return raw, nil
 	})
 	if err != nil {
-		return defect.At("decide swap", in.ID, err)
+		return steperr.At("decide swap", in.ID, err)
 	}
 	w.Log.Info("seat passes on", "step", "swap", "mate", in.ID, "out", out.ID, "epoch", next.Epoch)
 	_, err = w.finish(ctx, core)
@@ -310,25 +310,25 @@
 }
 
 // finish carries a decided swap out; done says that none is left over.
-func (w *Warden) finish(ctx context.Context, core accord.Core) (done bool, err error) {
+func (w *Warden) finish(ctx context.Context, core quorum.Core) (done bool, err error) {
 	raw, err := w.Prop.Read(ctx, ledger.CoreItem)
-	if accord.Nothing(err) || err == nil && raw == nil {
+	if quorum.Nothing(err) || err == nil && raw == nil {
 		return true, nil
 	}
 	if err != nil {
-		return false, defect.At("read core", "", err)
+		return false, steperr.At("read core", "", err)
 	}
-	next, err := ledger.Decode[accord.Core](raw)
+	next, err := ledger.Decode[quorum.Core](raw)
 	if err != nil {
-		return false, defect.At("read core", "", err)
+		return false, steperr.At("read core", "", err)
 	}
 	if next.Epoch < core.Epoch {
 		return true, nil
 	}
-	var from, out []accord.Seat
+	var from, out []quorum.Seat
 	for _, s := range w.former(core, next) {
 		cx, end := context.WithTimeout(ctx, time.Second)
-		r, err := link.Ask[accord.SealTold](cx, w.Line, s.Addr, accord.SealAsk{Next: next})
+		r, err := link.Ask[quorum.SealTold](cx, w.Line, s.Addr, quorum.SealAsk{Next: next})
 		end()
 		if err == nil && r.OK && r.Disk == s.Disk {
 			from = append(from, s)
@@ -342,7 +342,7 @@
 		need = core.Quorum()
 	}
 	if len(from) < need {
-		return false, defect.New("seal", "", "%d of %d former voters sealed", len(from), need)
+		return false, steperr.New("seal", "", "%d of %d former voters sealed", len(from), need)
 	}
 	for _, s := range next.Seats {
 		if !slices.Contains(from, s) {
@@ -352,7 +352,7 @@
 	votes := len(next.Seats) - len(out)
 	for _, s := range out {
 		cx, end := context.WithTimeout(ctx, 3*time.Second)
-		r, err := link.Ask[accord.JoinTold](cx, w.Line, s.Addr, accord.JoinAsk{Next: next, From: from})
+		r, err := link.Ask[quorum.JoinTold](cx, w.Line, s.Addr, quorum.JoinAsk{Next: next, From: from})
 		end()
 		if err != nil || !r.OK {
 			w.Log.Debug("seat not yet joined", "step", "join", "mate", s.ID, "err", err)
@@ -370,7 +370,7 @@
 }
 
 // former lists the voters that a joiner may pull from.
-func (w *Warden) former(core, next accord.Core) []accord.Seat {
+func (w *Warden) former(core, next quorum.Core) []quorum.Seat {
 	if next.Epoch > core.Epoch {
 		return core.Seats
 	}
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -10,11 +10,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
 	"walkrudder/internal/link"
-	"walkrudder/internal/news"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/steperr"
 	"walkrudder/internal/target"
+	"walkrudder/internal/watch"
 )
 
 const (
@@ -74,7 +74,7 @@
 		return news
 	})
 	if !known {
-		return defect.At("beat", b.ID, errFull)
+		return steperr.At("beat", b.ID, errFull)
 	}
 	if !b.Draining {
 		return nil
@@ -98,10 +98,10 @@
 }
 
 // mark holds leavings for another node.
-func (n *Node) mark(_ context.Context, _ link.Who, a news.MarkAsk) (news.MarkTold, error) {
+func (n *Node) mark(_ context.Context, _ link.Who, a watch.MarkAsk) (watch.MarkTold, error) {
 	n.counts.marks.note(false, nil)
 	n.Board.MergeRuns(a.Runs)
-	t := news.MarkTold{Votes: n.votes(), Core: n.core()}
+	t := watch.MarkTold{Votes: n.votes(), Core: n.core()}
 	if t.Votes > 0 {
 		t.Disk = n.Voter.Seat().Disk
 	}
@@ -125,7 +125,7 @@
 			return nil
 		}
 		if n.Clock.Sleep(ctx, markPause) != nil {
-			return defect.At("hold", r.ID, errors.Join(lo.Ternary(core.Epoch == 0, accord.ErrNoCore, accord.ErrNoQuorum), ctx.Err()))
+			return steperr.At("hold", r.ID, errors.Join(lo.Ternary(core.Epoch == 0, quorum.ErrNoCore, quorum.ErrNoQuorum), ctx.Err()))
 		}
 	}
 }
@@ -139,10 +139,10 @@
 // tell asks those seats of a core that do not hold r yet, and tells whether a majority
 // do. It does not wait for the rest, but asks them all: copies beyond the majority cost
 // little and last longer.
-func (n *Node) tell(ctx context.Context, core accord.Core, r target.Run, got *[]seat) bool {
+func (n *Node) tell(ctx context.Context, core quorum.Core, r target.Run, got *[]seat) bool {
 	counts := func() int {
-		return lo.CountBy(core.Seats, func(s accord.Seat) bool {
-			return lo.ContainsBy(*got, func(x seat) bool { return x.id == s.ID && news.Counts(core, x.id, x.disk, x.votes) })
+		return lo.CountBy(core.Seats, func(s quorum.Seat) bool {
+			return lo.ContainsBy(*got, func(x seat) bool { return x.id == s.ID && watch.Counts(core, x.id, x.disk, x.votes) })
 		})
 	}
 	me := n.me()
@@ -155,12 +155,12 @@
 			*got = append(*got, seat{me.ID, me.Seat.Disk, n.votes()})
 			continue
 		}
-		if lo.ContainsBy(*got, func(x seat) bool { return x.id == s.ID && news.Counts(core, x.id, x.disk, x.votes) }) {
+		if lo.ContainsBy(*got, func(x seat) bool { return x.id == s.ID && watch.Counts(core, x.id, x.disk, x.votes) }) {
 			continue
 		}
 		asked++
 		wg.Go(func() {
-			t, err := link.Ask[news.MarkTold](cx, n.Line, s.Addr, news.MarkAsk{Runs: []target.Run{r}})
+			t, err := link.Ask[watch.MarkTold](cx, n.Line, s.Addr, watch.MarkAsk{Runs: []target.Run{r}})
 			if err != nil {
 				back <- nil
 				return
@@ -196,11 +196,11 @@
 // nearby is that list, as it stood at a time.
 type nearby struct {
 	at    time.Time
-	minds []news.Member
+	minds []watch.Member
 }
 
 // near are the minds that may be given work, as they stood just now.
-func (n *Node) near() []news.Member {
+func (n *Node) near() []watch.Member {
 	now := n.Clock.Now()
 	if l := n.nearby.Load(); l != nil && now.Sub(l.at) < nearFor {
 		return l.minds
@@ -213,7 +213,7 @@
 // HomeMember is the mind to which later beats of a service's targets in a zone should
 // go: one of their own zone where there is one, by rendezvous, so that every node says
 // the same and few move when minds come and go.
-func (n *Node) HomeMember(service, zone string) (best news.Member, ok bool) {
+func (n *Node) HomeMember(service, zone string) (best watch.Member, ok bool) {
 	ms := n.near()
 	going := n.stop.Load() && len(ms) > 1
 	var most uint64
--- a/internal/control/beat_test.go
+++ b/internal/control/beat_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/target"
 )
 
@@ -31,7 +31,7 @@
 				}
 				to = ""
 			}
-			if (pulse.Wall{}).Sleep(ctx, time.Second) != nil {
+			if (clock.Wall{}).Sleep(ctx, time.Second) != nil {
 				return
 			}
 		}
--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -9,9 +9,9 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/defect"
 	"walkrudder/internal/item"
 	"walkrudder/internal/route"
+	"walkrudder/internal/steperr"
 )
 
 // Drop takes one item away from Version on.
@@ -103,7 +103,7 @@
 	case n.busy <- struct{}{}:
 		defer func() { <-n.busy }()
 	case <-ctx.Done():
-		return nil, defect.At("apply", "", ctx.Err())
+		return nil, steperr.At("apply", "", ctx.Err())
 	}
 	if err := n.Mesh.Sync(ctx); err != nil {
 		return nil, err
@@ -187,7 +187,7 @@
 		}
 	})
 	if err != nil {
-		return State{}, defect.At("current", "", err)
+		return State{}, steperr.At("current", "", err)
 	}
 	slices.SortFunc(st.Routes, func(a, b route.Route) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(st.Services, func(a, b route.Service) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/control/change_test.go
+++ b/internal/control/change_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
 	"walkrudder/internal/item"
-	"walkrudder/internal/news"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/route"
+	"walkrudder/internal/watch"
 )
 
 // each plays f with each seed, in small and large worlds in turn.
@@ -341,7 +341,7 @@
 			begun := time.Now()
 			if err := m.control().Leave(w.ctx, fmt.Sprintf("i-%d", round)); err == nil {
 				t.Fatal("a minority acknowledged a leaving")
-			} else if d := time.Since(begun); d > 900*time.Millisecond || !errors.Is(err, accord.ErrNoQuorum) {
+			} else if d := time.Since(begun); d > 900*time.Millisecond || !errors.Is(err, quorum.ErrNoQuorum) {
 				t.Errorf("it took %v to say so: %v", d, err)
 			}
 			if _, err := func() (State, error) {
@@ -391,7 +391,7 @@
 			}
 		}
 		// All say the same home, of the target's zone.
-		homes := lo.Map(w.minds, func(m *mindHost, _ int) news.Member {
+		homes := lo.Map(w.minds, func(m *mindHost, _ int) watch.Member {
 			h, _ := m.control().HomeMember("a", "z1")
 			h.Age = 0
 			return h
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -12,17 +12,17 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-playground/validator/v10"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/fault"
 	"walkrudder/internal/item"
-	"walkrudder/internal/keep"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/news"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/route"
+	"walkrudder/internal/steperr"
+	"walkrudder/internal/storage"
 	"walkrudder/internal/target"
+	"walkrudder/internal/watch"
 )
 
 const (
@@ -43,8 +43,8 @@
 	Door  string `validate:"max=256"`          // address for targets and operators
 	// Seeds are inner addresses of minds.
 	Seeds []string `validate:"required,min=1,max=64,dive,required"`
-	// Bear is how many of the machines with a disk may be lost at once.
-	Bear int `validate:"min=0,max=16"`
+	// FaultsTolerated is how many of the machines with a disk may be lost at once.
+	FaultsTolerated int `validate:"min=0,max=16"`
 	// First says that the whole system starts for the first time, so that a core may
 	// be formed.
 	First bool
@@ -59,11 +59,11 @@
 	// Fresh is the incarnation that an empty disk takes.
 	Fresh string
 	Line  link.Line
-	Clock pulse.Clock
-	Disk  keep.Disk // nil for a mind that does not vote
+	Clock clock.Clock
+	Disk  storage.Disk // nil for a mind that does not vote
 	// Notes are what this node tells its next life of the targets; nil where there is no
 	// place for them.
-	Notes  keep.Journal
+	Notes  storage.Journal
 	Log    *log.Logger
 	Faults *fault.Set
 	// OnBad is told when the disk fails: the process is to end.
@@ -74,32 +74,32 @@
 type Node struct {
 	Parts
 	Desk  *link.Desk
-	Voter *accord.Voter // nil without a disk
-	Prop  *accord.Proposer
-	Board *news.Board
-	Mesh  *news.Mesh
+	Voter *quorum.Voter // nil without a disk
+	Prop  *quorum.Proposer
+	Board *watch.Board
+	Mesh  *watch.Mesh
 
-	former  *accord.Former
-	steward *accord.Steward // nil without a disk
-	teller  *news.Teller
-	pause   *liveness.Pauses
-	watch   *target.Watch // guarded by the board's lock on its table
-	book    *route.Book   // guarded by the board's lock on its items
-	ledger  ledger
-	marks   marks
-	counts  counts
-	asked   chan struct{} // holds a token for each query that is answered
-	busy    chan struct{} // holds a token while a change is under way
-	stop    atomic.Bool
-	nearby  atomic.Pointer[nearby]
-	started time.Time
+	bootstrapper *quorum.Bootstrapper
+	reconfigurer *quorum.Reconfigurer // nil without a disk
+	teller       *watch.Teller
+	pause        *liveness.Pauses
+	watch        *target.Watch // guarded by the board's lock on its table
+	book         *route.Book   // guarded by the board's lock on its items
+	ledger       ledger
+	marks        marks
+	counts       counts
+	asked        chan struct{} // holds a token for each query that is answered
+	busy         chan struct{} // holds a token while a change is under way
+	stop         atomic.Bool
+	nearby       atomic.Pointer[nearby]
+	started      time.Time
 
 	// Meters on the disk and the notes; nil where there are none.
-	diskMeter, notesMeter *keep.Meter
+	diskMeter, notesMeter *storage.Meter
 
 	mu     sync.Mutex
 	seeds  []string
-	reseek context.CancelFunc // has the former begin anew with other seeds
+	reseek context.CancelFunc // has the bootstrapper begin anew with other seeds
 }
 
 var check = validator.New(validator.WithRequiredStructEnabled())
@@ -107,17 +107,17 @@
 // New puts a node together; Run starts it.
 func New(p Parts) (*Node, error) {
 	if err := check.Struct(p.Settings); err != nil {
-		return nil, defect.At("settings", "", err)
+		return nil, steperr.At("settings", "", err)
 	}
-	n := &Node{Parts: p, Desk: link.NewDesk(), Prop: accord.NewProposer(p.ID+"."+p.Fresh, p.Line, p.Clock), Board: news.NewBoard(p.Clock),
+	n := &Node{Parts: p, Desk: link.NewDesk(), Prop: quorum.NewProposer(p.ID+"."+p.Fresh, p.Line, p.Clock), Board: watch.NewBoard(p.Clock),
 		book: route.NewBook(), pause: liveness.NewPausesEvery(p.Clock, pauseTick), busy: make(chan struct{}, 1),
 		asked: make(chan struct{}, mostQueries), started: p.Clock.Now()}
 	if p.Disk != nil {
-		p.Disk, n.diskMeter = keep.MeterDisk(p.Disk, p.Clock)
+		p.Disk, n.diskMeter = storage.MeterDisk(p.Disk, p.Clock)
 		n.Disk = p.Disk
 	}
 	if p.Notes != nil {
-		n.Notes, n.notesMeter = keep.MeterJournal(p.Notes, p.Clock)
+		n.Notes, n.notesMeter = storage.MeterJournal(p.Notes, p.Clock)
 	}
 	n.watch = &target.Watch{Every: p.BeatEvery, Pause: n.pause}
 	n.Board.OnItem = func(i item.Item) {
@@ -126,7 +126,7 @@
 		}
 	}
 	if p.Disk != nil {
-		v, err := accord.NewVoter(accord.Seat{ID: p.ID, Addr: p.Inner, Zone: p.Zone}, p.Disk, p.Fresh, p.Line, p.Faults, p.OnBad)
+		v, err := quorum.NewVoter(quorum.Seat{ID: p.ID, Addr: p.Inner, Zone: p.Zone}, p.Disk, p.Fresh, p.Line, p.Faults, p.OnBad)
 		if err != nil {
 			return nil, err
 		}
@@ -138,24 +138,24 @@
 	if p.Notes != nil {
 		n.recall()
 	}
-	n.former = &accord.Former{Seeds: p.Seeds, Self: p.Inner, Size: 2*p.Bear + 1, Line: p.Line, Clock: p.Clock, Prop: n.Prop, Voter: n.Voter, Later: !p.First}
-	n.former.Serve(n.Desk)
-	n.Mesh = &news.Mesh{Me: n.me, Line: p.Line, Clock: p.Clock, Board: n.Board, Core: n.core, Learn: func(c accord.Core) { n.Prop.Learn(c) }, Votes: n.votes}
+	n.bootstrapper = &quorum.Bootstrapper{Seeds: p.Seeds, Self: p.Inner, Size: 2*p.FaultsTolerated + 1, Line: p.Line, Clock: p.Clock, Prop: n.Prop, Voter: n.Voter, Later: !p.First}
+	n.bootstrapper.Serve(n.Desk)
+	n.Mesh = &watch.Mesh{Me: n.me, Line: p.Line, Clock: p.Clock, Board: n.Board, Core: n.core, Learn: func(c quorum.Core) { n.Prop.Learn(c) }, Votes: n.votes}
 	n.SetSeeds(p.Seeds)
-	n.teller = &news.Teller{Me: n.me, Board: n.Board, Clock: p.Clock, Core: n.core, Votes: n.votes, Fresh: n.fresh, Going: n.stop.Load,
+	n.teller = &watch.Teller{Me: n.me, Board: n.Board, Clock: p.Clock, Core: n.core, Votes: n.votes, Fresh: n.fresh, Going: n.stop.Load,
 		Others: n.Mesh.Others, Elsewhere: n.Mesh.Flows, Met: n.Mesh.Met}
 	n.teller.Serve(n.Desk)
 	link.On(n.Desk, n.mark)
 	n.serveQueries()
 	if n.Voter != nil {
-		n.steward = &accord.Steward{Heard: n.Mesh.Heard, Prop: n.Prop, Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}
+		n.reconfigurer = &quorum.Reconfigurer{Heard: n.Mesh.Heard, Prop: n.Prop, Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}
 	}
 	return n, nil
 }
 
 // me is this node as others know it.
-func (n *Node) me() news.Member {
-	m := news.Member{ID: n.ID, Kind: news.Mind, Inner: n.Inner, Door: n.Door, Zone: n.Zone, Inc: n.Inc}
+func (n *Node) me() watch.Member {
+	m := watch.Member{ID: n.ID, Kind: watch.Mind, Inner: n.Inner, Door: n.Door, Zone: n.Zone, Inc: n.Inc}
 	if n.Voter != nil {
 		m.Seat = n.Voter.Seat()
 	}
@@ -163,7 +163,7 @@
 }
 
 // core is the newest core known here.
-func (n *Node) core() accord.Core {
+func (n *Node) core() quorum.Core {
 	c := n.Prop.Core()
 	if n.Voter != nil {
 		if v := n.Voter.Core(); v.Epoch > c.Epoch {
@@ -190,7 +190,7 @@
 func (n *Node) Run(ctx context.Context) {
 	runs := []func(context.Context){n.seek, n.Mesh.Run, n.pause.Run, n.tend}
 	if n.Voter != nil {
-		runs = append(runs, n.Voter.Run, n.steward.Run)
+		runs = append(runs, n.Voter.Run, n.reconfigurer.Run)
 	}
 	if n.Notes != nil {
 		runs = append(runs, n.note)
@@ -208,7 +208,7 @@
 // tend looks after the runs of targets.
 func (n *Node) tend(ctx context.Context) {
 	var tidied time.Time
-	pulse.Every(ctx, n.Clock, judgeEvery, func() {
+	clock.Every(ctx, n.Clock, judgeEvery, func() {
 		n.settle(n.Clock.Now())
 		n.Board.Table(func(t *target.Table, now time.Time) bool {
 			news := n.watch.Judge(t, now)
@@ -222,15 +222,15 @@
 	})
 }
 
-// seek finds the core with the seeds of the hour. The former reads its seeds only while
+// seek finds the core with the seeds of the hour. The bootstrapper reads its seeds only while
 // it runs.
 func (n *Node) seek(ctx context.Context) {
 	for ctx.Err() == nil {
 		cx, end := context.WithCancel(ctx)
 		n.mu.Lock()
-		n.former.Seeds, n.reseek = n.seeds, end
+		n.bootstrapper.Seeds, n.reseek = n.seeds, end
 		n.mu.Unlock()
-		n.former.Run(cx)
+		n.bootstrapper.Run(cx)
 		end()
 	}
 }
--- a/internal/control/query_test.go
+++ b/internal/control/query_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/samber/lo"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/sim/simnet"
 	"walkrudder/internal/target"
 )
@@ -136,7 +136,7 @@
 // alone is a mind that is asked without a network.
 func alone(tb testing.TB) *Node {
 	n, err := New(Parts{Settings: Settings{ID: "m", Zone: "z", Inner: "in-m", Seeds: []string{"in-m"}, BeatEvery: time.Second}, Inc: 1, Fresh: "x",
-		Line: simnet.Line{}, Clock: pulse.Wall{}, Log: quietLog()})
+		Line: simnet.Line{}, Clock: clock.Wall{}, Log: quietLog()})
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/control/querydisk.go
+++ b/internal/control/querydisk.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"walkrudder/internal/keep"
+	"walkrudder/internal/storage"
 )
 
 // DiskAsk asks for a mind's files.
@@ -33,7 +33,7 @@
 // diskRows are the files of this node; none where it has no disk.
 func (n *Node) diskRows() []DiskRow {
 	out := []DiskRow{}
-	for _, m := range []*keep.Meter{n.diskMeter, n.notesMeter} {
+	for _, m := range []*storage.Meter{n.diskMeter, n.notesMeter} {
 		if m == nil {
 			continue
 		}
--- a/internal/control/queryitems.go
+++ b/internal/control/queryitems.go
@@ -4,10 +4,10 @@
 	"context"
 	"strings"
 
-	"walkrudder/internal/defect"
 	"walkrudder/internal/item"
-	"walkrudder/internal/news"
 	"walkrudder/internal/route"
+	"walkrudder/internal/steperr"
+	"walkrudder/internal/watch"
 )
 
 const (
@@ -65,7 +65,7 @@
 	p := newPage[item.Item](a.Page)
 	for from, more := uint64(0), true; more; {
 		if ctx.Err() != nil {
-			return r, defect.At("items", n.ID, ctx.Err())
+			return r, steperr.At("items", n.ID, ctx.Err())
 		}
 		var got []item.Item
 		n.Board.Items(func(s *item.Set) { got, from, more = s.Since(from, chunk, 0) })
@@ -106,9 +106,9 @@
 }
 
 // attached are the flows that follow this node.
-func (n *Node) attached() (out []news.Follower) {
+func (n *Node) attached() (out []watch.Follower) {
 	for _, f := range n.teller.Followers() {
-		if f.Kind == news.Flow && !f.Gone() {
+		if f.Kind == watch.Flow && !f.Gone() {
 			out = append(out, f)
 		}
 	}
--- a/internal/control/queryitems_test.go
+++ b/internal/control/queryitems_test.go
@@ -9,7 +9,7 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/item"
-	"walkrudder/internal/news"
+	"walkrudder/internal/watch"
 )
 
 func TestItemsTellWhatStandsAndWhoHasIt(t *testing.T) {
@@ -46,7 +46,7 @@
 		}
 		// A flow that stands still has not heard of a change, until it does.
 		frozen, ok := lo.Find(w.flows, func(x *flowHost) bool {
-			return lo.ContainsBy(m.control().attached(), func(f news.Follower) bool { return f.ID == x.id })
+			return lo.ContainsBy(m.control().attached(), func(f watch.Follower) bool { return f.ID == x.id })
 		})
 		if !ok {
 			t.Fatal("no flow follows the mind")
--- a/internal/control/querymembers.go
+++ b/internal/control/querymembers.go
@@ -6,7 +6,7 @@
 	"maps"
 	"slices"
 
-	"walkrudder/internal/news"
+	"walkrudder/internal/watch"
 )
 
 // MembersAsk asks for the nodes that this one knows.
@@ -49,16 +49,16 @@
 		return rows[key]
 	}
 	me := n.me()
-	self := at(news.Mind, me.ID, me.Inner)
+	self := at(watch.Mind, me.ID, me.Inner)
 	self.Zone, self.Votes, self.Going = me.Zone, n.votes(), n.stop.Load()
 	for _, x := range n.Mesh.Neighbours() {
-		r := at(news.Mind, x.ID, x.Inner)
+		r := at(watch.Mind, x.ID, x.Inner)
 		r.Zone, r.Votes, r.Going = x.Zone, x.Votes, x.Going
 		if x.Answered {
 			r.AnsweredMS = some(float64(x.Age.Milliseconds()))
 		}
 		for id, zone := range x.Flows {
-			f := at(news.Flow, id, "")
+			f := at(watch.Flow, id, "")
 			f.Zone = zone
 			f.Follows = append(f.Follows, x.ID)
 		}
@@ -68,7 +68,7 @@
 		r.Zone = f.Zone
 		r.AskedMS = some(float64(f.Age.Milliseconds()))
 		r.ItemsBehind, r.RunsBehind = behind(end.Items, f.Seen.Items), behind(end.Runs, f.Seen.Runs)
-		if f.Kind == news.Flow && !f.Gone() {
+		if f.Kind == watch.Flow && !f.Gone() {
 			r.Follows = append(r.Follows, me.ID)
 		}
 	}
--- a/internal/control/querymembers_test.go
+++ b/internal/control/querymembers_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/news"
+	"walkrudder/internal/watch"
 )
 
 func TestMembersTellWhoIsThere(t *testing.T) {
@@ -24,7 +24,7 @@
 		}
 		for _, o := range w.minds {
 			r := got[o.id]
-			if r.Kind != news.Mind || r.Zone != o.zone || r.Inner != o.addr || (r.Votes > 0) != (o.disk != nil) || r.Going {
+			if r.Kind != watch.Mind || r.Zone != o.zone || r.Inner != o.addr || (r.Votes > 0) != (o.disk != nil) || r.Going {
 				t.Errorf("%+v", r)
 			}
 			if o != m && (!r.AskedMS.Known || !r.AnsweredMS.Known || r.AnsweredMS.Value > 2000 || r.ItemsBehind != some(0)) {
@@ -32,7 +32,7 @@
 			}
 		}
 		for _, x := range w.flows {
-			if r := got[x.id]; r.Kind != news.Flow || r.Zone != x.zone || len(r.Follows) != 2 || r.Inner != "" {
+			if r := got[x.id]; r.Kind != watch.Flow || r.Zone != x.zone || len(r.Follows) != 2 || r.Inner != "" {
 				t.Errorf("%+v", r)
 			}
 		}
--- a/internal/control/stop_test.go
+++ b/internal/control/stop_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/news"
 	"walkrudder/internal/target"
+	"walkrudder/internal/watch"
 )
 
 // A mind that is about to stop sends everybody on before it is gone, and answers until
@@ -58,7 +58,7 @@
 			w.await("return", 8*time.Second, func() bool { return m.control().Ready() })
 			w.await("return of the others' trust", 5*time.Second, func() bool {
 				return lo.EveryBy(others, func(o *mindHost) bool {
-					return lo.ContainsBy(o.control().Mesh.Near(), func(x news.Member) bool { return x.ID == m.id })
+					return lo.ContainsBy(o.control().Mesh.Near(), func(x watch.Member) bool { return x.ID == m.id })
 				})
 			})
 			time.Sleep(6 * time.Second)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -5,22 +5,22 @@
 	"slices"
 	"time"
 
-	"walkrudder/internal/accord"
 	"walkrudder/internal/item"
-	"walkrudder/internal/news"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/target"
+	"walkrudder/internal/watch"
 )
 
 // View is what operators are told of a node.
 type View struct {
-	Me    news.Member
+	Me    watch.Member
 	Fresh bool
 	// Lag is how long ago everything acknowledged until then was known here.
 	Lag    time.Duration
-	Core   accord.Core
-	Votes  uint64        // the epoch of the core in which the own disk votes; 0 is none
-	Minds  []news.Member // that answer this node
-	Askers []news.Member // that ask it
+	Core   quorum.Core
+	Votes  uint64         // the epoch of the core in which the own disk votes; 0 is none
+	Minds  []watch.Member // that answer this node
+	Askers []watch.Member // that ask it
 	Flows  int
 	Zones  map[string]int // of flows
 	Items  int            // dropped ones too
@@ -49,19 +49,19 @@
 		}
 		return false
 	})
-	slices.SortFunc(v.Minds, func(a, b news.Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(v.Minds, func(a, b watch.Member) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(v.Runs, func(a, b RunView) int { return cmp.Compare(a.ID, b.ID) })
 	return v
 }
 
 // Members are the nodes that this one hears: the minds that answer, and all that ask.
-func (n *Node) Members() []news.Member {
+func (n *Node) Members() []watch.Member {
 	out := n.Mesh.Near()
 	for _, a := range n.teller.Askers() {
-		if !slices.ContainsFunc(out, func(m news.Member) bool { return m.ID == a.ID }) {
+		if !slices.ContainsFunc(out, func(m watch.Member) bool { return m.ID == a.ID }) {
 			out = append(out, a)
 		}
 	}
-	slices.SortFunc(out, func(a, b news.Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b watch.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -17,10 +17,10 @@
 
 	"walkrudder/internal/item"
 	"walkrudder/internal/link"
-	"walkrudder/internal/news"
 	"walkrudder/internal/route"
 	"walkrudder/internal/sim/simnet"
 	"walkrudder/internal/target"
+	"walkrudder/internal/watch"
 )
 
 var seeds = flag.Int("control.seeds", defaultSeeds, "how many seeds the random runs of this package take")
@@ -50,7 +50,7 @@
 	inc  uint64
 
 	mu    sync.Mutex
-	sub   *news.Subscriber
+	sub   *watch.Subscriber
 	items map[item.Key]item.Item
 	runs  map[string]target.Run
 }
@@ -145,7 +145,7 @@
 func (m *mindHost) boot() {
 	proc := m.Start(m.w.ctx, "")
 	m.inc += 1 + uint64(m.w.chance(1000))
-	p := Parts{Settings: Settings{ID: m.id, Zone: m.zone, Inner: m.addr, Seeds: m.w.seedList(), Bear: m.w.bear, First: m.w.first, BeatEvery: time.Second},
+	p := Parts{Settings: Settings{ID: m.id, Zone: m.zone, Inner: m.addr, Seeds: m.w.seedList(), FaultsTolerated: m.w.bear, First: m.w.first, BeatEvery: time.Second},
 		Inc: m.inc, Fresh: fmt.Sprintf("%s-%d", m.id, m.inc), Line: simnet.Line{P: proc}, Clock: simnet.Clock{P: proc}, Log: quietLog(), OnBad: func(error) { proc.Kill() }}
 	var h *simnet.Handle
 	if m.disk != nil {
@@ -175,9 +175,9 @@
 func (x *flowHost) boot() {
 	proc := x.Start(x.w.ctx, "")
 	x.inc++
-	s := &news.Subscriber{Me: news.Member{ID: x.id, Kind: news.Flow, Zone: x.zone, Inc: x.inc}, Line: simnet.Line{P: proc}, Clock: simnet.Clock{P: proc}, Log: quietLog()}
+	s := &watch.Subscriber{Me: watch.Member{ID: x.id, Kind: watch.Flow, Zone: x.zone, Inc: x.inc}, Line: simnet.Line{P: proc}, Clock: simnet.Clock{P: proc}, Log: quietLog()}
 	items, runs := map[item.Key]item.Item{}, map[string]target.Run{}
-	s.OnNews = func(t news.WatchTold) {
+	s.OnNews = func(t watch.WatchTold) {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		for _, i := range t.Items {
@@ -200,7 +200,7 @@
 	x.start(proc, newDesk(), s.Run)
 }
 
-func (x *flowHost) subscriber() *news.Subscriber {
+func (x *flowHost) subscriber() *watch.Subscriber {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.sub
--- a/internal/flow/door_test.go
+++ b/internal/flow/door_test.go
@@ -16,11 +16,11 @@
 	"testing"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
-	"walkrudder/internal/home"
 	"walkrudder/internal/liveness"
 	"walkrudder/internal/passage"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
 
@@ -61,15 +61,15 @@
 		{Name: "again", Service: "svc", Methods: []string{"GET", "HEAD", "PUT"}, Path: "/again/*", ExpiryMS: 1500, Repeatable: true},
 	}}.Sorted())
 	ctx, end := context.WithCancel(context.Background())
-	r := &home.Roster{Clock: pulse.Wall{}, Pause: liveness.NewPauses(pulse.Wall{}), Minds: nil, Every: time.Second}
+	r := &registry.Roster{Clock: clock.Wall{}, Pause: liveness.NewPauses(clock.Wall{}), Minds: nil, Every: time.Second}
 	r.Init()
 	go r.Alone(ctx)
-	if err := r.Learn(ctx, "svc", []home.Entry{{Beat: face.Beat{ID: "a", Service: "svc", Addr: addr, Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
+	if err := r.Learn(ctx, "svc", []registry.Entry{{Beat: face.Beat{ID: "a", Service: "svc", Addr: addr, Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
 		t.Fatal(err)
 	}
 	// The test lasts longer than a proof does.
 	r.Proved(r.Of("svc")[0], time.Now().Add(time.Hour))
-	p := &passage.Passage{Clock: pulse.Wall{}, Rack: open{tab}, Roster: r, Courier: passage.NewHTTP(""), ID: "f", Inc: 1, Flows: func() int { return 1 }}
+	p := &passage.Passage{Clock: clock.Wall{}, Rack: open{tab}, Roster: r, Courier: passage.NewHTTP(""), ID: "f", Inc: 1, Flows: func() int { return 1 }}
 	p.Init()
 	done := make(chan struct{})
 	go func() { p.Run(ctx); close(done) }()
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -12,16 +12,16 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
 	"walkrudder/internal/claim"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
-	"walkrudder/internal/home"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
 	"walkrudder/internal/passage"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/roll"
 	"walkrudder/internal/spec"
 	"walkrudder/internal/startup"
@@ -40,7 +40,7 @@
 	Startup startup.Flow
 	Inc     uint64
 	Line    link.Line
-	Clock   pulse.Clock
+	Clock   clock.Clock
 	Courier passage.Courier
 	Log     *log.Logger
 	Faults  *fault.Set
@@ -51,9 +51,9 @@
 type Flow struct {
 	Parts
 	Desk    *link.Desk
-	Tenant  *mate.Tenant
+	Tenant  *membership.Tenant
 	Rack    *roll.Rack
-	Roster  *home.Roster
+	Roster  *registry.Roster
 	Passage *passage.Passage
 	Pauses  *liveness.Pauses
 
@@ -70,26 +70,26 @@
 func New(p Parts) *Flow {
 	i := do.New()
 	do.ProvideValue(i, p)
-	do.Provide(i, func(do.Injector) (*accord.Proposer, error) {
-		return accord.NewProposer(p.Startup.ID, p.Line, p.Clock), nil
+	do.Provide(i, func(do.Injector) (*quorum.Proposer, error) {
+		return quorum.NewProposer(p.Startup.ID, p.Line, p.Clock), nil
 	})
-	do.Provide(i, func(i do.Injector) (*accord.Former, error) {
-		return &accord.Former{Seeds: p.Startup.Seeds, Self: p.Startup.Inner, Line: p.Line, Clock: p.Clock,
-			Prop: do.MustInvoke[*accord.Proposer](i)}, nil
+	do.Provide(i, func(i do.Injector) (*quorum.Bootstrapper, error) {
+		return &quorum.Bootstrapper{Seeds: p.Startup.Seeds, Self: p.Startup.Inner, Line: p.Line, Clock: p.Clock,
+			Prop: do.MustInvoke[*quorum.Proposer](i)}, nil
 	})
 	do.Provide(i, func(do.Injector) (*liveness.Pauses, error) { return liveness.NewPauses(p.Clock), nil })
-	do.Provide(i, func(i do.Injector) (*mate.Tenant, error) {
-		return &mate.Tenant{Line: p.Line, Clock: p.Clock, Core: do.MustInvoke[*accord.Proposer](i)}, nil
+	do.Provide(i, func(i do.Injector) (*membership.Tenant, error) {
+		return &membership.Tenant{Line: p.Line, Clock: p.Clock, Core: do.MustInvoke[*quorum.Proposer](i)}, nil
 	})
 	do.Provide(i, newRoster)
 	do.Provide(i, newRack)
 	do.Provide(i, newCircle)
 	do.Provide(i, newPassage)
-	f := &Flow{Parts: p, born: p.Clock.Now(), Desk: link.NewDesk(), Tenant: do.MustInvoke[*mate.Tenant](i), Pauses: do.MustInvoke[*liveness.Pauses](i),
-		Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*home.Roster](i), Passage: do.MustInvoke[*passage.Passage](i)}
+	f := &Flow{Parts: p, born: p.Clock.Now(), Desk: link.NewDesk(), Tenant: do.MustInvoke[*membership.Tenant](i), Pauses: do.MustInvoke[*liveness.Pauses](i),
+		Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*registry.Roster](i), Passage: do.MustInvoke[*passage.Passage](i)}
 	since := time.Now().UnixMilli()
-	f.Tenant.Me = func() mate.Member {
-		return mate.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "flow", Inner: p.Startup.Inner, Door: p.Startup.Door,
+	f.Tenant.Me = func() membership.Member {
+		return membership.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "flow", Inner: p.Startup.Inner, Door: p.Startup.Door,
 			Zone: p.Startup.Zone, Spec: f.Rack.N(), Since: since, Rest: f.resting.Load()}
 	}
 	f.Roster.OnStand = f.watch
@@ -98,12 +98,12 @@
 	circle := do.MustInvoke[*claim.Circle](i)
 	circle.Serve(f.Desk)
 	f.Passage.Serve(f.Desk)
-	mate.ServeRest(f.Desk, &f.resting)
-	fm := do.MustInvoke[*accord.Former](i)
+	membership.ServeRest(f.Desk, &f.resting)
+	fm := do.MustInvoke[*quorum.Bootstrapper](i)
 	fm.Serve(f.Desk)
 	f.start = func(ctx context.Context) {
 		f.wg.Go(func() {
-			pulse.Every(ctx, p.Clock, closedTime/8, func() { f.Ready() })
+			clock.Every(ctx, p.Clock, closedTime/8, func() { f.Ready() })
 		})
 		for _, run := range []func(context.Context){fm.Run, f.Tenant.Run, f.Rack.Run, f.Roster.Run, f.Passage.Run, f.Pauses.Run, circle.Run} {
 			f.wg.Go(func() { run(ctx) })
@@ -112,16 +112,16 @@
 	return f
 }
 
-func newRoster(i do.Injector) (*home.Roster, error) {
-	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i)
-	r := &home.Roster{Line: p.Line, Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Me: p.Startup.ID, Zone: p.Startup.Zone,
-		Minds: func() []mate.Member { return t.Kind("mind") }, Every: probeEvery}
+func newRoster(i do.Injector) (*registry.Roster, error) {
+	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i)
+	r := &registry.Roster{Line: p.Line, Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Me: p.Startup.ID, Zone: p.Startup.Zone,
+		Minds: func() []membership.Member { return t.Kind("mind") }, Every: probeEvery}
 	r.Init()
 	return r, nil
 }
 
 func newRack(i do.Injector) (*roll.Rack, error) {
-	p, t, r := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i), do.MustInvoke[*home.Roster](i)
+	p, t, r := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i), do.MustInvoke[*registry.Roster](i)
 	k := &roll.Rack{Tenant: t, Line: p.Line, Clock: p.Clock, ID: p.Startup.ID, Log: p.Log,
 		Minds: func() []string { return nearest(t.Kind("mind"), p.Startup) },
 		Mates: func() []string {
@@ -142,32 +142,32 @@
 
 // nearest lists minds to ask: the own zone first, then the rest, each flow from
 // another start; before any member is known, the seeds.
-func nearest(ms []mate.Member, s startup.Flow) []string {
+func nearest(ms []membership.Member, s startup.Flow) []string {
 	if len(ms) == 0 {
 		return s.Seeds
 	}
-	near, far := lo.FilterReject(ms, func(m mate.Member, _ int) bool { return m.Zone == s.Zone })
+	near, far := lo.FilterReject(ms, func(m membership.Member, _ int) bool { return m.Zone == s.Zone })
 	n := 0
 	for _, c := range []byte(s.ID) {
 		n = n*31 + int(c)
 	}
-	turn := func(l []mate.Member) []mate.Member {
+	turn := func(l []membership.Member) []membership.Member {
 		if len(l) == 0 {
 			return l
 		}
 		k := (n%len(l) + len(l)) % len(l)
-		return append(append([]mate.Member(nil), l[k:]...), l[:k]...)
+		return append(append([]membership.Member(nil), l[k:]...), l[:k]...)
 	}
-	return lo.Map(append(turn(near), turn(far)...), func(m mate.Member, _ int) string { return m.Inner })
+	return lo.Map(append(turn(near), turn(far)...), func(m membership.Member, _ int) string { return m.Inner })
 }
 
 func newPassage(i do.Injector) (*passage.Passage, error) {
-	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i)
-	g := &passage.Passage{Clock: p.Clock, Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*home.Roster](i),
+	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i)
+	g := &passage.Passage{Clock: p.Clock, Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*registry.Roster](i),
 		Courier: p.Courier, Zone: p.Startup.Zone, Chart: p.Startup.Chart, ID: p.Startup.ID, Inc: p.Inc, Faults: p.Faults, Log: p.Log, Count: p.Count,
 		Flows: func() int {
 			// Read at every choice: counted, not listed.
-			return lo.CountBy(t.Members(), func(m mate.Member) bool { return m.Kind == "flow" }) + 1
+			return lo.CountBy(t.Members(), func(m membership.Member) bool { return m.Kind == "flow" }) + 1
 		},
 		Claims: do.MustInvoke[*claim.Circle](i)}
 	g.Init()
@@ -175,7 +175,7 @@
 }
 
 func newCircle(i do.Injector) (*claim.Circle, error) {
-	p, t, k := do.MustInvoke[Parts](i), do.MustInvoke[*mate.Tenant](i), do.MustInvoke[*roll.Rack](i)
+	p, t, k := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i), do.MustInvoke[*roll.Rack](i)
 	c := &claim.Circle{Me: p.Startup.ID, Line: p.Line, Clock: p.Clock, Log: p.Log, Mates: k.Mates, Held: t.Held, Alone: k.Stranded, Flows: k.Counts,
 		Members: func() []string { return t.Others(p.Startup.ID) },
 		Keep:    &claims{line: p.Line, clock: p.Clock, minds: func() []string { return nearest(t.Kind("mind"), p.Startup) }}}
@@ -186,7 +186,7 @@
 // claims takes claims through whichever mind answers.
 type claims struct {
 	line  link.Line
-	clock pulse.Clock
+	clock clock.Clock
 	minds func() []string
 }
 
@@ -239,7 +239,7 @@
 // lapsed and they have found each other, or until the core is back and its courts have
 // waited a lease's length: calls wait at the gate, and with all flows not ready they
 // could not even do that. Who alone is cut off knows much sooner.
-const closedTime = 2*mate.Lease + 200*time.Millisecond
+const closedTime = 2*membership.Lease + 200*time.Millisecond
 
 // Ready is what the platform is told: this node serves, and is not stopping.
 func (f *Flow) Ready() bool {
@@ -286,7 +286,7 @@
 
 // watch probes one target run until ctx ends. Probes carry this flow's own
 // numbers; an answer that names another run proves nothing (design 10.2).
-func (f *Flow) watch(ctx context.Context, s *home.Stand) {
+func (f *Flow) watch(ctx context.Context, s *registry.Stand) {
 	var seq uint64
 	first := true
 	for {
@@ -309,7 +309,7 @@
 	}
 }
 
-func (f *Flow) probe(ctx context.Context, s *home.Stand, seq uint64) {
+func (f *Flow) probe(ctx context.Context, s *registry.Stand, seq uint64) {
 	sent := f.Clock.Now()
 	cx, end := context.WithTimeout(ctx, probeTime)
 	defer end()
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -10,10 +10,10 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/spec"
+	"walkrudder/internal/steperr"
 )
 
 // Fold is the state that the changes up to N give. It is never changed.
@@ -53,8 +53,8 @@
 
 // Book is one mind's view of the ledger.
 type Book struct {
-	Prop  *accord.Proposer
-	Clock pulse.Clock
+	Prop  *quorum.Proposer
+	Clock clock.Clock
 	Mind  string
 	// WallMS is the wall clock for people, in milliseconds.
 	WallMS func() int64
@@ -77,13 +77,13 @@
 // Refresh folds every change that was decided before the call.
 func (b *Book) Refresh(ctx context.Context) (*Fold, error) {
 	key, _, err := b.Prop.Last(ctx, ChangePrefix)
-	if accord.Nothing(err) {
+	if quorum.Nothing(err) {
 		// The last number was promised or half written and is now free again:
 		// what comes before it is settled by the listing.
 		err = nil
 	}
 	if err != nil {
-		return nil, defect.At("refresh", "", err)
+		return nil, steperr.At("refresh", "", err)
 	}
 	f := b.Fold()
 	if key == "" || key <= ChangeKey(f.N) {
@@ -93,7 +93,7 @@
 	select {
 	case b.busy <- struct{}{}:
 	case <-ctx.Done():
-		return nil, defect.At("refresh", "", ctx.Err())
+		return nil, steperr.At("refresh", "", ctx.Err())
 	}
 	defer func() { <-b.busy }()
 	f = b.Fold()
@@ -111,7 +111,7 @@
 	err = b.Prop.List(ctx, ChangePrefix, after, func(k string, v []byte) error {
 		c, err := Decode[Change](v)
 		if err != nil {
-			return defect.At("fold "+k, "", err)
+			return steperr.At("fold "+k, "", err)
 		}
 		return n.take(c)
 	})
@@ -186,11 +186,11 @@
 // Flipped tells what is in force, by a majority.
 func (b *Book) Flipped(ctx context.Context) (f Force, err error) {
 	v, err := b.Prop.Read(ctx, Flip)
-	if accord.Nothing(err) || err == nil && v == nil {
+	if quorum.Nothing(err) || err == nil && v == nil {
 		return f, nil
 	}
 	if err != nil {
-		return f, defect.At("read flip", "", err)
+		return f, steperr.At("read flip", "", err)
 	}
 	return Decode[Force](v)
 }
@@ -249,7 +249,7 @@
 		out = f(o)
 		return Encode(out), nil
 	})
-	return out, defect.At("flip", "", err)
+	return out, steperr.At("flip", "", err)
 }
 
 // Once writes an immutable item; an item already there stays, and counts.
@@ -265,7 +265,7 @@
 		return Encode(n), nil
 	})
 	if err != nil {
-		return n, defect.At("note "+n.Kind, "", err)
+		return n, steperr.At("note "+n.Kind, "", err)
 	}
 	return Decode[Note](raw)
 }
@@ -285,7 +285,7 @@
 	err := b.Prop.List(ctx, prefix, "", func(k string, v []byte) error {
 		n, err := Decode[Note](v)
 		if err != nil {
-			return defect.At("read "+k, "", err)
+			return steperr.At("read "+k, "", err)
 		}
 		out = append(out, n)
 		return nil
@@ -319,7 +319,7 @@
 	err := b.Prop.List(ctx, ChangePrefix, "", func(k string, v []byte) error {
 		c, err := Decode[Change](v)
 		if err != nil {
-			return defect.At("read "+k, "", err)
+			return steperr.At("read "+k, "", err)
 		}
 		out = append(out, c)
 		return nil
@@ -343,7 +343,7 @@
 		}
 	}
 	if f.N != n {
-		return spec.Sheet{}, defect.New("sheet at version", "", "no version %d", n)
+		return spec.Sheet{}, steperr.New("sheet at version", "", "no version %d", n)
 	}
 	return f.Sheet, nil
 }
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -10,7 +10,7 @@
 	"sync"
 )
 
-// MaxFrame bounds one frame, so that no mate can make this process allocate
+// MaxFrame bounds one frame, so that no peer can make this process allocate
 // without limit (design 3.2).
 const MaxFrame = 8 << 20
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"reflect"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 )
 
 // Who names the process at the other end of a link.
@@ -49,7 +49,7 @@
 func (d *Desk) Answer(ctx context.Context, w Who, ask any) (any, error) {
 	f, ok := d.by[reflect.TypeOf(ask)]
 	if !ok {
-		return nil, defect.New("answer", w.ID, "no answer here to %T", ask)
+		return nil, steperr.New("answer", w.ID, "no answer here to %T", ask)
 	}
 	return f(ctx, w, ask)
 }
@@ -63,7 +63,7 @@
 	}
 	r, ok := v.(R)
 	if !ok {
-		return z, defect.At("ask", addr, fmt.Errorf("answer of type %T, want %T", v, z))
+		return z, steperr.At("ask", addr, fmt.Errorf("answer of type %T, want %T", v, z))
 	}
 	return r, nil
 }
--- a/internal/link/tcp.go
+++ b/internal/link/tcp.go
@@ -14,7 +14,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 )
 
 const (
@@ -92,13 +92,13 @@
 func (t *TCP) Call(ctx context.Context, addr string, ask any) (any, error) {
 	l, err := t.link(ctx, addr)
 	if err != nil {
-		return nil, defect.At("link", addr, err)
+		return nil, steperr.At("link", addr, err)
 	}
 	ch := make(chan envelope, 1)
 	l.mu.Lock()
 	if l.dead {
 		l.mu.Unlock()
-		return nil, defect.New("link", addr, "closed")
+		return nil, steperr.New("link", addr, "closed")
 	}
 	l.seq++
 	id := l.seq
@@ -116,7 +116,7 @@
 	begun, read := time.Now(), l.read.Load()
 	if err := l.write(&e); err != nil {
 		t.drop(l)
-		return nil, defect.At("ask", addr, err)
+		return nil, steperr.At("ask", addr, err)
 	}
 	select {
 	case <-ctx.Done():
@@ -126,13 +126,13 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) && l.read.Load() == read && time.Since(begun) >= muteTime {
 			t.drop(l)
 		}
-		return nil, defect.At("ask", addr, ctx.Err())
+		return nil, steperr.At("ask", addr, ctx.Err())
 	case e, ok := <-ch:
 		if !ok {
-			return nil, defect.New("ask", addr, "link closed before the answer")
+			return nil, steperr.New("ask", addr, "link closed before the answer")
 		}
 		if e.Err != "" {
-			return nil, defect.At("answer", addr, errors.New(e.Err))
+			return nil, steperr.At("answer", addr, errors.New(e.Err))
 		}
 		return e.Body, nil
 	}
@@ -296,7 +296,7 @@
 				t.mu.Unlock()
 			}()
 			if err := t.attend(c, d); err != nil {
-				t.Log.Warn("link closed", "step", "attend", "mate", c.RemoteAddr().String(), "err", err)
+				t.Log.Warn("link closed", "step", "attend", "peer", c.RemoteAddr().String(), "err", err)
 			}
 		}()
 	}
@@ -350,12 +350,12 @@
 }
 
 // answer turns one question into its answer; a panic in a handler is logged and
-// answered as an error, so that no mate can bring this process down.
+// answered as an error, so that no peer can bring this process down.
 func answer(ctx context.Context, d *Desk, w Who, e *envelope, lg *log.Logger) (r *envelope) {
 	r = &envelope{ID: e.ID, Reply: true}
 	defer func() {
 		if p := recover(); p != nil {
-			lg.Error("panic while answering", "step", "answer", "mate", w.ID, "panic", p, "stack", string(debug.Stack()))
+			lg.Error("panic while answering", "step", "answer", "peer", w.ID, "panic", p, "stack", string(debug.Stack()))
 			r.Body, r.Err = nil, "internal defect"
 		}
 	}()
--- a/internal/liveness/detector_test.go
+++ b/internal/liveness/detector_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -146,7 +146,7 @@
 
 // frozen is a clock whose sleepers wake late while the process is frozen.
 type frozen struct {
-	pulse.Wall
+	clock.Wall
 	till atomic.Pointer[time.Time]
 }
 
@@ -184,7 +184,7 @@
 
 // jumpy is a clock that can be set.
 type jumpy struct {
-	pulse.Wall
+	clock.Wall
 	off atomic.Int64
 }
 
--- a/internal/liveness/pauses.go
+++ b/internal/liveness/pauses.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 const (
@@ -19,7 +19,7 @@
 // or suspended. A jump of the machine's wall clock is none: only the monotonic
 // clock is read.
 type Pauses struct {
-	clock pulse.Clock
+	clock clock.Clock
 	tick  time.Duration
 	at    atomic.Pointer[beat]
 }
@@ -31,10 +31,10 @@
 }
 
 // NewPauses starts the count at zero.
-func NewPauses(c pulse.Clock) *Pauses { return NewPausesEvery(c, tick) }
+func NewPauses(c clock.Clock) *Pauses { return NewPausesEvery(c, tick) }
 
 // NewPausesEvery looks only every d: fewer wake-ups, and pauses are told to within d.
-func NewPausesEvery(c pulse.Clock, d time.Duration) *Pauses {
+func NewPausesEvery(c clock.Clock, d time.Duration) *Pauses {
 	p := &Pauses{clock: c, tick: d}
 	p.at.Store(&beat{last: c.Now()})
 	return p
--- a/internal/liveness/pauses_test.go
+++ b/internal/liveness/pauses_test.go
@@ -7,12 +7,12 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 // stopClock sleeps longer once, as a frozen process does.
 type stopClock struct {
-	pulse.Wall
+	clock.Wall
 	extra atomic.Int64
 }
 
--- a/internal/mate/court.go
+++ b/internal/membership/court.go
@@ -1,7 +1,7 @@
-// Package mate tells which nodes are members: each holds a lease that a majority
+// Package membership tells which nodes are members: each holds a lease that a majority
 // of the core granted (design 7). Duties are leases of the same kind (design
 // 7.3).
-package mate
+package membership
 
 import (
 	"cmp"
@@ -11,9 +11,9 @@
 	"sync/atomic"
 	"time"
 
-	"walkrudder/internal/accord"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
 )
 
 const (
@@ -46,7 +46,7 @@
 	Inner string
 	Door  string
 	Zone  string
-	Disk  accord.Seat // where it has a disk
+	Disk  quorum.Seat // where it has a disk
 	Spec  uint64      // version in force there
 	Since int64       // start, unix milliseconds, for people
 	Rest  bool        // drained by hand
@@ -66,7 +66,7 @@
 	RenewTold struct {
 		OK      bool
 		Epoch   uint64
-		Core    accord.Core // where the epoch differs
+		Core    quorum.Core // where the epoch differs
 		Version uint64
 		Members []Member // where Version differs from Seen
 		Duties  []string
@@ -81,7 +81,7 @@
 	TableAsk struct{ Epoch uint64 }
 	// TableTold answers it.
 	TableTold struct {
-		accord.Told
+		quorum.Told
 		Members []Member
 	}
 )
@@ -101,8 +101,8 @@
 // taking a seat, it grants nothing and shows no table until every lease granted
 // before must have lapsed (design 7.1).
 type Court struct {
-	voter *accord.Voter
-	clock pulse.Clock
+	voter *quorum.Voter
+	clock clock.Clock
 
 	mu      sync.Mutex
 	by      map[string]grant
@@ -115,7 +115,7 @@
 }
 
 // NewCourt makes the court that sits beside v.
-func NewCourt(v *accord.Voter, c pulse.Clock) *Court {
+func NewCourt(v *quorum.Voter, c clock.Clock) *Court {
 	return &Court{voter: v, clock: c, by: map[string]grant{}, duties: map[string]duty{}, version: uint64(c.Now().UnixNano())}
 }
 
--- a/internal/mate/register.go
+++ b/internal/membership/register.go
@@ -1,4 +1,4 @@
-package mate
+package membership
 
 import "walkrudder/internal/link"
 
--- a/internal/mate/tenant.go
+++ b/internal/membership/tenant.go
@@ -1,4 +1,4 @@
-package mate
+package membership
 
 import (
 	"context"
@@ -10,18 +10,18 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/steperr"
 )
 
 // Tenant keeps this node's lease renewed and knows the other members.
 type Tenant struct {
 	Line  link.Line
-	Clock pulse.Clock
+	Clock clock.Clock
 	// Core knows the voters; newer cores are learned into it.
-	Core *accord.Proposer
+	Core *quorum.Proposer
 	// Me describes this node at each renewal.
 	Me func() Member
 
@@ -143,7 +143,7 @@
 	slices.Sort(want)
 	cx, end := context.WithTimeout(ctx, Lease-Renew)
 	type back struct {
-		s   accord.Seat
+		s   quorum.Seat
 		r   RenewTold
 		err error
 	}
@@ -250,7 +250,7 @@
 }
 
 // merge takes the union of the newest tables.
-func (t *Tenant) merge(core accord.Core) {
+func (t *Tenant) merge(core quorum.Core) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	by := map[string]Member{}
@@ -294,7 +294,7 @@
 func (t *Tenant) Table(ctx context.Context) ([]Member, error) {
 	core := t.Core.Core()
 	if core.Epoch == 0 {
-		return nil, accord.ErrNoCore
+		return nil, quorum.ErrNoCore
 	}
 	cx, end := context.WithTimeout(ctx, tableTime)
 	defer end()
@@ -338,5 +338,5 @@
 			return out, nil
 		}
 	}
-	return nil, defect.At("lease table", "", accord.ErrNoQuorum)
+	return nil, steperr.At("lease table", "", quorum.ErrNoQuorum)
 }
--- a/internal/mate/tenant_test.go
+++ b/internal/membership/tenant_test.go
@@ -1,4 +1,4 @@
-package mate
+package membership
 
 import (
 	"context"
@@ -9,17 +9,17 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/keep"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/storage"
 )
 
 // mem is a disk that keeps nothing beyond the test.
 type mem map[string][]byte
 
 func (m mem) Load() (map[string][]byte, error) { return m, nil }
-func (m mem) Commit(ps []keep.Put) error {
+func (m mem) Commit(ps []storage.Put) error {
 	for _, p := range ps {
 		m[p.Key] = p.Value
 	}
@@ -32,7 +32,7 @@
 	mu    sync.Mutex
 	desks map[string]*link.Desk
 	slow  map[string]time.Duration
-	core  accord.Core
+	core  quorum.Core
 }
 
 var errShut = errors.New("no way")
@@ -44,7 +44,7 @@
 	if w < 0 {
 		return nil, errShut
 	}
-	if (pulse.Wall{}).Sleep(ctx, time.Millisecond+w) != nil {
+	if (clock.Wall{}).Sleep(ctx, time.Millisecond+w) != nil {
 		return nil, ctx.Err()
 	}
 	return d.Answer(ctx, link.Who{ID: "t"}, ask)
@@ -58,16 +58,16 @@
 }
 
 func newLab(ctx context.Context, t *testing.T) *lab {
-	l := &lab{desks: map[string]*link.Desk{}, slow: map[string]time.Duration{}, core: accord.Core{Epoch: 1}}
-	var vs []*accord.Voter
+	l := &lab{desks: map[string]*link.Desk{}, slow: map[string]time.Duration{}, core: quorum.Core{Epoch: 1}}
+	var vs []*quorum.Voter
 	for _, id := range []string{"a", "b", "c"} {
-		v, err := accord.NewVoter(accord.Seat{ID: id, Addr: id}, mem{}, "disk-"+id, l, nil, nil)
+		v, err := quorum.NewVoter(quorum.Seat{ID: id, Addr: id}, mem{}, "disk-"+id, l, nil, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		d := link.NewDesk()
 		v.Serve(d)
-		NewCourt(v, pulse.Wall{}).Serve(d)
+		NewCourt(v, clock.Wall{}).Serve(d)
 		l.desks[id] = d
 		l.core.Seats = append(l.core.Seats, v.Seat())
 		vs = append(vs, v)
@@ -75,7 +75,7 @@
 	}
 	for i := range vs {
 		for _, seal := range []bool{false, true} {
-			if _, err := link.Ask[accord.FormTold](ctx, l, l.core.Seats[i].Addr, accord.FormAsk{By: "a", Core: l.core, Seal: seal}); err != nil {
+			if _, err := link.Ask[quorum.FormTold](ctx, l, l.core.Seats[i].Addr, quorum.FormAsk{By: "a", Core: l.core, Seal: seal}); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -88,9 +88,9 @@
 }
 
 func (l *lab) tenant(id string, line link.Line) *Tenant {
-	p := accord.NewProposer(id, line, pulse.Wall{})
+	p := quorum.NewProposer(id, line, clock.Wall{})
 	p.Learn(l.core)
-	return &Tenant{Line: line, Clock: pulse.Wall{}, Core: p, Me: func() Member { return Member{ID: id, Inc: 1, Kind: "flow"} }}
+	return &Tenant{Line: line, Clock: clock.Wall{}, Core: p, Me: func() Member { return Member{ID: id, Inc: 1, Kind: "flow"} }}
 }
 
 // A lease that moves from one majority of courts to another must be in every
--- a/internal/mind/door.go
+++ b/internal/mind/door.go
@@ -11,9 +11,9 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/recover"
 
-	"walkrudder/internal/accord"
 	"walkrudder/internal/commands"
 	"walkrudder/internal/face"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/voice"
 )
 
@@ -63,7 +63,7 @@
 	switch {
 	case errors.Is(err, voice.ErrSaid):
 		return refuse(c, 400, strings.TrimPrefix(err.Error(), voice.ErrSaid.Error()+"\n"))
-	case errors.Is(err, accord.ErrNoQuorum), errors.Is(err, accord.ErrNoCore):
+	case errors.Is(err, quorum.ErrNoQuorum), errors.Is(err, quorum.ErrNoCore):
 		c.Set("Retry-After", "1")
 		return refuse(c, 503, err.Error())
 	case err != nil:
--- a/internal/mind/mind.go
+++ b/internal/mind/mind.go
@@ -11,20 +11,20 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/do/v2"
 
-	"walkrudder/internal/accord"
 	"walkrudder/internal/claim"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/commands"
 	"walkrudder/internal/fault"
-	"walkrudder/internal/home"
-	"walkrudder/internal/keep"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/mate"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/membership"
 	"walkrudder/internal/queries"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/roll"
 	"walkrudder/internal/startup"
+	"walkrudder/internal/storage"
 	"walkrudder/internal/voice"
 )
 
@@ -35,8 +35,8 @@
 	// Fresh is the incarnation that an empty disk takes.
 	Fresh  string
 	Line   link.Line
-	Clock  pulse.Clock
-	Disk   keep.Disk // nil for a mind that does not vote
+	Clock  clock.Clock
+	Disk   storage.Disk // nil for a mind that does not vote
 	Log    *log.Logger
 	Faults *fault.Set
 	// OnBad is told when the disk fails: the process is to end.
@@ -50,12 +50,12 @@
 type Mind struct {
 	Parts
 	Desk    *link.Desk
-	Voter   *accord.Voter
-	Prop    *accord.Proposer
-	Tenant  *mate.Tenant
+	Voter   *quorum.Voter
+	Prop    *quorum.Proposer
+	Tenant  *membership.Tenant
 	Book    *ledger.Book
 	Roller  *roll.Roller
-	House   *home.House
+	House   *registry.House
 	Changer *commands.Changer
 	Beater  *commands.Beater
 	Drainer *commands.Drainer
@@ -73,67 +73,67 @@
 // New puts a mind together; Run starts it.
 func New(p Parts) (*Mind, error) {
 	i := do.New()
-	me := accord.Seat{ID: p.Startup.ID, Addr: p.Startup.Inner, Zone: p.Startup.Zone}
-	var v *accord.Voter
+	me := quorum.Seat{ID: p.Startup.ID, Addr: p.Startup.Inner, Zone: p.Startup.Zone}
+	var v *quorum.Voter
 	if p.Disk != nil {
 		var err error
-		if v, err = accord.NewVoter(me, p.Disk, p.Fresh, p.Line, p.Faults, p.OnBad); err != nil {
+		if v, err = quorum.NewVoter(me, p.Disk, p.Fresh, p.Line, p.Faults, p.OnBad); err != nil {
 			return nil, err
 		}
 	}
 	do.ProvideValue(i, v)
 	do.ProvideValue(i, link.NewDesk())
 	do.Provide(i, func(do.Injector) (*liveness.Pauses, error) { return liveness.NewPauses(p.Clock), nil })
-	do.Provide(i, func(do.Injector) (*accord.Proposer, error) {
-		return accord.NewProposer(p.Startup.ID+"."+p.Fresh, p.Line, p.Clock), nil
+	do.Provide(i, func(do.Injector) (*quorum.Proposer, error) {
+		return quorum.NewProposer(p.Startup.ID+"."+p.Fresh, p.Line, p.Clock), nil
 	})
-	do.Provide(i, func(i do.Injector) (*accord.Former, error) {
-		return &accord.Former{Seeds: p.Startup.Seeds, Self: p.Startup.Inner, Size: p.Startup.Core, Line: p.Line, Clock: p.Clock,
-			Prop: do.MustInvoke[*accord.Proposer](i), Voter: v}, nil
+	do.Provide(i, func(i do.Injector) (*quorum.Bootstrapper, error) {
+		return &quorum.Bootstrapper{Seeds: p.Startup.Seeds, Self: p.Startup.Inner, Size: p.Startup.Core, Line: p.Line, Clock: p.Clock,
+			Prop: do.MustInvoke[*quorum.Proposer](i), Voter: v}, nil
 	})
-	do.Provide(i, func(i do.Injector) (*mate.Tenant, error) {
-		return &mate.Tenant{Line: p.Line, Clock: p.Clock, Core: do.MustInvoke[*accord.Proposer](i)}, nil
+	do.Provide(i, func(i do.Injector) (*membership.Tenant, error) {
+		return &membership.Tenant{Line: p.Line, Clock: p.Clock, Core: do.MustInvoke[*quorum.Proposer](i)}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*ledger.Book, error) {
-		return &ledger.Book{Prop: do.MustInvoke[*accord.Proposer](i), Clock: p.Clock, Mind: p.Startup.ID, WallMS: p.WallMS}, nil
+		return &ledger.Book{Prop: do.MustInvoke[*quorum.Proposer](i), Clock: p.Clock, Mind: p.Startup.ID, WallMS: p.WallMS}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*roll.Roller, error) {
-		return &roll.Roller{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*mate.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
+		return &roll.Roller{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*membership.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
 	})
-	do.Provide(i, func(i do.Injector) (*home.House, error) {
-		h := &home.House{Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Run: p.Inc}
+	do.Provide(i, func(i do.Injector) (*registry.House, error) {
+		h := &registry.House{Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Run: p.Inc}
 		h.Init()
 		return h, nil
 	})
 	do.Provide(i, func(i do.Injector) (*commands.Drainer, error) {
-		return &commands.Drainer{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*mate.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults}, nil
+		return &commands.Drainer{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*membership.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*commands.Beater, error) {
-		return &commands.Beater{House: do.MustInvoke[*home.House](i), Tenant: do.MustInvoke[*mate.Tenant](i), Line: p.Line, Me: p.Startup.ID,
+		return &commands.Beater{House: do.MustInvoke[*registry.House](i), Tenant: do.MustInvoke[*membership.Tenant](i), Line: p.Line, Me: p.Startup.ID,
 			Drainer: do.MustInvoke[*commands.Drainer](i)}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*commands.Changer, error) {
 		return &commands.Changer{Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), Clock: p.Clock, Mind: p.Startup.ID}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*commands.Warden, error) {
-		return &commands.Warden{House: do.MustInvoke[*home.House](i), Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*mate.Tenant](i),
-			Drainer: do.MustInvoke[*commands.Drainer](i), Prop: do.MustInvoke[*accord.Proposer](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
+		return &commands.Warden{House: do.MustInvoke[*registry.House](i), Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*membership.Tenant](i),
+			Drainer: do.MustInvoke[*commands.Drainer](i), Prop: do.MustInvoke[*quorum.Proposer](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
 	})
-	m := &Mind{Parts: p, Voter: v, Desk: do.MustInvoke[*link.Desk](i), Prop: do.MustInvoke[*accord.Proposer](i), Tenant: do.MustInvoke[*mate.Tenant](i),
-		Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), House: do.MustInvoke[*home.House](i),
+	m := &Mind{Parts: p, Voter: v, Desk: do.MustInvoke[*link.Desk](i), Prop: do.MustInvoke[*quorum.Proposer](i), Tenant: do.MustInvoke[*membership.Tenant](i),
+		Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), House: do.MustInvoke[*registry.House](i),
 		Changer: do.MustInvoke[*commands.Changer](i), Beater: do.MustInvoke[*commands.Beater](i), Drainer: do.MustInvoke[*commands.Drainer](i),
 		Warden: do.MustInvoke[*commands.Warden](i)}
 	m.Speaker = &voice.Speaker{Changer: m.Changer, Drainer: m.Drainer, Warden: m.Warden, Book: m.Book, Settle: m.Roller.Settle,
 		Asker: &queries.Asker{Book: m.Book, House: m.House, Tenant: m.Tenant, Prop: m.Prop, Line: p.Line}}
 	since := p.WallMS()
-	m.Tenant.Me = func() mate.Member {
-		x := mate.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "mind", Inner: p.Startup.Inner, Door: p.Startup.Door, Zone: p.Startup.Zone, Since: since, Rest: m.resting.Load()}
+	m.Tenant.Me = func() membership.Member {
+		x := membership.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "mind", Inner: p.Startup.Inner, Door: p.Startup.Door, Zone: p.Startup.Zone, Since: since, Rest: m.resting.Load()}
 		if v != nil {
 			x.Disk = v.Seat()
 		}
 		return x
 	}
-	fm := do.MustInvoke[*accord.Former](i)
+	fm := do.MustInvoke[*quorum.Bootstrapper](i)
 	fm.Serve(m.Desk)
 	m.Roller.Serve(m.Desk, m.Drainer.Leaves)
 	m.House.Serve(m.Desk)
@@ -145,11 +145,11 @@
 		Members: func() []string { return m.Tenant.Others(p.Startup.ID) }, Mates: func() []string { return m.Tenant.Others(p.Startup.ID) }}
 	circle.Init()
 	circle.Serve(m.Desk)
-	mate.ServeRest(m.Desk, &m.resting)
+	membership.ServeRest(m.Desk, &m.resting)
 	runs := []func(context.Context){fm.Run, m.Tenant.Run, m.House.Start, m.Roller.Watch, m.Warden.Run, m.sweep, circle.Run, do.MustInvoke[*liveness.Pauses](i).Run}
 	if v != nil {
 		v.Serve(m.Desk)
-		mate.NewCourt(v, p.Clock).Serve(m.Desk)
+		membership.NewCourt(v, p.Clock).Serve(m.Desk)
 		runs = append(runs, v.Run)
 	}
 	m.start = func(ctx context.Context) {
--- a/internal/passage/elect.go
+++ b/internal/passage/elect.go
@@ -6,13 +6,13 @@
 	"slices"
 	"time"
 
-	"walkrudder/internal/home"
+	"walkrudder/internal/registry"
 )
 
 const (
 	// Fresh and suspectAt are what all who read the flows' proofs go by.
-	Fresh     = home.Fresh
-	suspectAt = home.SuspectAt
+	Fresh     = registry.Fresh
+	suspectAt = registry.SuspectAt
 	// suspectCap is the share of a service's targets that may be passed over for
 	// suspicion together; beyond it the least suspected stay in (design 10.5).
 	suspectCap = 0.5
@@ -23,7 +23,7 @@
 
 // candidate is a target with what the choice reads of it, taken once.
 type candidate struct {
-	s *home.Stand
+	s *registry.Stand
 	w float64
 }
 
@@ -32,7 +32,7 @@
 // random the least busy for its capacity, the own zone first. Suspicion is read fresh
 // for every target at every choice. It tells also how much room the targets have in
 // all, and whether there was one but for its room.
-func (p *Passage) elect(service string, limit float64, tried []*home.Stand, left time.Duration) (s *home.Stand, rooms float64, full bool) {
+func (p *Passage) elect(service string, limit float64, tried []*registry.Stand, left time.Duration) (s *registry.Stand, rooms float64, full bool) {
 	now, flows := p.Clock.Now(), p.Flows()
 	all := p.Roster.Of(service)
 	var ok, bad []candidate
@@ -79,7 +79,7 @@
 
 // load is how busy a target is for its capacity; a target in another zone counts
 // as busier.
-func (p *Passage) load(s *home.Stand) float64 {
+func (p *Passage) load(s *registry.Stand) float64 {
 	l := (float64(s.Flying.Load()) + 1) / float64(max(1, s.Capacity.Load()))
 	if s.Zone != p.Zone {
 		l *= farther * p.Chart.Far(p.Zone, s.Zone)
--- a/internal/passage/elect_test.go
+++ b/internal/passage/elect_test.go
@@ -8,34 +8,34 @@
 	"time"
 
 	"walkrudder/internal/chart"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
-	"walkrudder/internal/home"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/registry"
 )
 
 // crowd is a passage with n proved targets, each heard of every 400 ms so far.
-func crowd(ctx context.Context, t *testing.T, n int) (*Passage, []*home.Stand) {
+func crowd(ctx context.Context, t *testing.T, n int) (*Passage, []*registry.Stand) {
 	t.Helper()
-	pz := liveness.NewPauses(pulse.Wall{})
+	pz := liveness.NewPauses(clock.Wall{})
 	go pz.Run(ctx)
-	r := &home.Roster{Clock: pulse.Wall{}, Pause: pz, Every: 400 * time.Millisecond}
+	r := &registry.Roster{Clock: clock.Wall{}, Pause: pz, Every: 400 * time.Millisecond}
 	r.Init()
 	go r.Alone(ctx)
-	var es []home.Entry
+	var es []registry.Entry
 	for i := range n {
-		es = append(es, home.Entry{Beat: face.Beat{ID: fmt.Sprint("t", i), Service: "s", Zone: "z1", Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Capacity: 4, Seq: 1, Inc: 1}})
+		es = append(es, registry.Entry{Beat: face.Beat{ID: fmt.Sprint("t", i), Service: "s", Zone: "z1", Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Capacity: 4, Seq: 1, Inc: 1}})
 	}
 	if err := r.Learn(ctx, "s", es); err != nil {
 		t.Fatal(err)
 	}
-	p := &Passage{Clock: pulse.Wall{}, Roster: r, Zone: "z1", Flows: func() int { return 1 }}
+	p := &Passage{Clock: clock.Wall{}, Roster: r, Zone: "z1", Flows: func() int { return 1 }}
 	p.Init()
 	return p, r.Of("s")
 }
 
 // hear lets the first k targets answer for a while; the rest stay silent.
-func hear(p *Passage, ss []*home.Stand, k int, from uint64, times int) {
+func hear(p *Passage, ss []*registry.Stand, k int, from uint64, times int) {
 	for j := range times {
 		time.Sleep(400 * time.Millisecond)
 		for _, s := range ss[:k] {
@@ -94,7 +94,7 @@
 				t.Fatal("elected a target that is leaving, or none")
 			}
 		}
-		if s, _, _ := p.elect("s", suspectAt, []*home.Stand{ss[1]}, time.Second); s != nil {
+		if s, _, _ := p.elect("s", suspectAt, []*registry.Stand{ss[1]}, time.Second); s != nil {
 			t.Error("elected a target that was tried before")
 		}
 		time.Sleep(Fresh)
--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -15,10 +15,10 @@
 	"golang.org/x/time/rate"
 
 	"walkrudder/internal/chart"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
-	"walkrudder/internal/home"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
 
@@ -58,9 +58,9 @@
 
 // Passage leads requests through a flow.
 type Passage struct {
-	Clock   pulse.Clock
+	Clock   clock.Clock
 	Rack    Gate
-	Roster  *home.Roster
+	Roster  *registry.Roster
 	Courier Courier
 	Claims  Claims
 	Zone    string
@@ -373,7 +373,7 @@
 
 // unproved tells whether a target of a service lacks nothing but a recent proof.
 func (p *Passage) unproved(service string, now time.Time) bool {
-	return lo.SomeBy(p.Roster.Of(service), func(s *home.Stand) bool {
+	return lo.SomeBy(p.Roster.Of(service), func(s *registry.Stand) bool {
 		return !s.Leaving.Load() && !s.Gone.Load() && p.Roster.Age(s, now) >= Fresh
 	})
 }
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"walkrudder/internal/face"
-	"walkrudder/internal/home"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
 
@@ -47,7 +47,7 @@
 		defer end()
 		p, _ := crowd(ctx, t, 2)
 		b := face.Beat{ID: "u", Service: "u", Zone: "z1", Addr: "127.0.0.1:9", Capacity: slots, Seq: 1, Inc: 1}
-		if err := p.Roster.Learn(ctx, "u", []home.Entry{{Beat: b}}); err != nil {
+		if err := p.Roster.Learn(ctx, "u", []registry.Entry{{Beat: b}}); err != nil {
 			t.Fatal(err)
 		}
 		hear(p, append(p.Roster.Of("s"), p.Roster.Of("u")...), 3, 1, 3)
--- a/internal/passage/room.go
+++ b/internal/passage/room.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"walkrudder/internal/home"
+	"walkrudder/internal/registry"
 )
 
 const (
@@ -32,7 +32,7 @@
 // to be done within d: what the target's announced capacity finishes in that time, at
 // the pace seen, shared with all other flows alike. Of a target that never answered
 // not much is expected.
-func room(s *home.Stand, d time.Duration, flows int) float64 {
+func room(s *registry.Stand, d time.Duration, flows int) float64 {
 	may := useful * float64(d)
 	took := float64(s.Took())
 	if took <= 0 {
--- a/internal/passage/trip.go
+++ b/internal/passage/trip.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"walkrudder/internal/face"
-	"walkrudder/internal/home"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
 
@@ -37,7 +37,7 @@
 
 	// mu guards what several sendings under way share.
 	mu       sync.Mutex
-	Tried    []*home.Stand
+	Tried    []*registry.Stand
 	Tries    int
 	begun    int  // sendings that were allowed to write
 	open     int  // sendings under way
--- a/internal/passage/try.go
+++ b/internal/passage/try.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"walkrudder/internal/home"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
 
@@ -11,7 +11,7 @@
 // have several under way (design 13.14).
 type Try struct {
 	Trip   *Trip
-	Stand  *home.Stand
+	Stand  *registry.Stand
 	No     int // of the trip's tries, from 1
 	Table  *spec.Table
 	Bound  *spec.Bound
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"testing"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/route"
 	"walkrudder/internal/target"
 )
@@ -17,7 +17,7 @@
 // BenchmarkRequest is one request over loopback, kept connections on both sides. The
 // stand-in target and the caller are in the figures, too.
 func BenchmarkRequest(b *testing.B) {
-	n := New(Parts{Settings: Settings{ID: "f", Zone: "a", Dialect: dialect}, Clock: pulse.Wall{}})
+	n := New(Parts{Settings: Settings{ID: "f", Zone: "a", Dialect: dialect}, Clock: clock.Wall{}})
 	n.TakeItems([]item.Item{
 		route.Service{Name: "svc", Version: 1}.Item(),
 		route.Route{Name: "r", Version: 1, Host: "h", Prefix: "/a/", Repeat: route.Idempotent, Attempts: 2, AimMS: 400, Shares: []route.Share{{Service: "svc", Weight: 1}}}.Item(),
--- a/internal/proxy/bulk_test.go
+++ b/internal/proxy/bulk_test.go
@@ -6,14 +6,14 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 // TestBulk: large bodies use a part of a narrow link together, however many they are;
 // small ones and those on wide links pass at once, and nobody waits past his deadline.
 func TestBulk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := &Node{clock: pulse.Wall{}}
+		n := &Node{clock: clock.Wall{}}
 		far := time.Now().Add(time.Hour)
 		pass := func(b bulk, size, writers int) time.Duration {
 			began := time.Now()
@@ -76,7 +76,7 @@
 		if newBulkGate(0) != nil || newBulkGate(wideMbps) != nil || cap(newBulkGate(1)) != 2 || cap(newBulkGate(16)) != 10 {
 			t.Error("places")
 		}
-		n := &Node{clock: pulse.Wall{}, gate: newBulkGate(3.2)}
+		n := &Node{clock: clock.Wall{}, gate: newBulkGate(3.2)}
 		if !n.enterBulk(0) || !n.enterBulk(0) {
 			t.Fatal("no place")
 		}
@@ -91,7 +91,7 @@
 		if began = time.Now(); !n.enterBulk(300*time.Millisecond) || time.Since(began) != 100*time.Millisecond {
 			t.Errorf("not handed on after %v", time.Since(began))
 		}
-		wide := &Node{clock: pulse.Wall{}}
+		wide := &Node{clock: clock.Wall{}}
 		for range 100 {
 			if !wide.enterBulk(0) {
 				t.Fatal("a wide link has a gate")
--- a/internal/proxy/choice_test.go
+++ b/internal/proxy/choice_test.go
@@ -7,15 +7,15 @@
 	"testing/synctest"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/route"
 	"walkrudder/internal/target"
 )
 
 // plan is a node without network, for choices alone.
 func plan(runs ...target.Run) (*Node, *service) {
-	n := New(Parts{Settings: Settings{ID: "flow1", Zone: "a", Zones: map[string]string{"a": "r", "b": "r", "c": "far"}, Dialect: dialect}, Clock: pulse.Wall{}})
+	n := New(Parts{Settings: Settings{ID: "flow1", Zone: "a", Zones: map[string]string{"a": "r", "b": "r", "c": "far"}, Dialect: dialect}, Clock: clock.Wall{}})
 	n.TakeItems([]item.Item{route.Service{Name: "svc", Version: 1, MaxConns: 100, Health: "/health"}.Item()})
 	n.SetFlows(1, 1)
 	n.TakeRuns(runs)
@@ -111,7 +111,7 @@
 func TestNodesBeginApart(t *testing.T) {
 	firsts := map[string]bool{}
 	for i := range 20 {
-		n := New(Parts{Settings: Settings{ID: fmt.Sprint("flow", i), Zone: "a", Dialect: dialect}, Clock: pulse.Wall{}})
+		n := New(Parts{Settings: Settings{ID: fmt.Sprint("flow", i), Zone: "a", Dialect: dialect}, Clock: clock.Wall{}})
 		for k := range 9 {
 			n.TakeRuns([]target.Run{at(fmt.Sprint("r", k), "a", 2)})
 		}
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -1,10 +1,10 @@
 package proxy
 
-import "walkrudder/internal/news"
+import "walkrudder/internal/watch"
 
 // Follow has the node take what a subscriber hears.
-func (n *Node) Follow(sub *news.Subscriber) {
-	sub.OnNews = func(t news.WatchTold) {
+func (n *Node) Follow(sub *watch.Subscriber) {
+	sub.OnNews = func(t watch.WatchTold) {
 		n.TakeItems(t.Items)
 		n.TakeRuns(t.Runs)
 		n.SetFlows(t.Flows, t.FlowsNear)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -12,9 +12,9 @@
 	"github.com/charmbracelet/log"
 
 	"walkrudder/internal/budget"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/route"
 	"walkrudder/internal/target"
 )
@@ -40,7 +40,7 @@
 // Parts are what a node is put together from.
 type Parts struct {
 	Settings Settings
-	Clock    pulse.Clock
+	Clock    clock.Clock
 	Log      *log.Logger
 	// Dial makes connections to targets; nil is TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
@@ -49,7 +49,7 @@
 // Node is one proxy of the data plane.
 type Node struct {
 	set    Settings
-	clock  pulse.Clock
+	clock  clock.Clock
 	log    *log.Logger
 	mem    memory
 	stats  stats
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 	"walkrudder/internal/target"
 )
 
@@ -155,12 +155,12 @@
 	nc, err := n.connectTo(run.Addr, limit)
 	if err != nil {
 		n.stats.dialsFailed.Add(1)
-		return nil, defect.At("connect", run.ID, err)
+		return nil, steperr.At("connect", run.ID, err)
 	}
 	c := newConn(nc)
 	if err := c.begin(hard); err != nil {
 		c.drop()
-		return nil, defect.At("connect", run.ID, err)
+		return nil, steperr.At("connect", run.ID, err)
 	}
 	return c, nil
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 )
 
 const (
@@ -32,14 +32,14 @@
 			case n.ended.Load():
 				return nil
 			case errors.Is(err, net.ErrClosed):
-				return defect.At("accept", "", err)
+				return steperr.At("accept", "", err)
 			case errors.As(err, &ne):
 				if err := n.clock.Sleep(context.Background(), acceptPause); err != nil {
-					return defect.At("accept", "", err)
+					return steperr.At("accept", "", err)
 				}
 				continue
 			}
-			return defect.At("accept", "", err)
+			return steperr.At("accept", "", err)
 		}
 		n.admit(nc)
 	}
@@ -80,7 +80,7 @@
 	}
 	begun := n.clock.Now()
 	if err := n.clock.Sleep(ctx, min(n.set.Linger, n.set.Grace/2)); err != nil {
-		return defect.At("stop", "", err)
+		return steperr.At("stop", "", err)
 	}
 	n.ended.Store(true)
 	n.leaving.Store(true)
@@ -103,8 +103,8 @@
 	case <-done:
 		return nil
 	case <-c:
-		return defect.New("stop", "", "%d requests were not answered in the grace", n.stats.inside.Load())
+		return steperr.New("stop", "", "%d requests were not answered in the grace", n.stats.inside.Load())
 	case <-ctx.Done():
-		return defect.At("stop", "", ctx.Err())
+		return steperr.At("stop", "", ctx.Err())
 	}
 }
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -5,7 +5,7 @@
 
 	"github.com/go-playground/validator/v10"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 )
 
 // Dialect names the header fields that callers, proxies and targets agreed on.
@@ -62,7 +62,7 @@
 
 // Check tells what is wrong with the settings.
 func (s Settings) Check() error {
-	return defect.At("settings", "", validator.New(validator.WithRequiredStructEnabled()).Struct(s))
+	return steperr.At("settings", "", validator.New(validator.WithRequiredStructEnabled()).Struct(s))
 }
 
 // filled puts defaults where nothing was given.
--- a/internal/proxy/stand_test.go
+++ b/internal/proxy/stand_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/route"
 	"walkrudder/internal/target"
 )
@@ -149,7 +149,7 @@
 	if err := s.Check(); err != nil {
 		t.Fatal(err)
 	}
-	p := Parts{Settings: s, Clock: pulse.Wall{}}
+	p := Parts{Settings: s, Clock: clock.Wall{}}
 	if _, ok := nw.(loopback); !ok {
 		p.Dial = nw.dial
 	}
--- a/internal/queries/queries.go
+++ b/internal/queries/queries.go
@@ -14,22 +14,22 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
-	"walkrudder/internal/home"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
 	"walkrudder/internal/passage"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
+	"walkrudder/internal/steperr"
 )
 
 // Asker answers queries at one mind.
 type Asker struct {
 	Book   *ledger.Book
-	House  *home.House
-	Tenant *mate.Tenant
-	Prop   *accord.Proposer
+	House  *registry.House
+	Tenant *membership.Tenant
+	Prop   *quorum.Proposer
 	Line   link.Line
 }
 
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	c := a.Prop.Core()
-	return lo.Map(ms, func(m mate.Member, _ int) NodeRow {
+	return lo.Map(ms, func(m membership.Member, _ int) NodeRow {
 		s, in := c.Seat(m.ID)
 		return NodeRow{ID: m.ID, Kind: m.Kind, Zone: m.Zone, Inner: m.Inner, Door: m.Door, Votes: in && s.Disk == m.Disk.Disk,
 			Standby: !in && m.Disk.Disk != "", Drained: m.Rest, Version: m.Spec, UpSince: stamp(m.Since)}
@@ -83,8 +83,8 @@
 
 // Targets lists the targets, of one service or of all.
 func (a *Asker) Targets(ctx context.Context, service string) ([]TargetRow, error) {
-	views := home.Views(ctx, a.Line, a.Tenant.Members())
-	return lo.FilterMap(home.Collect(ctx, a.Line, a.Tenant.Members()), func(s home.Seen, _ int) (TargetRow, bool) {
+	views := registry.Views(ctx, a.Line, a.Tenant.Members())
+	return lo.FilterMap(registry.Collect(ctx, a.Line, a.Tenant.Members()), func(s registry.Seen, _ int) (TargetRow, bool) {
 		v := views[ledger.Target{ID: s.Beat.ID, Service: s.Beat.Service, Inc: s.Beat.Inc}]
 		state := "serving"
 		switch {
@@ -92,9 +92,9 @@
 			state = "let go"
 		case s.Beat.Leaving:
 			state = "leaving"
-		case s.W >= home.SuspectAt && v.Vouched():
+		case s.W >= registry.SuspectAt && v.Vouched():
 			state = "serving, beats missed"
-		case s.W >= home.SuspectAt:
+		case s.W >= registry.SuspectAt:
 			state = "suspected"
 		}
 		return TargetRow{Service: s.Beat.Service, ID: s.Beat.ID, Zone: s.Beat.Zone, Addr: s.Beat.Addr, Inc: s.Beat.Inc, Capacity: s.Beat.Capacity, State: state,
@@ -142,7 +142,7 @@
 	}
 	c, ok := lo.Find(cs, func(c ledger.Change) bool { return n != 0 && c.N == n || token != "" && c.Token == token })
 	if !ok {
-		return Status{}, defect.New("find change", "", "no such change")
+		return Status{}, steperr.New("find change", "", "no such change")
 	}
 	fo, err := a.Book.Flipped(ctx)
 	if err != nil {
@@ -241,7 +241,7 @@
 	}
 	now, seen := lo.Find(ts, func(t TargetRow) bool { return t.ID == id })
 	if !seen && len(notes) == 0 {
-		return nil, defect.New("find target", "", "nothing is known of %s/%s", service, id)
+		return nil, steperr.New("find target", "", "nothing is known of %s/%s", service, id)
 	}
 	return struct {
 		Seen      bool          `json:"seen_here"`
@@ -255,22 +255,22 @@
 	run := strings.LastIndexByte(call, '-')
 	id := strings.LastIndexByte(call[:max(run, 0)], '-')
 	if id <= 0 {
-		return passage.Story{}, defect.New("find call", "", "%q is no call: FLOW-RUN-NUMBER", call)
+		return passage.Story{}, steperr.New("find call", "", "%q is no call: FLOW-RUN-NUMBER", call)
 	}
 	flow, inc := call[:id], call[id+1:run]
-	m, ok := lo.Find(a.Tenant.Members(), func(m mate.Member) bool { return m.ID == flow })
+	m, ok := lo.Find(a.Tenant.Members(), func(m membership.Member) bool { return m.ID == flow })
 	if !ok {
-		return passage.Story{}, defect.New("find call", flow, "that flow has no lease now; its log has what it gave up")
+		return passage.Story{}, steperr.New("find call", flow, "that flow has no lease now; its log has what it gave up")
 	}
 	if strconv.FormatUint(m.Inc, 36) != inc {
-		return passage.Story{}, defect.New("find call", flow, "that run of the flow has ended; its log has what it gave up")
+		return passage.Story{}, steperr.New("find call", flow, "that run of the flow has ended; its log has what it gave up")
 	}
 	r, err := link.Ask[passage.StoryTold](ctx, a.Line, m.Inner, passage.StoryAsk{Call: call})
 	if err != nil {
-		return passage.Story{}, defect.At("find call", flow, err)
+		return passage.Story{}, steperr.At("find call", flow, err)
 	}
 	if !r.Known {
-		return passage.Story{}, defect.New("find call", flow, "not among the calls remembered; its log has what it gave up")
+		return passage.Story{}, steperr.New("find call", flow, "not among the calls remembered; its log has what it gave up")
 	}
 	return r.Story, nil
 }
@@ -308,7 +308,7 @@
 		was = is
 	}
 	if len(out) == 0 {
-		return nil, defect.New("history", "", "there was never a binding %q", name)
+		return nil, steperr.New("history", "", "there was never a binding %q", name)
 	}
 	return out, nil
 }
@@ -355,7 +355,7 @@
 type Picture struct {
 	Mind      string          `json:"mind"`
 	Sheet     SheetNow        `json:"route_sheet"`
-	Core      accord.Core     `json:"core"`
+	Core      quorum.Core     `json:"core"`
 	Nodes     []NodeRow       `json:"nodes"`
 	Targets   []TargetRow     `json:"targets"`
 	Changes   []ledger.Change `json:"changes"`
--- a/internal/accord/former.go
+++ b/internal/quorum/bootstrapper.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"cmp"
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
 )
 
 const (
@@ -28,7 +28,7 @@
 	maxKnown = 256
 )
 
-// Former finds the core, or takes part in forming the first one (design 4.5).
+// Bootstrapper finds the core, or takes part in forming the first one (design 4.5).
 //
 // A first core is formed only if every seed answers that it knows none. The disk
 // node with the lowest ID among those heard of proposes Size seats spread over
@@ -38,7 +38,7 @@
 // one at most is ever sealed, however many disk nodes there are and whichever of
 // them know each other. Then all seats consent, or after those 3 s a majority of
 // them, and it is sealed.
-type Former struct {
+type Bootstrapper struct {
 	Seeds []string // inner addresses
 	Self  string   // own inner address
 	Size  int      // seats of a first core
@@ -46,7 +46,7 @@
 	// neither proposes nor consents to a first core.
 	Later bool
 	Line  link.Line
-	Clock pulse.Clock
+	Clock clock.Clock
 	Prop  *Proposer
 	Voter *Voter // nil without a disk
 
@@ -63,7 +63,7 @@
 }
 
 // Serve teaches d what this node knows of the core.
-func (f *Former) Serve(d *link.Desk) {
+func (f *Bootstrapper) Serve(d *link.Desk) {
 	link.On(d, func(_ context.Context, _ link.Who, a HelloAsk) (CoreTold, error) {
 		f.note(a.Seat, 0)
 		f.Prop.Learn(a.Core)
@@ -80,7 +80,7 @@
 
 // formed answers for a seed without a disk. What it consented to it knows only as
 // long as it lives; seeds with a disk know longer.
-func (f *Former) formed(a FormAsk) FormTold {
+func (f *Bootstrapper) formed(a FormAsk) FormTold {
 	known := f.Prop.Core()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,7 +100,7 @@
 }
 
 // note keeps in mind that s was heard of some time ago.
-func (f *Former) note(s Seat, ago time.Duration) {
+func (f *Bootstrapper) note(s Seat, ago time.Duration) {
 	if s.ID == "" || s.Addr == "" || ago >= knownFor {
 		return
 	}
@@ -117,7 +117,7 @@
 }
 
 // disks lists the disks heard of lately, by ID.
-func (f *Former) disks() []knownSeat {
+func (f *Bootstrapper) disks() []knownSeat {
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -134,7 +134,7 @@
 }
 
 // told answers one that knows the core of an epoch.
-func (f *Former) told(epoch uint64) CoreTold {
+func (f *Bootstrapper) told(epoch uint64) CoreTold {
 	c := f.core()
 	t := CoreTold{Epoch: c.Epoch, Empty: c.Epoch == 0}
 	if c.Epoch > epoch {
@@ -157,7 +157,7 @@
 }
 
 // consent is the formation that this node consented to.
-func (f *Former) consent() form {
+func (f *Bootstrapper) consent() form {
 	if f.Voter != nil {
 		by, c := f.Voter.Consent()
 		return form{by, c}
@@ -167,7 +167,7 @@
 	return f.form
 }
 
-func (f *Former) core() Core {
+func (f *Bootstrapper) core() Core {
 	c := f.Prop.Core()
 	if f.Voter != nil {
 		if v := f.Voter.Core(); v.Epoch > c.Epoch {
@@ -180,7 +180,7 @@
 
 // Run seeks the core until ctx ends: quickly while none is known, then now and
 // then, so that a node whose every voter was swapped finds the new ones.
-func (f *Former) Run(ctx context.Context) {
+func (f *Bootstrapper) Run(ctx context.Context) {
 	for {
 		d := seekEvery
 		if f.core().Epoch > 0 {
@@ -199,7 +199,7 @@
 }
 
 // settle has a voter that consented to the core take it.
-func (f *Former) settle(ctx context.Context) {
+func (f *Bootstrapper) settle(ctx context.Context) {
 	if f.Voter != nil && f.Voter.Core().Epoch == 0 {
 		_ = f.Voter.Adopt(ctx, f.core())
 	}
@@ -207,7 +207,7 @@
 
 // recheck asks one seed whether it knows a newer core: the next in turn that
 // answers. A seed that knows an older one is told.
-func (f *Former) recheck(ctx context.Context) {
+func (f *Bootstrapper) recheck(ctx context.Context) {
 	f.settle(ctx)
 	if f.turn == 0 {
 		// Nodes that start together do not all ask the same seed.
@@ -231,7 +231,7 @@
 }
 
 // hello asks one seed, or this node itself.
-func (f *Former) hello(ctx context.Context, a string) (CoreTold, error) {
+func (f *Bootstrapper) hello(ctx context.Context, a string) (CoreTold, error) {
 	if a == f.Self {
 		return f.told(0), nil
 	}
@@ -249,7 +249,7 @@
 }
 
 // round asks all seeds, and forms a first core if that is this node's to do.
-func (f *Former) round(ctx context.Context) {
+func (f *Bootstrapper) round(ctx context.Context) {
 	if f.Voter != nil {
 		f.note(f.Voter.Seat(), 0)
 	}
@@ -292,7 +292,7 @@
 
 // propose brings a first core about, if that is this node's to do. forms are what
 // the seeds consented to.
-func (f *Former) propose(ctx context.Context, forms []form) {
+func (f *Bootstrapper) propose(ctx context.Context, forms []form) {
 	late := f.Clock.Now().Sub(f.empty) >= formPatience
 	p, fresh, ok := f.proposal(f.disks(), append(forms, f.consent()), late)
 	if !ok {
@@ -344,7 +344,7 @@
 // that is its own or whose proposer is gone, else a fresh one if it is the lowest
 // disk node. Of several under way the highest proposer's comes first: it is carried
 // through, or found to be in the way of a lower one and dropped.
-func (f *Former) proposal(all []knownSeat, forms []form, late bool) (p form, fresh, ok bool) {
+func (f *Bootstrapper) proposal(all []knownSeat, forms []form, late bool) (p form, fresh, ok bool) {
 	me := f.Voter.Seat().ID
 	lowest := len(all) > 0 && all[0].s.ID == me
 	other := false
@@ -379,7 +379,7 @@
 
 // tell asks all of addrs and yields the disks of those that grant; lower says that
 // one has consented to a formation by a lower ID.
-func (f *Former) tell(ctx context.Context, addrs []string, a FormAsk) (disks []string, lower bool) {
+func (f *Bootstrapper) tell(ctx context.Context, addrs []string, a FormAsk) (disks []string, lower bool) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, s := range addrs {
--- a/internal/accord/former_test.go
+++ b/internal/quorum/bootstrapper_test.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"context"
@@ -26,18 +26,18 @@
 	*city
 	seeds   []string
 	size    int
-	formers map[string]*Former
+	formers map[string]*Bootstrapper
 }
 
 func newForming(ctx context.Context, t *testing.T, size int, seeds ...string) *forming {
 	c := newCity(ctx, t)
 	c.deaf = true
-	return &forming{city: c, seeds: seeds, size: size, formers: map[string]*Former{}}
+	return &forming{city: c, seeds: seeds, size: size, formers: map[string]*Bootstrapper{}}
 }
 
 // begin starts one node's former, on a disk if it has one.
 func (g *forming) begin(p plan, m *mem) {
-	f := &Former{Seeds: g.seeds, Self: p.id, Size: g.size, Later: p.later, Line: port{g.city, p.id}, Clock: ice{n: &node{}}}
+	f := &Bootstrapper{Seeds: g.seeds, Self: p.id, Size: g.size, Later: p.later, Line: port{g.city, p.id}, Clock: ice{n: &node{}}}
 	ctx := g.ctx
 	var d *link.Desk
 	if p.disk {
@@ -68,7 +68,7 @@
 func (g *forming) one(when string) (core Core) {
 	g.t.Helper()
 	g.mu.Lock()
-	fs := map[string]*Former{}
+	fs := map[string]*Bootstrapper{}
 	for id, f := range g.formers {
 		if g.desks[id] != nil {
 			fs[id] = f
@@ -375,14 +375,14 @@
 				g.begin(plan{id: id}, nil)
 			}
 			groups := [][]string{{"a", "b", "c"}, {"d", "e", "f"}}
-			var fs []*Former
+			var fs []*Bootstrapper
 			for _, ids := range groups {
 				var all []Seat
 				for _, id := range ids {
 					all = append(all, g.boot(id, "", nil).seat)
 				}
 				n := g.node(ids[0])
-				f := &Former{Seeds: g.seeds, Self: ids[0], Size: 3, Line: port{g.city, ids[0]}, Clock: ice{n: n}, Prop: n.p, Voter: n.v}
+				f := &Bootstrapper{Seeds: g.seeds, Self: ids[0], Size: 3, Line: port{g.city, ids[0]}, Clock: ice{n: n}, Prop: n.p, Voter: n.v}
 				for _, s := range all {
 					f.note(s, 0)
 				}
@@ -430,7 +430,7 @@
 	in(t, func(ctx context.Context, t *testing.T) {
 		g := newForming(ctx, t, 1, "m")
 		n := g.boot("c", "", nil)
-		f := &Former{Seeds: g.seeds, Self: "c", Size: 1, Clock: ice{n: n}, Prop: n.p, Voter: n.v}
+		f := &Bootstrapper{Seeds: g.seeds, Self: "c", Size: 1, Clock: ice{n: n}, Prop: n.p, Voter: n.v}
 		me, other := knownSeat{s: n.seat}, knownSeat{s: Seat{ID: "d", Addr: "d", Disk: "d"}}
 		of := func(id string) form { return form{id, Core{Epoch: 1, Seats: []Seat{{ID: id}}}} }
 		for name, x := range map[string]struct {
--- a/internal/accord/city_test.go
+++ b/internal/quorum/city_test.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"cmp"
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/fault"
 	"walkrudder/internal/item"
-	"walkrudder/internal/keep"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/storage"
 )
 
 // life is a disk as one life of its process has it: after the end nothing is
@@ -26,7 +26,7 @@
 	over bool
 }
 
-func (d *life) Commit(ps []keep.Put) error {
+func (d *life) Commit(ps []storage.Put) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.over {
@@ -49,11 +49,11 @@
 	disk  *life
 	v     *Voter
 	p     *Proposer
-	w     *Steward
-	f     *Former
+	w     *Reconfigurer
+	f     *Bootstrapper
 	stop  context.CancelFunc
 	ctx   context.Context
-	fault *fault.Set // of its voter and its steward
+	fault *fault.Set // of its voter and its reconfigurer
 
 	mu    sync.Mutex
 	heard map[string]knownSeat
@@ -102,7 +102,7 @@
 	if d == nil {
 		return nil, errors.New("connection refused")
 	}
-	if err := (pulse.Wall{}).Sleep(ctx, time.Millisecond); err != nil {
+	if err := (clock.Wall{}).Sleep(ctx, time.Millisecond); err != nil {
 		return nil, err
 	}
 	if n != nil {
@@ -125,7 +125,7 @@
 
 // ice is the clock of a node that can be frozen.
 type ice struct {
-	pulse.Wall
+	clock.Wall
 	n *node
 }
 
@@ -182,8 +182,8 @@
 		}
 	}
 	n.p = NewProposer(fresh, port{c, id}, ice{n: n})
-	n.f = &Former{Seeds: []string{id}, Self: id, Line: port{c, id}, Clock: ice{n: n}, Prop: n.p, Voter: v}
-	n.w = &Steward{Heard: n.listen, Prop: n.p, Line: port{c, id}, Clock: ice{n: n}, Faults: n.fault}
+	n.f = &Bootstrapper{Seeds: []string{id}, Self: id, Line: port{c, id}, Clock: ice{n: n}, Prop: n.p, Voter: v}
+	n.w = &Reconfigurer{Heard: n.listen, Prop: n.p, Line: port{c, id}, Clock: ice{n: n}, Faults: n.fault}
 	d := link.NewDesk()
 	v.Serve(d)
 	n.f.Serve(d)
@@ -229,7 +229,7 @@
 	return out
 }
 
-// start boots a node and has its steward run.
+// start boots a node and has its reconfigurer run.
 func (c *city) start(id, zone string, m *mem) *node {
 	c.t.Helper()
 	n := c.boot(id, zone, m)
--- a/internal/accord/lab_test.go
+++ b/internal/quorum/lab_test.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"context"
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"walkrudder/internal/keep"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/storage"
 )
 
 // mem is a disk in memory that can fail.
@@ -31,7 +31,7 @@
 	return out, nil
 }
 
-func (d *mem) Commit(ps []keep.Put) error {
+func (d *mem) Commit(ps []storage.Put) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.fail {
@@ -76,7 +76,7 @@
 		return nil, errors.New("no way")
 	}
 	// Some time passes, so that what happens at once is told apart.
-	if err := (pulse.Wall{}).Sleep(ctx, time.Millisecond); err != nil {
+	if err := (clock.Wall{}).Sleep(ctx, time.Millisecond); err != nil {
 		return nil, err
 	}
 	return d.Answer(ctx, link.Who{ID: "t"}, ask)
@@ -89,7 +89,7 @@
 }
 
 // voter starts, or starts again, the voter id on a disk.
-func (l *lab) voter(id string, d keep.Disk, fresh string) *Voter {
+func (l *lab) voter(id string, d storage.Disk, fresh string) *Voter {
 	l.t.Helper()
 	v, err := NewVoter(Seat{ID: id, Addr: id}, d, fresh, l, nil, nil)
 	if err != nil {
@@ -122,7 +122,7 @@
 }
 
 func (l *lab) prop(by string) *Proposer {
-	p := NewProposer(by, l, pulse.Wall{})
+	p := NewProposer(by, l, clock.Wall{})
 	p.Learn(l.core)
 	return p
 }
--- a/internal/accord/proposer.go
+++ b/internal/quorum/proposer.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/steperr"
 )
 
 var (
@@ -30,7 +30,7 @@
 type Proposer struct {
 	By    string
 	Line  link.Line
-	Clock pulse.Clock
+	Clock clock.Clock
 
 	mu   sync.Mutex
 	core Core
@@ -38,7 +38,7 @@
 }
 
 // NewProposer makes a proposer; by must differ between processes and restarts.
-func NewProposer(by string, l link.Line, c pulse.Clock) *Proposer {
+func NewProposer(by string, l link.Line, c clock.Clock) *Proposer {
 	return &Proposer{By: by, Line: l, Clock: c, last: map[string]uint64{}}
 }
 
@@ -140,11 +140,11 @@
 			return v, err
 		}
 		if ctx.Err() != nil {
-			return nil, defect.At("change "+key, "", errors.Join(ErrNoQuorum, ctx.Err()))
+			return nil, steperr.At("change "+key, "", errors.Join(ErrNoQuorum, ctx.Err()))
 		}
 		w := time.Duration(1+rand.IntN(4<<min(try, 5))) * time.Millisecond
 		if p.Clock.Sleep(ctx, w) != nil {
-			return nil, defect.At("change "+key, "", errors.Join(ErrNoQuorum, ctx.Err()))
+			return nil, steperr.At("change "+key, "", errors.Join(ErrNoQuorum, ctx.Err()))
 		}
 	}
 }
@@ -269,7 +269,7 @@
 	got := gather(ctx, p, core.Seats, func(Seat) any { return ListAsk{Mark: Mark{Epoch: core.Epoch}, Prefix: prefix, Last: true} },
 		func(r ListTold) Told { return r.Told }, atLeast[ListTold](core.Quorum()))
 	if len(got) < core.Quorum() {
-		return "", nil, defect.At("last "+prefix, "", ErrNoQuorum)
+		return "", nil, steperr.At("last "+prefix, "", ErrNoQuorum)
 	}
 	var top Entry
 	n := 0
@@ -302,7 +302,7 @@
 			return ListAsk{Mark: Mark{Epoch: core.Epoch}, Prefix: prefix, After: after, Max: 2000}
 		}, func(r ListTold) Told { return r.Told }, atLeast[ListTold](core.Quorum()))
 		if len(got) < core.Quorum() {
-			return defect.At("list "+prefix, "", ErrNoQuorum)
+			return steperr.At("list "+prefix, "", ErrNoQuorum)
 		}
 		to, more := until(got)
 		type held struct {
@@ -373,7 +373,7 @@
 	got := gather(ctx, p, core.Seats, func(Seat) any { return LiftAsk{Mark{Epoch: core.Epoch}, prefix, floor} },
 		func(r LiftTold) Told { return r.Told }, atLeast[LiftTold](len(core.Seats)))
 	if len(got) < core.Quorum() {
-		return defect.At("lift "+prefix, "", fmt.Errorf("%w: %d of %d", ErrNoQuorum, len(got), len(core.Seats)))
+		return steperr.At("lift "+prefix, "", fmt.Errorf("%w: %d of %d", ErrNoQuorum, len(got), len(core.Seats)))
 	}
 	return nil
 }
--- a/internal/accord/proposer_test.go
+++ b/internal/quorum/proposer_test.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"context"
--- a/internal/accord/proposermerge.go
+++ b/internal/quorum/proposermerge.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"walkrudder/internal/defect"
 	"walkrudder/internal/item"
+	"walkrudder/internal/steperr"
 )
 
 // mergeChunk bounds the bytes of one MergeAsk, well below a frame.
@@ -64,7 +64,7 @@
 		}
 		w := time.Duration(5+rand.IntN(10<<min(try, 5))) * time.Millisecond
 		if ctx.Err() != nil || p.Clock.Sleep(ctx, w) != nil {
-			return nil, defect.At("merge", "", errors.Join(ErrNoQuorum, cause, ctx.Err()))
+			return nil, steperr.At("merge", "", errors.Join(ErrNoQuorum, cause, ctx.Err()))
 		}
 	}
 }
--- a/internal/accord/steward.go
+++ b/internal/quorum/reconfigurer.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"cmp"
@@ -12,21 +12,21 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/lo"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/fault"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/steperr"
 )
 
 const (
 	// coreRegister holds the newest core that was decided, as JSON.
 	coreRegister = "core"
-	// lookEvery is the pace of a steward, and stall how late its own loop may be
+	// lookEvery is the pace of a reconfigurer, and stall how late its own loop may be
 	// before what it heard is worth nothing.
 	lookEvery = 300 * time.Millisecond
 	stall     = 500 * time.Millisecond
 	// recent is the age up to which a disk counts as heard, and calm is how long a
-	// steward must have been well before it acts.
+	// reconfigurer must have been well before it acts.
 	recent = time.Second
 	calm   = time.Second
 	// rankStep is by how much each further rank waits longer, and maxRank the last
@@ -35,7 +35,7 @@
 	maxRank  = 5
 	// pace is the least time between two tries that have the same cause.
 	pace = time.Second
-	// missing is the default of Steward.Missing.
+	// missing is the default of Reconfigurer.Missing.
 	missing = 1500 * time.Millisecond
 	// joinPatience is how long a seat may be heard and yet not join before it
 	// counts as missing.
@@ -51,12 +51,12 @@
 	Ago  time.Duration
 }
 
-// Steward keeps the seats of the core filled (design 4.4): a seat goes to its own
+// Reconfigurer keeps the seats of the core filled (design 4.4): a seat goes to its own
 // node's new disk at once, and to a disk that stands by once it was silent for long.
 // Every disk mind runs one. Who acts is told by rank among the disks heard, so that
 // mostly one does; that two act does no harm, for a register of the old epoch
 // decides. In calm it sends nothing.
-type Steward struct {
+type Reconfigurer struct {
 	// Heard tells which disks were heard lately, this node's own with Ago 0.
 	Heard func() []Heard
 	// Missing is how long a seat must be silent before it passes on to another
@@ -64,7 +64,7 @@
 	Missing time.Duration
 	Prop    *Proposer
 	Line    link.Line
-	Clock   pulse.Clock
+	Clock   clock.Clock
 	Faults  *fault.Set
 	Log     *log.Logger
 
@@ -78,7 +78,7 @@
 }
 
 // Run looks after the seats until ctx ends.
-func (w *Steward) Run(ctx context.Context) {
+func (w *Reconfigurer) Run(ctx context.Context) {
 	w.doubt = true
 	for {
 		at := w.Clock.Now()
@@ -93,7 +93,7 @@
 	}
 }
 
-// view is what a steward knows at one look.
+// view is what a reconfigurer knows at one look.
 type view struct {
 	core  Core
 	now   time.Time
@@ -103,7 +103,7 @@
 	seats int              // of the core, heard lately
 }
 
-func (w *Steward) view() view {
+func (w *Reconfigurer) view() view {
 	v := view{core: w.Prop.Core(), now: w.Clock.Now(), disks: map[string]Heard{}, nodes: map[string]Heard{}, rank: -1}
 	var me string
 	for _, h := range w.Heard() {
@@ -142,10 +142,10 @@
 	return ok && h.Seat.ID == s.ID && h.Ago < d
 }
 
-func (w *Steward) missing() time.Duration { return cmp.Or(w.Missing, missing) }
+func (w *Reconfigurer) missing() time.Duration { return cmp.Or(w.Missing, missing) }
 
 // look decides from what was heard alone whether there is anything to do.
-func (w *Steward) look(ctx context.Context) {
+func (w *Reconfigurer) look(ctx context.Context) {
 	v := w.view()
 	w.note(v)
 	if v.core.Epoch == 0 || v.rank < 0 || v.seats < v.core.Quorum() {
@@ -188,7 +188,7 @@
 
 // note keeps in mind since when each seat is known here: a disk never heard is
 // silent from then on.
-func (w *Steward) note(v view) {
+func (w *Reconfigurer) note(v view) {
 	next := make(map[string]time.Time, len(v.core.Seats))
 	for _, s := range v.core.Seats {
 		at, ok := w.noted[s.Disk]
@@ -201,7 +201,7 @@
 }
 
 // silence is for how long nothing came from a seat's disk.
-func (w *Steward) silence(v view, s Seat) time.Duration {
+func (w *Reconfigurer) silence(v view, s Seat) time.Duration {
 	if h, ok := v.disks[s.Disk]; ok && h.Seat.ID == s.ID {
 		return h.Ago
 	}
@@ -209,7 +209,7 @@
 }
 
 // choose finds a seat to pass on, and to which disk.
-func (w *Steward) choose(v view) (out, in Seat, ok bool) {
+func (w *Reconfigurer) choose(v view) (out, in Seat, ok bool) {
 	// The same node with an emptied disk, or at another address, is sure to be the
 	// one: nobody else is its node. It takes its own seat at once.
 	for _, s := range v.core.Seats {
@@ -256,7 +256,7 @@
 // settle finishes the swap that led to the core known here, and one that is decided
 // beyond it. It looks at the register only where one may be left over, and not if a
 // swap comes next, which looks there itself.
-func (w *Steward) settle(ctx context.Context, v view, swap bool) error {
+func (w *Reconfigurer) settle(ctx context.Context, v view, swap bool) error {
 	if w.settled != v.core.Epoch || len(w.open) > 0 {
 		if err := w.carry(ctx, v, v.core); err != nil {
 			return err
@@ -269,12 +269,12 @@
 	defer end()
 	raw, err := w.Prop.Read(cx, coreRegister)
 	if err != nil && !Nothing(err) {
-		return defect.At("read core", "", err)
+		return steperr.At("read core", "", err)
 	}
 	if len(raw) > 0 {
 		next, err := decodeCore(raw)
 		if err != nil {
-			return defect.At("read core", "", err)
+			return steperr.At("read core", "", err)
 		}
 		if next.Epoch > v.core.Epoch {
 			return w.carry(ctx, v, next)
@@ -287,7 +287,7 @@
 // swap decides the next core in a register of the old epoch and carries it out.
 // Whatever is decided already, by whom ever, stays decided and is carried out in
 // place of this swap.
-func (w *Steward) swap(ctx context.Context, v view, out, in Seat) error {
+func (w *Reconfigurer) swap(ctx context.Context, v view, out, in Seat) error {
 	next := Core{Epoch: v.core.Epoch + 1, Before: v.core.Seats}
 	for _, s := range v.core.Seats {
 		if s == out {
@@ -297,7 +297,7 @@
 	}
 	raw, err := json.Marshal(next)
 	if err != nil {
-		return defect.At("decide swap", in.ID, err)
+		return steperr.At("decide swap", in.ID, err)
 	}
 	cx, end := context.WithTimeout(ctx, decideTime)
 	defer end()
@@ -315,10 +315,10 @@
 		return raw, nil
 	})
 	if err != nil {
-		return defect.At("decide swap", in.ID, err)
+		return steperr.At("decide swap", in.ID, err)
 	}
 	if next, err = decodeCore(got); err != nil {
-		return defect.At("decide swap", in.ID, err)
+		return steperr.At("decide swap", in.ID, err)
 	}
 	if w.Log != nil {
 		w.Log.Info("seat passes on", "step", "swap", "peer", in.ID, "out", out.ID, "epoch", next.Epoch)
@@ -337,12 +337,12 @@
 // do not vote yet. Every step may be done again, by anybody. It is content once a
 // majority votes: they can be sealed for the swap after, so that a seat that never
 // joins does not stand in the way of its own replacement.
-func (w *Steward) carry(ctx context.Context, v view, next Core) error {
+func (w *Reconfigurer) carry(ctx context.Context, v view, next Core) error {
 	if next.Epoch > v.core.Epoch {
 		// A decision may be old. Sealing for a core whose majority is not there would
 		// end the one that works.
 		if n := lo.CountBy(next.Seats, func(s Seat) bool { return v.heard(s, w.missing()) }); n < next.Quorum() {
-			return defect.New("swap", "", "%d of the seats of epoch %d heard, need %d", n, next.Epoch, next.Quorum())
+			return steperr.New("swap", "", "%d of the seats of epoch %d heard, need %d", n, next.Epoch, next.Quorum())
 		}
 	}
 	at := w.roll(ctx, v, next)
@@ -387,18 +387,18 @@
 	w.settled, w.open = next.Epoch, open
 	if votes < next.Quorum() {
 		w.settled = 0
-		return defect.New("join", "", "%d seats of epoch %d vote, need %d", votes, next.Epoch, next.Quorum())
+		return steperr.New("join", "", "%d seats of epoch %d vote, need %d", votes, next.Epoch, next.Quorum())
 	}
 	return nil
 }
 
 // join has s pull what was acknowledged and vote; it tells how many items came.
-func (w *Steward) join(ctx context.Context, next Core, from source, s Seat) (int, error) {
+func (w *Reconfigurer) join(ctx context.Context, next Core, from source, s Seat) (int, error) {
 	cx, end := context.WithTimeout(ctx, joinTime)
 	defer end()
 	r, err := link.Ask[JoinTold](cx, w.Line, s.Addr, JoinAsk{Next: next, From: nearest(from, s)})
 	if err == nil && !r.OK {
-		err = defect.New("join", s.ID, "stands at a later epoch than %d", next.Epoch)
+		err = steperr.New("join", s.ID, "stands at a later epoch than %d", next.Epoch)
 	}
 	return r.Items, err
 }
@@ -406,7 +406,7 @@
 // roll tells the seats of next, and those before, that next takes over, and
 // yields the disks that stand at its epoch. It does not wait for those that were
 // not heard lately.
-func (w *Steward) roll(ctx context.Context, v view, next Core) map[string]bool {
+func (w *Reconfigurer) roll(ctx context.Context, v view, next Core) map[string]bool {
 	all := slices.Clone(next.Seats)
 	for _, s := range next.Before {
 		if !lo.ContainsBy(all, func(o Seat) bool { return o.Disk == s.Disk && o.Addr == s.Addr }) {
@@ -477,7 +477,7 @@
 	if len(next.Before) > 0 && len(sealed) >= before.Blocking() {
 		return source{sealed, before.Blocking()}, nil
 	}
-	return source{}, defect.New("seal", "", "%d of %d voters sealed for epoch %d", len(sealed), before.Blocking(), next.Epoch)
+	return source{}, steperr.New("seal", "", "%d of %d voters sealed for epoch %d", len(sealed), before.Blocking(), next.Epoch)
 }
 
 // nearest picks from whom s pulls: its own zone first, for what crosses zones is
--- a/internal/accord/steward_test.go
+++ b/internal/quorum/reconfigurer_test.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"context"
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/fault"
-	"walkrudder/internal/pulse"
 )
 
-// staffed is a city whose first n disks vote, with a steward at every one of them.
+// staffed is a city whose first n disks vote, with a reconfigurer at every one of them.
 func staffed(ctx context.Context, t *testing.T, n int, ids ...string) *city {
 	t.Helper()
 	c := newCity(ctx, t)
@@ -199,7 +199,7 @@
 	}
 }
 
-// Two stewards that both act, at the same moment and for different seats, agree.
+// Two reconfigurers that both act, at the same moment and for different seats, agree.
 func TestTwoStewardsAtOnce(t *testing.T) {
 	for _, gap := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond, 10 * time.Millisecond} {
 		in(t, func(ctx context.Context, t *testing.T) {
@@ -572,7 +572,7 @@
 
 // late is a clock whose next sleep takes longer.
 type late struct {
-	pulse.Wall
+	clock.Wall
 	by atomic.Int64
 }
 
--- a/internal/accord/types.go
+++ b/internal/quorum/types.go
@@ -1,6 +1,6 @@
-// Package accord keeps items at a majority of the disk nodes: one quorum
+// Package quorum keeps items at a majority of the disk nodes: one quorum
 // register for each item, with no log and no leader (design 4).
-package accord
+package quorum
 
 import (
 	"cmp"
--- a/internal/accord/voter.go
+++ b/internal/quorum/voter.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"bytes"
@@ -11,11 +11,11 @@
 	"sync"
 	"sync/atomic"
 
-	"walkrudder/internal/defect"
 	"walkrudder/internal/fault"
 	"walkrudder/internal/item"
-	"walkrudder/internal/keep"
 	"walkrudder/internal/link"
+	"walkrudder/internal/steperr"
+	"walkrudder/internal/storage"
 )
 
 const (
@@ -72,7 +72,7 @@
 // before any of them is answered (design 4.2, 5.1).
 type Voter struct {
 	me     Seat
-	disk   keep.Disk
+	disk   storage.Disk
 	faults *fault.Set
 	cmds   chan *cmd
 	onBad  func(error)
@@ -93,7 +93,7 @@
 	core   Core
 	form   form
 	floor  map[string]string
-	puts   []keep.Put
+	puts   []storage.Put
 	after  []int
 	dead   error
 
@@ -113,23 +113,23 @@
 
 // NewVoter loads what the disk holds. fresh is the incarnation to take if the
 // disk is empty; onBad is told once when the disk fails.
-func NewVoter(me Seat, d keep.Disk, fresh string, l link.Line, fs *fault.Set, onBad func(error)) (*Voter, error) {
+func NewVoter(me Seat, d storage.Disk, fresh string, l link.Line, fs *fault.Set, onBad func(error)) (*Voter, error) {
 	v := &Voter{me: me, disk: d, faults: fs, line: l, onBad: onBad,
 		cmds: make(chan *cmd, 4*maxBatch), items: map[string]Item{}, floor: map[string]string{}, merged: map[item.Key]item.Item{}}
 	m, err := d.Load()
 	if err != nil {
-		return nil, defect.At("load voter", "", err)
+		return nil, steperr.At("load voter", "", err)
 	}
 	// The disk is one node's: under another name its votes would count twice, or for a
 	// seat that others reach elsewhere.
 	if o := string(m[ownerKey]); o != "" && o != me.ID {
-		return nil, defect.At("load voter", o, ErrOwner)
+		return nil, steperr.At("load voter", o, ErrOwner)
 	}
 	v.me.Disk = string(m[diskKey])
 	if v.me.Disk == "" || m[ownerKey] == nil {
 		v.me.Disk = cmp.Or(v.me.Disk, fresh)
-		if err := d.Commit([]keep.Put{{Key: diskKey, Value: []byte(v.me.Disk)}, {Key: ownerKey, Value: []byte(me.ID)}}); err != nil {
-			return nil, defect.At("new incarnation", "", err)
+		if err := d.Commit([]storage.Put{{Key: diskKey, Value: []byte(v.me.Disk)}, {Key: ownerKey, Value: []byte(me.ID)}}); err != nil {
+			return nil, steperr.At("new incarnation", "", err)
 		}
 	}
 	for k, b := range m {
@@ -150,7 +150,7 @@
 			err = v.loadMerge(k, b)
 		}
 		if err != nil {
-			return nil, defect.At("load item "+k, "", err)
+			return nil, steperr.At("load item "+k, "", err)
 		}
 	}
 	slices.Sort(v.keys)
@@ -245,13 +245,13 @@
 	select {
 	case v.cmds <- c:
 	case <-ctx.Done():
-		return defect.At("voter queue", v.me.ID, ctx.Err())
+		return steperr.At("voter queue", v.me.ID, ctx.Err())
 	}
 	select {
 	case <-c.done:
 		return c.err
 	case <-ctx.Done():
-		return defect.At("voter", v.me.ID, ctx.Err())
+		return steperr.At("voter", v.me.ID, ctx.Err())
 	}
 }
 
@@ -282,7 +282,7 @@
 		v.keys = slices.Insert(v.keys, i, k)
 	}
 	v.items[k] = it
-	v.puts = append(v.puts, keep.Put{Key: itemPrefix + k, Value: pack(it)})
+	v.puts = append(v.puts, storage.Put{Key: itemPrefix + k, Value: pack(it)})
 }
 
 // below tells whether k was folded away for good (design 6.5).
@@ -329,7 +329,7 @@
 
 func (v *Voter) accept(ctx context.Context, _ link.Who, a AcceptAsk) (r AcceptTold, err error) {
 	if len(a.Value) > MaxValue {
-		return r, defect.New("accept", v.me.ID, "value of %d bytes, limit %d", len(a.Value), MaxValue)
+		return r, steperr.New("accept", v.me.ID, "value of %d bytes, limit %d", len(a.Value), MaxValue)
 	}
 	return get(ctx, v, func() (r AcceptTold) {
 		if r.Told = v.told(a.Mark); !r.OK || a.Disk == "" || v.below(a.Key) {
@@ -429,12 +429,12 @@
 
 func (v *Voter) setForm(f form) {
 	v.form = f
-	v.puts = append(v.puts, keep.Put{Key: formKey, Value: pack(f)})
+	v.puts = append(v.puts, storage.Put{Key: formKey, Value: pack(f)})
 }
 
 func (v *Voter) setCore(c Core) {
 	v.core = c
-	v.puts = append(v.puts, keep.Put{Key: coreKey, Value: pack(c)})
+	v.puts = append(v.puts, storage.Put{Key: coreKey, Value: pack(c)})
 }
 
 // seal moves this voter to the next epoch: it accepts nothing more in the one
@@ -459,7 +459,7 @@
 // the earlier incarnation.
 func (v *Voter) join(ctx context.Context, _ link.Who, a JoinAsk) (r JoinTold, err error) {
 	if !v.seated(a.Next) {
-		return r, defect.New("join", v.me.ID, "no seat in epoch %d for disk %s", a.Next.Epoch, v.me.Disk)
+		return r, steperr.New("join", v.me.ID, "no seat in epoch %d for disk %s", a.Next.Epoch, v.me.Disk)
 	}
 	if c := v.Core(); c.Epoch >= a.Next.Epoch && v.seated(c) {
 		return JoinTold{OK: c.Epoch == a.Next.Epoch}, nil
@@ -499,10 +499,10 @@
 	for {
 		t, err := link.Ask[ListTold](ctx, v.line, s.Addr, ListAsk{Mark: Mark{Epoch: epoch}, After: after, All: true})
 		if err != nil {
-			return defect.At("pull", s.ID, err)
+			return steperr.At("pull", s.ID, err)
 		}
 		if !t.OK || t.Disk != s.Disk {
-			return defect.New("pull", s.ID, "not sealed for epoch %d", epoch)
+			return steperr.New("pull", s.ID, "not sealed for epoch %d", epoch)
 		}
 		for _, e := range t.Entries {
 			o := into[e.Key]
@@ -542,12 +542,12 @@
 			return r
 		}
 		v.floor[a.Prefix] = a.Floor
-		v.puts = append(v.puts, keep.Put{Key: floorKey + a.Prefix, Value: []byte(a.Floor)})
+		v.puts = append(v.puts, storage.Put{Key: floorKey + a.Prefix, Value: []byte(a.Floor)})
 		i, _ := slices.BinarySearch(v.keys, a.Prefix)
 		j, _ := slices.BinarySearch(v.keys, a.Floor)
 		for _, k := range v.keys[i:j] {
 			delete(v.items, k)
-			v.puts = append(v.puts, keep.Put{Key: itemPrefix + k})
+			v.puts = append(v.puts, storage.Put{Key: itemPrefix + k})
 		}
 		r.Gone = j - i
 		v.keys = slices.Delete(v.keys, i, j)
--- a/internal/accord/votermerge.go
+++ b/internal/quorum/votermerge.go
@@ -1,4 +1,4 @@
-package accord
+package quorum
 
 import (
 	"bytes"
@@ -7,10 +7,10 @@
 	"maps"
 	"slices"
 
-	"walkrudder/internal/defect"
 	"walkrudder/internal/item"
-	"walkrudder/internal/keep"
 	"walkrudder/internal/link"
+	"walkrudder/internal/steperr"
+	"walkrudder/internal/storage"
 )
 
 const (
@@ -64,7 +64,7 @@
 // checkMerge bounds one merge item.
 func checkMerge(it item.Item) error {
 	if len(it.Name) > maxMergeName || len(it.Body) > MaxValue {
-		return defect.New("merge", "", "item %.40q of %d bytes, name of %d; limits %d and %d",
+		return steperr.New("merge", "", "item %.40q of %d bytes, name of %d; limits %d and %d",
 			it.Name, len(it.Body), len(it.Name), MaxValue, maxMergeName)
 	}
 	return nil
@@ -90,7 +90,7 @@
 		return
 	}
 	v.merged[it.Key] = it
-	v.puts = append(v.puts, keep.Put{Key: mergeKey(it.Key), Value: packMerge(it)})
+	v.puts = append(v.puts, storage.Put{Key: mergeKey(it.Key), Value: packMerge(it)})
 	v.taken = append(v.taken, it)
 }
 
@@ -121,7 +121,7 @@
 			}
 		}
 		if n > maxMerged {
-			full = defect.New("merge", v.me.ID, "more than %d items", maxMerged)
+			full = steperr.New("merge", v.me.ID, "more than %d items", maxMerged)
 			return r
 		}
 		for _, it := range a.Items {
@@ -173,14 +173,14 @@
 	for {
 		t, err := link.Ask[MergedTold](ctx, v.line, s.Addr, a)
 		if err != nil {
-			return defect.At("pull", s.ID, err)
+			return steperr.At("pull", s.ID, err)
 		}
 		if !t.OK || t.Disk != s.Disk {
-			return defect.New("pull", s.ID, "not sealed for epoch %d", epoch)
+			return steperr.New("pull", s.ID, "not sealed for epoch %d", epoch)
 		}
 		for _, it := range t.Items {
 			if err := checkMerge(it); err != nil {
-				return defect.At("pull", s.ID, err)
+				return steperr.At("pull", s.ID, err)
 			}
 			if old, ok := into[it.Key]; !ok || newer(it, old) {
 				into[it.Key] = it
--- a/internal/home/house.go
+++ b/internal/registry/house.go
@@ -1,4 +1,4 @@
-package home
+package registry
 
 import (
 	"cmp"
@@ -10,12 +10,12 @@
 
 	"github.com/samber/lo"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
 	"walkrudder/internal/owner"
-	"walkrudder/internal/pulse"
 )
 
 const (
@@ -28,8 +28,8 @@
 
 // Homes lists the home minds of a service: one in each zone, by rendezvous over
 // the members (design 12.1).
-func Homes(service string, ms []mate.Member) []mate.Member {
-	best := map[string]mate.Member{}
+func Homes(service string, ms []membership.Member) []membership.Member {
+	best := map[string]membership.Member{}
 	top := map[string]uint64{}
 	for _, m := range ms {
 		if m.Kind != "mind" {
@@ -41,7 +41,7 @@
 		}
 	}
 	out := lo.Values(best)
-	slices.SortFunc(out, func(a, b mate.Member) int { return int(lo.Ternary(a.Zone < b.Zone, -1, 1)) })
+	slices.SortFunc(out, func(a, b membership.Member) int { return int(lo.Ternary(a.Zone < b.Zone, -1, 1)) })
 	return out
 }
 
@@ -67,7 +67,7 @@
 
 // House is a mind's table of targets. One owner works through its commands.
 type House struct {
-	Clock pulse.Clock
+	Clock clock.Clock
 	Pause *liveness.Pauses
 	Run   uint64 // this run of the mind
 
@@ -215,7 +215,7 @@
 
 // Collect gathers what all minds hold, each target run by its newest beat and
 // the least silence that any of them has met.
-func Collect(ctx context.Context, l link.Line, ms []mate.Member) []Seen {
+func Collect(ctx context.Context, l link.Line, ms []membership.Member) []Seen {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	by := map[string]Seen{}
--- a/internal/home/near_test.go
+++ b/internal/registry/near_test.go
@@ -1,4 +1,4 @@
-package home
+package registry
 
 import (
 	"context"
@@ -8,17 +8,17 @@
 	"testing/synctest"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/pulse"
 )
 
 // many is a flow's roster of n targets in three zones.
 func many(ctx context.Context, t *testing.T, me string, n int) *Roster {
 	t.Helper()
-	pz := liveness.NewPauses(pulse.Wall{})
+	pz := liveness.NewPauses(clock.Wall{})
 	go pz.Run(ctx)
-	r := &Roster{Me: me, Zone: "z1", Clock: pulse.Wall{}, Pause: pz, Every: 400 * time.Millisecond}
+	r := &Roster{Me: me, Zone: "z1", Clock: clock.Wall{}, Pause: pz, Every: 400 * time.Millisecond}
 	r.Init()
 	go r.Alone(ctx)
 	var es []Entry
--- a/internal/home/register.go
+++ b/internal/registry/register.go
@@ -1,4 +1,4 @@
-package home
+package registry
 
 import "walkrudder/internal/link"
 
--- a/internal/home/roster.go
+++ b/internal/registry/roster.go
@@ -1,4 +1,4 @@
-package home
+package registry
 
 import (
 	"context"
@@ -7,12 +7,12 @@
 
 	"github.com/samber/lo"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
 	"walkrudder/internal/owner"
-	"walkrudder/internal/pulse"
 )
 
 // Stand is one target run as a flow knows it. Its fields are set once; what
@@ -69,11 +69,11 @@
 // snapshot that the request path reads.
 type Roster struct {
 	Line  link.Line
-	Clock pulse.Clock
+	Clock clock.Clock
 	Pause *liveness.Pauses
 	Me    string
 	Zone  string
-	Minds func() []mate.Member
+	Minds func() []membership.Member
 	// Every is the interval of probes.
 	Every time.Duration
 	// OnStand is told of each new stand, to start probing it; ctx ends with it.
--- a/internal/home/roster_test.go
+++ b/internal/registry/roster_test.go
@@ -1,4 +1,4 @@
-package home
+package registry
 
 import (
 	"context"
@@ -8,11 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/face"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
-	"walkrudder/internal/mate"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/membership"
 )
 
 // lab is two homes in two zones and a way to each that can be shut.
@@ -29,7 +29,7 @@
 	if d == nil || shut {
 		return nil, errors.New("no way")
 	}
-	if err := (pulse.Wall{}).Sleep(ctx, time.Millisecond); err != nil {
+	if err := (clock.Wall{}).Sleep(ctx, time.Millisecond); err != nil {
 		return nil, err
 	}
 	v, err := d.Answer(ctx, link.Who{}, ask)
@@ -55,10 +55,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
 		l := &lab{desks: map[string]*link.Desk{}, shut: map[string]bool{}}
-		p := liveness.NewPauses(pulse.Wall{})
+		p := liveness.NewPauses(clock.Wall{})
 		go p.Run(ctx)
 		house := func(addr string, run uint64) *House {
-			h := &House{Clock: pulse.Wall{}, Pause: p, Run: run}
+			h := &House{Clock: clock.Wall{}, Pause: p, Run: run}
 			h.Init()
 			go h.Start(ctx)
 			d := link.NewDesk()
@@ -76,8 +76,8 @@
 				}
 			}
 		}
-		r := &Roster{Line: l, Clock: pulse.Wall{}, Pause: p, Zone: "z1", Every: time.Second, Minds: func() []mate.Member {
-			return []mate.Member{{ID: "m1", Kind: "mind", Inner: "m1", Zone: "z1"}, {ID: "m2", Kind: "mind", Inner: "m2", Zone: "z2"}}
+		r := &Roster{Line: l, Clock: clock.Wall{}, Pause: p, Zone: "z1", Every: time.Second, Minds: func() []membership.Member {
+			return []membership.Member{{ID: "m1", Kind: "mind", Inner: "m1", Zone: "z1"}, {ID: "m2", Kind: "mind", Inner: "m2", Zone: "z2"}}
 		}}
 		r.Init()
 		r.Want([]string{"s"})
@@ -156,9 +156,9 @@
 }
 
 func TestHomesAreOneAZoneAndMoveLittle(t *testing.T) {
-	var ms []mate.Member
+	var ms []membership.Member
 	for _, id := range []string{"m1", "m2", "m3", "m4", "m5", "m6"} {
-		ms = append(ms, mate.Member{ID: id, Kind: "mind", Zone: "z" + string('1'+(id[1]-'1')%3)})
+		ms = append(ms, membership.Member{ID: id, Kind: "mind", Zone: "z" + string('1'+(id[1]-'1')%3)})
 	}
 	moved, kept := 0, 0
 	for i := range 200 {
@@ -186,9 +186,9 @@
 func TestHouseMergesByLargestNumberOfTheLatestRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
-		p := liveness.NewPauses(pulse.Wall{})
+		p := liveness.NewPauses(clock.Wall{})
 		go p.Run(ctx)
-		h := &House{Clock: pulse.Wall{}, Pause: p, Run: 1}
+		h := &House{Clock: clock.Wall{}, Pause: p, Run: 1}
 		h.Init()
 		go h.Start(ctx)
 		for _, b := range []face.Beat{beat("1", 5, 2, false), beat("1", 4, 2, true), beat("1", 9, 1, true), beat("1", 5, 2, true)} {
--- a/internal/home/types.go
+++ b/internal/registry/types.go
@@ -1,6 +1,6 @@
-// Package home keeps the tables of targets: at each service's home mind in every
+// Package registry keeps the tables of targets: at each service's home mind in every
 // zone, and at the flows that subscribe there (design 12).
-package home
+package registry
 
 import "walkrudder/internal/face"
 
--- a/internal/home/views.go
+++ b/internal/registry/views.go
@@ -1,4 +1,4 @@
-package home
+package registry
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
 )
 
 const (
@@ -31,7 +31,7 @@
 func (w Watched) Vouched() bool { return w.Flows > 0 && 2*w.Trusting >= w.Flows }
 
 // Views gathers how the flows among ms see the targets (design 10.7).
-func Views(ctx context.Context, l link.Line, ms []mate.Member) map[ledger.Target]Watched {
+func Views(ctx context.Context, l link.Line, ms []membership.Member) map[ledger.Target]Watched {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := map[ledger.Target]Watched{}
--- a/internal/roll/rack.go
+++ b/internal/roll/rack.go
@@ -11,10 +11,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/lo"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
 	"walkrudder/internal/owner"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/spec"
 )
 
@@ -46,9 +46,9 @@
 
 // Rack holds a flow's sheets: the one in force, and those staged.
 type Rack struct {
-	Tenant *mate.Tenant
+	Tenant *membership.Tenant
 	Line   link.Line
-	Clock  pulse.Clock
+	Clock  clock.Clock
 	ID     string
 	// Minds lists the inner addresses of minds to ask, nearest first.
 	Minds func() []string
@@ -241,7 +241,7 @@
 	})
 	link.On(d, func(ctx context.Context, _ link.Who, a LastAsk) (r LastTold, err error) {
 		return owner.Get(ctx, k.own, func() (r LastTold) {
-			r = LastTold{ID: k.ID, Held: k.Tenant.Held(), Fresh: k.Tenant.Calm() && k.Tenant.Left() > mate.Doubt, Confirmed: k.confirmed, Shut: k.isShut(k.N()), N: k.N(), Round: k.round, Flows: k.flows}
+			r = LastTold{ID: k.ID, Held: k.Tenant.Held(), Fresh: k.Tenant.Calm() && k.Tenant.Left() > membership.Doubt, Confirmed: k.confirmed, Shut: k.isShut(k.N()), N: k.N(), Round: k.round, Flows: k.flows}
 			if s := k.cur.Load().table.Sheet; r.Confirmed && a.Have != r.N {
 				r.Sheet = &s
 			}
@@ -341,7 +341,7 @@
 	good := 0
 	for ctx.Err() == nil {
 		switch {
-		case k.Tenant.Left() > mate.Doubt:
+		case k.Tenant.Left() > membership.Doubt:
 			good = 0
 			k.lone.Store(false)
 		case k.look(ctx, good+1 >= looseRounds && !k.Tenant.Held()):
@@ -361,14 +361,14 @@
 // Only own calls it.
 func (k *Rack) behind(fresh bool) bool {
 	left, now := k.Tenant.Left(), k.Clock.Now()
-	if !fresh || left >= mate.Doubt-mate.Renew-lookTime {
+	if !fresh || left >= membership.Doubt-membership.Renew-lookTime {
 		k.late = time.Time{}
 		return false
 	}
 	if k.late.IsZero() {
 		k.late = now
 	}
-	return left > 0 || now.Sub(k.late) > 4*mate.Renew
+	return left > 0 || now.Sub(k.late) > 4*membership.Renew
 }
 
 // look asks all mates once; allow lets a good look open the gate for a while. It
--- a/internal/roll/roller.go
+++ b/internal/roll/roller.go
@@ -13,12 +13,12 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/lo"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/fault"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/membership"
+	"walkrudder/internal/steperr"
 )
 
 const (
@@ -34,9 +34,9 @@
 // at once do no harm: every step is safe to repeat (design 8.2).
 type Roller struct {
 	Book   *ledger.Book
-	Tenant *mate.Tenant
+	Tenant *membership.Tenant
 	Line   link.Line
-	Clock  pulse.Clock
+	Clock  clock.Clock
 	Faults *fault.Set
 	Log    *log.Logger
 
@@ -83,7 +83,7 @@
 			return 0, err
 		}
 		if d < n {
-			return d, defect.New("roll", "", "version %d wanted, %d is the last decided", n, d)
+			return d, steperr.New("roll", "", "version %d wanted, %d is the last decided", n, d)
 		}
 	}
 }
@@ -158,7 +158,7 @@
 			return ids, nil
 		}
 		go func() {
-			cx, end := context.WithTimeout(context.WithoutCancel(ctx), mate.Lease)
+			cx, end := context.WithTimeout(context.WithoutCancel(ctx), membership.Lease)
 			defer end()
 			_, _ = r.all(cx, "let go on", FreeAsk(a), nil)
 		}()
@@ -197,7 +197,7 @@
 	out := lo.Union(lo.Filter(was, func(id string, _ int) bool {
 		t, ok := r.absent[id]
 		return !ok || now.Sub(t) < forgetAfter
-	}), lo.FilterMap(ms, func(m mate.Member, _ int) (string, bool) { return m.ID, m.Kind == "flow" }))
+	}), lo.FilterMap(ms, func(m membership.Member, _ int) (string, bool) { return m.ID, m.Kind == "flow" }))
 	slices.Sort(out)
 	return out, nil
 }
@@ -206,7 +206,7 @@
 func (r *Roller) note(count []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	here := lo.SliceToMap(r.Tenant.Kind("flow"), func(m mate.Member) (string, bool) { return m.ID, true })
+	here := lo.SliceToMap(r.Tenant.Kind("flow"), func(m membership.Member) (string, bool) { return m.ID, true })
 	old := r.absent
 	r.absent = map[string]time.Time{}
 	for _, id := range count {
@@ -256,7 +256,7 @@
 			return ids, nil
 		}
 		if r.Clock.Sleep(ctx, 5*retry) != nil {
-			return nil, defect.New(step, "", "%d of %d flows that count take part, more than half must", len(lo.Intersect(ids, was.Flows)), len(was.Flows))
+			return nil, steperr.New(step, "", "%d of %d flows that count take part, more than half must", len(lo.Intersect(ids, was.Flows)), len(was.Flows))
 		}
 	}
 }
@@ -265,21 +265,21 @@
 // that agreed are enough; it names them.
 func (r *Roller) all(ctx context.Context, step string, ask any, enough func([]string) bool) ([]string, error) {
 	var told sync.Map
-	ids, err := Everyone(ctx, r.Tenant, r.Clock, enough, func(cx context.Context, m mate.Member) bool {
+	ids, err := Everyone(ctx, r.Tenant, r.Clock, enough, func(cx context.Context, m membership.Member) bool {
 		t, err := link.Ask[FlowTold](cx, r.Line, m.Inner, ask)
 		if _, again := told.LoadOrStore(m.ID, true); err != nil && !again && r.Log != nil {
 			r.Log.Warn("flow not reached, waiting for its lease to lapse", "step", step, "mate", m.ID, "err", err)
 		}
 		return err == nil && t.OK
 	})
-	return ids, defect.At(step, "", err)
+	return ids, steperr.At(step, "", err)
 }
 
 // Everyone runs f for every flow that holds a lease until f agreed for it, or its
 // lease has lapsed, or those that agreed are enough, where enough is given. It names
 // them. A flow that takes a lease meanwhile is asked too, though a confirmation would
 // have told it.
-func Everyone(ctx context.Context, t *mate.Tenant, c pulse.Clock, enough func([]string) bool, f func(context.Context, mate.Member) bool) ([]string, error) {
+func Everyone(ctx context.Context, t *membership.Tenant, c clock.Clock, enough func([]string) bool, f func(context.Context, membership.Member) bool) ([]string, error) {
 	type run struct {
 		id  string
 		inc uint64
@@ -295,7 +295,7 @@
 			// Those that are known can be told meanwhile; who is missing is not known.
 			ms = t.Members()
 		}
-		todo := lo.Filter(ms, func(m mate.Member, _ int) bool { return m.Kind == "flow" && !ok[run{m.ID, m.Inc}] })
+		todo := lo.Filter(ms, func(m membership.Member, _ int) bool { return m.Kind == "flow" && !ok[run{m.ID, m.Inc}] })
 		ch := make(chan *run, len(todo))
 		for _, m := range todo {
 			go func() {
@@ -379,7 +379,7 @@
 	})
 	link.On(d, func(context.Context, link.Who, LastAsk) (LastTold, error) {
 		// A mind's own memory of what is in force may be old; only its lease counts.
-		return LastTold{Held: r.Tenant.Calm(), Fresh: r.Tenant.Calm() && r.Tenant.Left() > mate.Doubt}, nil
+		return LastTold{Held: r.Tenant.Calm(), Fresh: r.Tenant.Calm() && r.Tenant.Left() > membership.Doubt}, nil
 	})
 }
 
--- a/internal/route/code.go
+++ b/internal/route/code.go
@@ -4,8 +4,8 @@
 	"encoding/binary"
 	"math"
 
-	"walkrudder/internal/defect"
 	"walkrudder/internal/item"
+	"walkrudder/internal/steperr"
 )
 
 // format is the first byte of every body. The same content gives the same bytes, since
@@ -142,7 +142,7 @@
 		d.why = "too long"
 	}
 	if d.why != "" {
-		return zero, defect.New("read item", it.Name, "%s", d.why)
+		return zero, steperr.New("read item", it.Name, "%s", d.why)
 	}
 	return v, nil
 }
--- a/internal/sim/chaos.go
+++ b/internal/sim/chaos.go
@@ -9,10 +9,10 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
 	"walkrudder/internal/commands"
 	"walkrudder/internal/mind"
 	"walkrudder/internal/queries"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/spec"
 	"walkrudder/tools/stand"
 )
@@ -270,7 +270,7 @@
 			return nil
 		}
 		c := m.Voter.Core()
-		if c.Epoch == 0 || !lo.EveryBy(c.Seats, func(s accord.Seat) bool {
+		if c.Epoch == 0 || !lo.EveryBy(c.Seats, func(s quorum.Seat) bool {
 			x, ok := lo.Find(ds, func(x *Node) bool { return x.ID == s.ID })
 			if !ok {
 				return false
--- a/internal/sim/day/machine.go
+++ b/internal/sim/day/machine.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"walkrudder/internal/control"
-	"walkrudder/internal/keep"
 	"walkrudder/internal/link"
-	"walkrudder/internal/news"
 	"walkrudder/internal/proxy"
 	"walkrudder/internal/sim/simnet"
+	"walkrudder/internal/storage"
+	"walkrudder/internal/watch"
 )
 
 const (
@@ -41,7 +41,7 @@
 	mind    *control.Node
 	mindRun *life
 	flow    *proxy.Node
-	sub     *news.Subscriber
+	sub     *watch.Subscriber
 	flowRun *life
 	lives   int // of the flow
 	in      bool
@@ -90,15 +90,15 @@
 	}
 	p := m.host.Start(w.ctx, mindPart)
 	inc := m.nextInc()
-	parts := control.Parts{Settings: control.Settings{ID: m.ID, Zone: m.Zone, Inner: m.innerAddr(), Door: m.innerAddr(), Seeds: w.seedList(), Bear: w.Shape.Bear, First: w.first, BeatEvery: beatEvery},
+	parts := control.Parts{Settings: control.Settings{ID: m.ID, Zone: m.Zone, Inner: m.innerAddr(), Door: m.innerAddr(), Seeds: w.seedList(), FaultsTolerated: w.Shape.Bear, First: w.first, BeatEvery: beatEvery},
 		Inc: inc, Fresh: fmt.Sprintf("%s-%d", m.ID, inc), Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog()}
 	l := &life{p: p, done: make(chan struct{})}
 	parts.OnBad = func(error) { go m.endMind(l) }
 	var h *simnet.Handle
-	var notes *keep.FileJournal
+	var notes *storage.FileJournal
 	if m.disk != nil {
 		h = &simnet.Handle{D: m.disk, P: p, Calm: true}
-		notes = keep.OpenJournal(m.disk.Dir, "runs.journal")
+		notes = storage.OpenJournal(m.disk.Dir, "runs.journal")
 		parts.Disk, parts.Notes = h, notes
 	}
 	n, err := control.New(parts)
@@ -139,7 +139,7 @@
 		w.t.Fatal(err)
 	}
 	n := proxy.New(proxy.Parts{Settings: set, Clock: simnet.Clock{P: p}, Log: quietLog(), Dial: p.Dial})
-	sub := &news.Subscriber{Me: news.Member{ID: m.ID, Kind: news.Flow, Zone: m.Zone, Inc: m.nextInc()}, Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog(), Within: s.Bounds.Apply}
+	sub := &watch.Subscriber{Me: watch.Member{ID: m.ID, Kind: watch.Flow, Zone: m.Zone, Inc: m.nextInc()}, Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog(), Within: s.Bounds.Apply}
 	n.Follow(sub)
 	sub.Init(w.seedList())
 	l := &life{p: p, done: make(chan struct{})}
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"walkrudder/internal/keep"
+	"walkrudder/internal/storage"
 )
 
 // Disk is a disk that outlives the processes on its host. A process sees it
@@ -71,7 +71,7 @@
 
 // Commit syncs puts. A process killed meanwhile leaves each of them written or
 // not, as chance has it: a torn tail.
-func (x *handle) Commit(puts []keep.Put) error {
+func (x *handle) Commit(puts []storage.Put) error {
 	if x.calm {
 		x.d.mu.Lock()
 		defer x.d.mu.Unlock()
@@ -96,7 +96,7 @@
 		if dead && x.d.rnd.IntN(2) == 0 {
 			break
 		}
-		x.d.take([]keep.Put{p})
+		x.d.take([]storage.Put{p})
 	}
 	if dead {
 		return errDead
@@ -105,7 +105,7 @@
 }
 
 // take writes puts, under the lock.
-func (d *Disk) take(puts []keep.Put) {
+func (d *Disk) take(puts []storage.Put) {
 	for _, p := range puts {
 		if p.Value == nil {
 			delete(d.synced, p.Key)
--- a/internal/sim/history_test.go
+++ b/internal/sim/history_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"walkrudder/internal/accord"
+	"walkrudder/internal/quorum"
 )
 
 // op is one operation on one item: a read, or a change from one value to another
@@ -125,12 +125,12 @@
 }
 
 // attempt runs o within a second; what no answer came for is unknown.
-func attempt(ctx context.Context, p *accord.Proposer, o op) res {
+func attempt(ctx context.Context, p *quorum.Proposer, o op) res {
 	cx, end := context.WithTimeout(ctx, time.Second)
 	defer end()
 	if !o.cas {
 		v, err := p.Read(cx, o.key)
-		if err != nil && !accord.Nothing(err) {
+		if err != nil && !quorum.Nothing(err) {
 			return res{unknown: true}
 		}
 		return res{val: string(v)}
--- a/internal/sim/simnet/clock.go
+++ b/internal/sim/simnet/clock.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 // Clock is a process's clock: it stands still for those who wait while the host is
 // frozen, and shows the whole pause afterwards. Now does not wait, for its callers may
 // hold locks, and every way out of a frozen host waits anyway.
 type Clock struct {
-	pulse.Wall
+	clock.Wall
 	P *Proc
 }
 
--- a/internal/sim/simnet/disk.go
+++ b/internal/sim/simnet/disk.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"walkrudder/internal/keep"
+	"walkrudder/internal/storage"
 )
 
 var (
@@ -119,7 +119,7 @@
 }
 
 // Commit syncs puts.
-func (x *Handle) Commit(puts []keep.Put) error {
+func (x *Handle) Commit(puts []storage.Put) error {
 	d := x.D
 	if !x.Calm {
 		d.mu.Lock()
--- a/internal/sim/simnet/disk_test.go
+++ b/internal/sim/simnet/disk_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/keep"
+	"walkrudder/internal/storage"
 )
 
 func TestADiskKeepsWhatWasSynced(t *testing.T) {
@@ -20,11 +20,11 @@
 		p := h.Start(t.Context(), "p")
 		x := &Handle{D: d, P: p}
 		at := time.Now()
-		if err := x.Commit([]keep.Put{{Key: "k", Value: []byte("v")}}); err != nil || time.Since(at) < 200*time.Microsecond {
+		if err := x.Commit([]storage.Put{{Key: "k", Value: []byte("v")}}); err != nil || time.Since(at) < 200*time.Microsecond {
 			t.Errorf("synced in %v: %v", time.Since(at), err)
 		}
 		d.Refuse(true)
-		if err := x.Commit([]keep.Put{{Key: "k", Value: []byte("w")}}); !errors.Is(err, errDisk) {
+		if err := x.Commit([]storage.Put{{Key: "k", Value: []byte("w")}}); !errors.Is(err, errDisk) {
 			t.Errorf("%v", err)
 		}
 		d.Refuse(false)
@@ -33,12 +33,14 @@
 		for range 50 {
 			p = h.Start(t.Context(), "p")
 			x = &Handle{D: d, P: p, Calm: true}
-			if err := x.Commit([]keep.Put{{Key: "a"}, {Key: "b"}}); err != nil {
+			if err := x.Commit([]storage.Put{{Key: "a"}, {Key: "b"}}); err != nil {
 				t.Fatal(err)
 			}
 			x.Calm = false
 			done := make(chan error)
-			go func() { done <- x.Commit([]keep.Put{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}}) }()
+			go func() {
+				done <- x.Commit([]storage.Put{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}})
+			}()
 			synctest.Wait()
 			p.Kill()
 			if err := <-done; !errors.Is(err, errDead) {
--- a/internal/sim/suspect_test.go
+++ b/internal/sim/suspect_test.go
@@ -8,9 +8,9 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/commands"
-	"walkrudder/internal/home"
 	"walkrudder/internal/ledger"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
+	"walkrudder/internal/registry"
 	"walkrudder/tools/stand"
 )
 
@@ -89,10 +89,10 @@
 	t.Parallel()
 	raised(t, func(ctx context.Context, w *World) {
 		time.Sleep(12 * time.Second)
-		ms := lo.Map(w.Of("mind"), func(n *Node, _ int) mate.Member {
-			return mate.Member{ID: n.ID, Kind: "mind", Zone: n.Zone}
+		ms := lo.Map(w.Of("mind"), func(n *Node, _ int) membership.Member {
+			return membership.Member{ID: n.ID, Kind: "mind", Zone: n.Zone}
 		})
-		deaf := home.Homes("orders", ms)[0].ID
+		deaf := registry.Homes("orders", ms)[0].ID
 		for _, n := range w.Of("mind") {
 			if n.ID != deaf {
 				w.Net.Cut(n.ID, deaf)
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"walkrudder/internal/face"
-	"walkrudder/internal/home"
 	"walkrudder/internal/passage"
+	"walkrudder/internal/registry"
 	"walkrudder/tools/stand"
 )
 
@@ -125,7 +125,7 @@
 
 // Beat sends one beat, to a mind drawn at random and, where no answer comes, to one
 // more.
-func (t *Target) Beat(ctx context.Context) (r home.BeatTold, leaving, ok bool) {
+func (t *Target) Beat(ctx context.Context) (r registry.BeatTold, leaving, ok bool) {
 	t.mu.Lock()
 	t.seq++
 	b := face.Beat{ID: t.ID, Service: t.Service, Zone: t.Zone, Addr: t.Addr, Capacity: capacity, Leaving: t.leaving, Seq: t.seq, Inc: t.inc, EveryMS: int(beatEvery.Milliseconds())}
@@ -138,7 +138,7 @@
 	return r, b.Leaving, ok
 }
 
-func (t *Target) beat(ctx context.Context, b face.Beat) (r home.BeatTold, ok bool) {
+func (t *Target) beat(ctx context.Context, b face.Beat) (r registry.BeatTold, ok bool) {
 	ms := t.w.Of("mind")
 	n := ms[t.w.Draw("beat "+t.ID, len(ms))]
 	m, up := n.Mind(), n.Host.up()
@@ -146,7 +146,7 @@
 		return r, false
 	}
 	type back struct {
-		r  home.BeatTold
+		r  registry.BeatTold
 		ok bool
 	}
 	ch := make(chan back, 1)
@@ -177,7 +177,7 @@
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return home.BeatTold{}, false
+	return registry.BeatTold{}, false
 }
 
 // Leave announces leaving until it is acknowledged, and notes when.
--- a/internal/defect/defect_test.go
+++ b/internal/steperr/error_test.go
@@ -1,4 +1,4 @@
-package defect
+package steperr
 
 import (
 	"errors"
--- a/internal/keep/anew.go
+++ b/internal/storage/anew.go
@@ -1,4 +1,4 @@
-package keep
+package storage
 
 import (
 	"errors"
--- a/internal/keep/bunt.go
+++ b/internal/storage/bunt.go
@@ -1,4 +1,4 @@
-package keep
+package storage
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 
 	"github.com/tidwall/buntdb"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 )
 
 // ErrSpoiled says that a file holds damage before values that were synced
@@ -45,10 +45,10 @@
 	b := &Bunt{path: filepath.Join(dir, name)}
 	_ = os.Remove(b.path + ".new")
 	if err := mend(b.path); err != nil {
-		return nil, defect.At("mend file", "", err)
+		return nil, steperr.At("mend file", "", err)
 	}
 	if err := b.open(); err != nil {
-		return nil, defect.At("open file", "", err)
+		return nil, steperr.At("open file", "", err)
 	}
 	return b, nil
 }
@@ -171,7 +171,7 @@
 			return bad == nil
 		})
 	})
-	return out, defect.At("load", "", errors.Join(err, bad))
+	return out, steperr.At("load", "", errors.Join(err, bad))
 }
 
 // Commit writes puts in one transaction and syncs it.
@@ -184,7 +184,7 @@
 	if err := b.commit(puts); err != nil {
 		// A failed sync may have dropped the pages; what a later sync says of
 		// them is worth nothing (design 5.2).
-		b.bad = defect.At("sync", "", err)
+		b.bad = steperr.At("sync", "", err)
 		return b.bad
 	}
 	return nil
@@ -262,7 +262,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.bad == nil {
-		b.bad = defect.New("close", "", "disk closed")
+		b.bad = steperr.New("close", "", "disk closed")
 	}
 	return errors.Join(b.db.Close(), b.own.Close())
 }
--- a/internal/keep/journal.go
+++ b/internal/storage/journal.go
@@ -1,4 +1,4 @@
-package keep
+package storage
 
 import (
 	"encoding/binary"
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 )
 
 const (
@@ -81,20 +81,20 @@
 		return nil, nil
 	}
 	if err != nil {
-		return nil, defect.At("load journal", "", err)
+		return nil, steperr.At("load journal", "", err)
 	}
 	defer f.Close()
 	b, err := io.ReadAll(io.LimitReader(f, maxJournal))
-	return decode(b), defect.At("load journal", "", err)
+	return decode(b), steperr.At("load journal", "", err)
 }
 
 // Append adds records to the file that the last Replace began.
 func (j *FileJournal) Append(records [][]byte) error {
 	if j.f == nil {
-		return defect.New("append journal", "", "not begun by a Replace")
+		return steperr.New("append journal", "", "not begun by a Replace")
 	}
 	_, err := j.f.Write(encode(records))
-	return defect.At("append journal", "", err)
+	return steperr.At("append journal", "", err)
 }
 
 // Replace writes another file and gives it the name, so that a process killed halfway
@@ -102,14 +102,14 @@
 func (j *FileJournal) Replace(records [][]byte) error {
 	f, err := os.Create(j.path + ".new")
 	if err != nil {
-		return defect.At("replace journal", "", err)
+		return steperr.At("replace journal", "", err)
 	}
 	_, err = f.Write(encode(records))
 	if err == nil {
 		err = os.Rename(j.path+".new", j.path)
 	}
 	if err != nil {
-		return defect.At("replace journal", "", errors.Join(err, f.Close()))
+		return steperr.At("replace journal", "", errors.Join(err, f.Close()))
 	}
 	old := j.f
 	j.f = f
--- a/internal/keep/keep.go
+++ b/internal/storage/keep.go
@@ -1,6 +1,6 @@
-// Package keep is the disk of a control node: named values that last once they
+// Package storage is the disk of a control node: named values that last once they
 // are synced (design 5).
-package keep
+package storage
 
 // Put is one value to be kept under its key; a nil Value removes the key.
 type Put struct {
--- a/internal/keep/meter.go
+++ b/internal/storage/meter.go
@@ -1,4 +1,4 @@
-package keep
+package storage
 
 import (
 	"os"
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 // Figures are what a meter tells of one file.
@@ -27,7 +27,7 @@
 // Meter watches the writes to one file, for people. It never waits for the file's lock,
 // which a disk that hangs may hold for long.
 type Meter struct {
-	clock pulse.Clock
+	clock clock.Clock
 	name  string
 	path  string // "" for what is no file
 
@@ -38,7 +38,7 @@
 	within bool
 }
 
-func newMeter(of any, name string, c pulse.Clock) *Meter {
+func newMeter(of any, name string, c clock.Clock) *Meter {
 	m := &Meter{clock: c, name: name}
 	if p, ok := of.(interface{ Path() string }); ok {
 		m.path = p.Path()
@@ -98,7 +98,7 @@
 }
 
 // MeterDisk is d with a meter on it.
-func MeterDisk(d Disk, c pulse.Clock) (Disk, *Meter) {
+func MeterDisk(d Disk, c clock.Clock) (Disk, *Meter) {
 	m := newMeter(d, "disk", c)
 	return meteredDisk{d, m}, m
 }
@@ -117,7 +117,7 @@
 }
 
 // MeterJournal is j with a meter on it.
-func MeterJournal(j Journal, c pulse.Clock) (Journal, *Meter) {
+func MeterJournal(j Journal, c clock.Clock) (Journal, *Meter) {
 	m := newMeter(j, "journal", c)
 	return meteredJournal{j, m}, m
 }
--- a/internal/keep/meter_test.go
+++ b/internal/storage/meter_test.go
@@ -1,4 +1,4 @@
-package keep
+package storage
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/clock"
 )
 
 // slowDisk takes a while for each commit, and fails when told to.
@@ -24,7 +24,7 @@
 func TestAMeterTellsOfWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		in := &slowDisk{takes: 3 * time.Millisecond}
-		d, m := MeterDisk(in, pulse.Wall{})
+		d, m := MeterDisk(in, clock.Wall{})
 		if f := m.Figures(); f != (Figures{Name: "disk"}) {
 			t.Errorf("before any write: %+v", f)
 		}
@@ -57,14 +57,14 @@
 	dir := t.TempDir()
 	b := open(t, dir)
 	defer b.Close()
-	d, m := MeterDisk(b, pulse.Wall{})
+	d, m := MeterDisk(b, clock.Wall{})
 	if err := d.Commit(put("a", "1")); err != nil {
 		t.Fatal(err)
 	}
 	if f := m.Figures(); f.Name != "x.db" || !f.Sized || f.Size == 0 || f.Writes != 1 {
 		t.Errorf("%+v", f)
 	}
-	j, n := MeterJournal(OpenJournal(dir, "y"), pulse.Wall{})
+	j, n := MeterJournal(OpenJournal(dir, "y"), clock.Wall{})
 	if f := n.Figures(); f.Name != "y" || f.Sized {
 		t.Errorf("before there is a file: %+v", f)
 	}
--- a/internal/target/beat.go
+++ b/internal/target/beat.go
@@ -1,21 +1,21 @@
 package target
 
-import "walkrudder/internal/defect"
+import "walkrudder/internal/steperr"
 
 // Check refuses a beat that says too little, or more than a table takes.
 func (b Beat) Check() error {
 	for _, f := range []struct{ name, text string }{{"id", b.ID}, {"service", b.Service}, {"address", b.Addr}} {
 		if f.text == "" {
-			return defect.New("beat", b.ID, "%s is missing", f.name)
+			return steperr.New("beat", b.ID, "%s is missing", f.name)
 		}
 	}
 	for _, f := range []struct{ name, text string }{{"id", b.ID}, {"service", b.Service}, {"address", b.Addr}, {"zone", b.Zone}, {"version", b.Version}} {
 		if len(f.text) > maxText {
-			return defect.New("beat", "", "%s is longer than %d", f.name, maxText)
+			return steperr.New("beat", "", "%s is longer than %d", f.name, maxText)
 		}
 	}
 	if b.Slots < 0 || b.Cold < 0 {
-		return defect.New("beat", b.ID, "slots and the time of slowness are not below 0")
+		return steperr.New("beat", b.ID, "slots and the time of slowness are not below 0")
 	}
 	return nil
 }
--- a/internal/target/record.go
+++ b/internal/target/record.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 
-	"walkrudder/internal/defect"
+	"walkrudder/internal/steperr"
 )
 
 // recordForm is the first byte of a record: a later form is not taken for this one.
@@ -24,7 +24,7 @@
 
 // ReadRecord reads what Record wrote, as a run that is recalled.
 func ReadRecord(b []byte) (Run, error) {
-	bad := defect.New("read record", "", "not the record of a run")
+	bad := steperr.New("read record", "", "not the record of a run")
 	if len(b) < 2 || b[0] != recordForm {
 		return Run{}, bad
 	}
--- a/internal/voice/speaker.go
+++ b/internal/voice/speaker.go
@@ -10,11 +10,11 @@
 
 	"walkrudder/internal/commands"
 	"walkrudder/internal/face"
-	"walkrudder/internal/home"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mate"
+	"walkrudder/internal/membership"
 	"walkrudder/internal/queries"
+	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
 
@@ -157,11 +157,11 @@
 
 // rest drains a node by hand, or ends that.
 func (s *Speaker) rest(ctx context.Context, id string, on bool) (Reply, error) {
-	m, ok := lo.Find(s.Asker.Tenant.Members(), func(m mate.Member) bool { return m.ID == id })
+	m, ok := lo.Find(s.Asker.Tenant.Members(), func(m membership.Member) bool { return m.ID == id })
 	if !ok {
 		return Reply{}, fmt.Errorf("no node %s has a lease now", id)
 	}
-	if _, err := link.Ask[mate.RestTold](ctx, s.Asker.Line, m.Inner, mate.RestAsk{On: on}); err != nil {
+	if _, err := link.Ask[membership.RestTold](ctx, s.Asker.Line, m.Inner, membership.RestAsk{On: on}); err != nil {
 		return Reply{}, err
 	}
 	return Reply{lo.Ternary(on, "drained", "resumed"), id}, nil
@@ -184,6 +184,6 @@
 	if err := s.Drainer.Leave(ctx, face.Beat{ID: id, Service: svc, Inc: t.Inc}); err != nil {
 		return Reply{}, err
 	}
-	_ = s.Asker.House.Mark(ctx, svc, id, t.Inc, func(e *home.Entry) { e.Beat.Leaving = true })
+	_ = s.Asker.House.Mark(ctx, svc, id, t.Inc, func(e *registry.Entry) { e.Beat.Leaving = true })
 	return Reply{"drained", t}, nil
 }
--- a/internal/news/board.go
+++ b/internal/watch/board.go
@@ -1,4 +1,4 @@
-package news
+package watch
 
 import (
 	"sync"
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/target"
 )
 
@@ -25,7 +25,7 @@
 	// what it keeps never differs from the board. Set before use.
 	OnItem func(item.Item)
 
-	clock   pulse.Clock
+	clock   clock.Clock
 	mu      sync.Mutex
 	items   *item.Set
 	runs    *target.Table
@@ -35,7 +35,7 @@
 }
 
 // NewBoard makes an empty board.
-func NewBoard(c pulse.Clock) *Board {
+func NewBoard(c clock.Clock) *Board {
 	return &Board{clock: c, items: item.NewSet(), runs: target.NewTable(), changed: make(chan struct{}), woken: make(chan struct{})}
 }
 
--- a/internal/news/board_test.go
+++ b/internal/watch/board_test.go
@@ -1,12 +1,12 @@
-package news
+package watch
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"testing"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/target"
 )
 
@@ -41,7 +41,7 @@
 func TestOnlyWhatDiffersIsTold(t *testing.T) {
 	for seed := range uint64(50) {
 		rnd := rand.New(rand.NewPCG(seed, 0))
-		a, b := NewBoard(pulse.Wall{}), NewBoard(pulse.Wall{})
+		a, b := NewBoard(clock.Wall{}), NewBoard(clock.Wall{})
 		fill(rnd, 500, []*Board{a, b}, a)
 		sums := b.Sums()
 		told := 0
@@ -69,7 +69,7 @@
 }
 
 func TestAnswersAreBounded(t *testing.T) {
-	a := NewBoard(pulse.Wall{})
+	a := NewBoard(clock.Wall{})
 	for i := range 1000 {
 		a.MergeItems([]item.Item{thing(fmt.Sprintf("%05d", i), 1)})
 	}
@@ -96,7 +96,7 @@
 }
 
 func TestWaitersAreWokenByNewsOnly(t *testing.T) {
-	b := NewBoard(pulse.Wall{})
+	b := NewBoard(clock.Wall{})
 	woken := func(c <-chan struct{}) bool {
 		select {
 		case <-c:
--- a/internal/news/follow.go
+++ b/internal/watch/follow.go
@@ -1,13 +1,13 @@
-package news
+package watch
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"walkrudder/internal/defect"
 	"walkrudder/internal/item"
 	"walkrudder/internal/link"
+	"walkrudder/internal/steperr"
 	"walkrudder/internal/target"
 )
 
@@ -72,5 +72,5 @@
 		}
 		return t, items, runs, nil
 	}
-	return t, nil, nil, defect.New("poll", at.addr, "does not take this node's introduction")
+	return t, nil, nil, steperr.New("poll", at.addr, "does not take this node's introduction")
 }
--- a/internal/news/mesh.go
+++ b/internal/watch/mesh.go
@@ -1,4 +1,4 @@
-package news
+package watch
 
 import (
 	"context"
@@ -10,10 +10,10 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
-	"walkrudder/internal/defect"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/steperr"
 )
 
 const (
@@ -45,12 +45,12 @@
 type Mesh struct {
 	Me    func() Member
 	Line  link.Line
-	Clock pulse.Clock
+	Clock clock.Clock
 	Board *Board
 	// Core is the newest core known, Learn takes one that may be newer, and Votes is
 	// the epoch of the core in which the own disk has a seat, or 0.
-	Core  func() accord.Core
-	Learn func(accord.Core)
+	Core  func() quorum.Core
+	Learn func(quorum.Core)
 	Votes func() uint64
 
 	mu     sync.Mutex
@@ -98,7 +98,7 @@
 	m.seek()
 	m.mu.Unlock()
 	m.wg.Go(func() { m.guard(ctx) })
-	pulse.Every(ctx, m.Clock, tendEvery, func() {
+	clock.Every(ctx, m.Clock, tendEvery, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.seek()
@@ -125,7 +125,7 @@
 	now := m.Clock.Now()
 	seats := m.Core().Seats
 	for a, p := range m.peers {
-		kept := slices.Contains(m.seeds, a) || lo.ContainsBy(seats, func(s accord.Seat) bool { return s.Addr == a })
+		kept := slices.Contains(m.seeds, a) || lo.ContainsBy(seats, func(s quorum.Seat) bool { return s.Addr == a })
 		if !kept && now.Sub(latest(p.heard, p.since)) > forgetAfter {
 			p.end()
 			delete(m.peers, a)
@@ -176,7 +176,7 @@
 	for ctx.Err() == nil {
 		core := m.Core()
 		wait := otherWait
-		if lo.ContainsBy(core.Seats, func(s accord.Seat) bool { return s.Addr == at.addr }) || core.Epoch == 0 {
+		if lo.ContainsBy(core.Seats, func(s quorum.Seat) bool { return s.Addr == at.addr }) || core.Epoch == 0 {
 			wait = seatWait
 		}
 		if at.inc == 0 || at.sums != nil {
@@ -247,7 +247,7 @@
 // for a seat of c. One that still votes in the core right before is a seat that stays
 // and has not been told; one further behind had left, and has yet to pull what was
 // acknowledged without it.
-func Counts(c accord.Core, id, disk string, votes uint64) bool {
+func Counts(c quorum.Core, id, disk string, votes uint64) bool {
 	s, ok := c.Seat(id)
 	return ok && disk != "" && s.Disk == disk && votes > 0 && votes+1 >= c.Epoch
 }
@@ -284,7 +284,7 @@
 }
 
 // counts tells whether the own disk speaks for a seat of c.
-func (m *Mesh) counts(c accord.Core) bool {
+func (m *Mesh) counts(c quorum.Core) bool {
 	me := m.Me()
 	return Counts(c, me.ID, me.Seat.Disk, m.Votes())
 }
@@ -342,7 +342,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return defect.At("sync", "", errors.Join(lo.Ternary(core.Epoch == 0, accord.ErrNoCore, accord.ErrNoQuorum), ctx.Err()))
+			return steperr.At("sync", "", errors.Join(lo.Ternary(core.Epoch == 0, quorum.ErrNoCore, quorum.ErrNoQuorum), ctx.Err()))
 		}
 		if m.Core().Epoch == core.Epoch && m.Clock.Sleep(ctx, leastPause) != nil {
 			continue
@@ -351,7 +351,7 @@
 }
 
 // syncWith polls the seats of one core once.
-func (m *Mesh) syncWith(ctx context.Context, core accord.Core) bool {
+func (m *Mesh) syncWith(ctx context.Context, core quorum.Core) bool {
 	need := core.Blocking()
 	if m.counts(core) {
 		need--
@@ -388,7 +388,7 @@
 }
 
 // syncOne polls one seat until it has told everything.
-func (m *Mesh) syncOne(ctx context.Context, core accord.Core, s accord.Seat) bool {
+func (m *Mesh) syncOne(ctx context.Context, core quorum.Core, s quorum.Seat) bool {
 	at := place{addr: s.Addr}
 	m.mu.Lock()
 	if p := m.peers[s.Addr]; p != nil {
@@ -452,17 +452,17 @@
 }
 
 // Heard are the disks of the minds that answered, with how long ago, and the own one.
-func (m *Mesh) Heard() []accord.Heard {
+func (m *Mesh) Heard() []quorum.Heard {
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []accord.Heard
+	var out []quorum.Heard
 	if s := m.Me().Seat; s.ID != "" {
-		out = append(out, accord.Heard{Seat: s})
+		out = append(out, quorum.Heard{Seat: s})
 	}
 	for _, p := range m.peers {
 		if p.mind.Seat.ID != "" && !p.heard.IsZero() {
-			out = append(out, accord.Heard{Seat: p.mind.Seat, Ago: now.Sub(p.heard)})
+			out = append(out, quorum.Heard{Seat: p.mind.Seat, Ago: now.Sub(p.heard)})
 		}
 	}
 	return out
--- a/internal/news/neighbour.go
+++ b/internal/watch/neighbour.go
@@ -1,4 +1,4 @@
-package news
+package watch
 
 import (
 	"cmp"
--- a/internal/news/report_test.go
+++ b/internal/watch/report_test.go
@@ -1,4 +1,4 @@
-package news
+package watch
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 
 	"github.com/charmbracelet/log"
 
-	"walkrudder/internal/accord"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
 )
 
 func TestAFlowReportsWhomItFollowsAndSinceWhen(t *testing.T) {
@@ -19,13 +19,13 @@
 		var all []Member
 		for _, id := range []string{"a", "b", "c"} {
 			b := newBench()
-			me := Member{ID: id, Kind: Mind, Inner: "in-" + id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
+			me := Member{ID: id, Kind: Mind, Inner: "in-" + id, Zone: "z" + id, Inc: 7, Seat: quorum.Seat{ID: id, Disk: "d" + id}}
 			b.Me = func() Member { return me }
 			b.Others = func() []Member { return all }
 			all = append(all, me)
 			f.minds["in-"+id] = b
 		}
-		s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
+		s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
 		s.Init([]string{"in-a", "in-b", "in-c"})
 		if r := s.Report(); r.Synced || r.BehindMS != -1 || len(r.Follows) > 0 || r.Newest != "" {
 			t.Errorf("before its first ask: %+v", r)
@@ -70,7 +70,7 @@
 			b.Me = func() Member { return Member{ID: id, Kind: Mind, Inner: "in-" + id, Zone: "z" + id, Inc: 7} }
 			f.minds["in-"+id] = b
 		}
-		s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
+		s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
 		s.Init([]string{"in-a", "in-b"})
 		ctx, end := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/news/subscriber.go
+++ b/internal/watch/subscriber.go
@@ -1,4 +1,4 @@
-package news
+package watch
 
 import (
 	"cmp"
@@ -11,8 +11,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/lo"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/target"
 )
 
@@ -61,7 +61,7 @@
 type Subscriber struct {
 	Me    Member
 	Line  link.Line
-	Clock pulse.Clock
+	Clock clock.Clock
 	Log   *log.Logger
 	// Within is in what time a change has to be in force; 0 is usual. In less a flow asks
 	// more often, so that it never knows what is older.
--- a/internal/news/subscriber_test.go
+++ b/internal/watch/subscriber_test.go
@@ -1,4 +1,4 @@
-package news
+package watch
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
-	"walkrudder/internal/accord"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
 )
 
 // far is a line on which each way takes a while: a question over it and, where the link
@@ -34,7 +34,7 @@
 	var all []Member
 	for _, id := range ids {
 		b := newBench()
-		me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: accord.Seat{ID: id, Disk: "d" + id}}
+		me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: quorum.Seat{ID: id, Disk: "d" + id}}
 		b.Me = func() Member { return me }
 		b.Others = func() []Member { return all }
 		all = append(all, me)
@@ -57,7 +57,7 @@
 		return nil, ctx.Err()
 	}
 	for range 2*trips - 1 {
-		if err := (pulse.Wall{}).Sleep(ctx, f.way); err != nil {
+		if err := (clock.Wall{}).Sleep(ctx, f.way); err != nil {
 			return nil, err
 		}
 	}
@@ -75,7 +75,7 @@
 		f.bytes += len(i.Name) + len(i.Body)
 	}
 	f.mu.Unlock()
-	return r, (pulse.Wall{}).Sleep(ctx, f.way)
+	return r, (clock.Wall{}).Sleep(ctx, f.way)
 }
 
 // TestNewsComeThoughTheMindFollowedMissesThem: a mind that is cut off from the others, but
@@ -89,7 +89,7 @@
 				f := newFar(120*time.Millisecond, "a", "b", "c", "d", "e")
 				var mu sync.Mutex
 				known := map[string]uint64{}
-				s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil),
+				s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil),
 					OnNews: func(w WatchTold) {
 						mu.Lock()
 						defer mu.Unlock()
@@ -147,7 +147,7 @@
 	oldest := func(t *testing.T, within time.Duration) (old time.Duration) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFar(120*time.Millisecond, "a", "b", "c")
-			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil), Within: within, OnNews: func(WatchTold) {}}
+			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), Within: within, OnNews: func(WatchTold) {}}
 			s.Init([]string{"b", "c"})
 			ctx, end := context.WithCancel(t.Context())
 			done := make(chan struct{})
@@ -186,7 +186,7 @@
 				}
 				b.Board.MergeItems(items)
 			}
-			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: pulse.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
+			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
 			s.Init([]string{"a", "b", "c"})
 			ctx, end := context.WithCancel(t.Context())
 			done := make(chan struct{})
--- a/internal/news/teller.go
+++ b/internal/watch/teller.go
@@ -1,4 +1,4 @@
-package news
+package watch
 
 import (
 	"cmp"
@@ -10,9 +10,9 @@
 
 	"github.com/samber/lo"
 
-	"walkrudder/internal/accord"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/target"
 )
 
@@ -43,10 +43,10 @@
 type Teller struct {
 	Me    func() Member
 	Board *Board
-	Clock pulse.Clock
+	Clock clock.Clock
 	// Core is the newest core that this node knows, and Votes the epoch of the one in
 	// which its own disk has a seat, or 0.
-	Core  func() accord.Core
+	Core  func() quorum.Core
 	Votes func() uint64
 	// Fresh tells whether this node misses nothing acknowledged up to lag ago.
 	Fresh func() (lag time.Duration, fresh bool)
--- a/internal/news/teller_test.go
+++ b/internal/watch/teller_test.go
@@ -1,4 +1,4 @@
-package news
+package watch
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/accord"
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/target"
 )
 
@@ -26,9 +26,9 @@
 	b := &bench{}
 	b.fresh.Store(true)
 	b.Teller = &Teller{Me: func() Member {
-		return Member{ID: "m", Kind: Mind, Inner: "in-m", Zone: "z", Inc: 5, Seat: accord.Seat{ID: "m", Disk: "d"}}
+		return Member{ID: "m", Kind: Mind, Inner: "in-m", Zone: "z", Inc: 5, Seat: quorum.Seat{ID: "m", Disk: "d"}}
 	},
-		Board: NewBoard(pulse.Wall{}), Clock: pulse.Wall{}, Core: func() accord.Core { return accord.Core{Epoch: b.epoch.Load()} }, Votes: func() uint64 { return 0 },
+		Board: NewBoard(clock.Wall{}), Clock: clock.Wall{}, Core: func() quorum.Core { return quorum.Core{Epoch: b.epoch.Load()} }, Votes: func() uint64 { return 0 },
 		Fresh: func() (time.Duration, bool) { return 0, b.fresh.Load() }, Others: func() []Member { return nil }, Elsewhere: func() map[string]string { return map[string]string{"f9": "y"} }}
 	return b
 }
--- a/internal/news/types.go
+++ b/internal/watch/types.go
@@ -1,15 +1,15 @@
-// Package news brings state from the control plane to every node: a node follows
+// Package watch brings state from the control plane to every node: a node follows
 // one or more others by long polls and takes what changed since its last look
 // (design 23).
-package news
+package watch
 
 import (
 	"math"
 	"time"
 
-	"walkrudder/internal/accord"
 	"walkrudder/internal/item"
 	"walkrudder/internal/link"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/target"
 )
 
@@ -28,7 +28,7 @@
 	Zone  string
 	Inc   uint64 // of this life of its process
 	// Seat is the node's disk, where it has one.
-	Seat accord.Seat
+	Seat quorum.Seat
 	// Age is how long ago the teller heard of it, for peers.
 	Age time.Duration
 }
@@ -80,7 +80,7 @@
 		// has a seat; 0 is none. Core is told where it is newer than the asker's.
 		Votes uint64
 		Disk  string
-		Core  accord.Core
+		Core  quorum.Core
 		// Me is the teller, told with answers to asks that carry Sums.
 		Me    Member
 		Items []item.Item
@@ -102,7 +102,7 @@
 	MarkTold struct {
 		Votes uint64
 		Disk  string
-		Core  accord.Core
+		Core  quorum.Core
 	}
 )
 
--- a/tools/hollow/fault.go
+++ b/tools/hollow/fault.go
@@ -11,19 +11,19 @@
 // faultTime bounds a run's failure.
 const faultTime = 4 * time.Minute
 
-// watch follows what a failure does until all is well or most is over.
-type watch struct {
+// observation follows what a failure does until all is well or most is over.
+type observation struct {
 	t      *town
 	begun  time.Time
 	events []Event
 }
 
-func (x *watch) note(what string, v float64) {
+func (x *observation) note(what string, v float64) {
 	x.events = append(x.events, Event{time.Since(x.begun).Seconds(), what, v})
 }
 
 // acks has changes made until one is acknowledged.
-func (x *watch) acks(ctx context.Context, what string, minds []int, most time.Duration) bool {
+func (x *observation) acks(ctx context.Context, what string, minds []int, most time.Duration) bool {
 	begun := time.Now()
 	for k := 0; time.Since(begun) < most && ctx.Err() == nil; k++ {
 		got, err := x.t.change(ctx, minds[k%len(minds)], Order{Count: x.t.c.Changes, Services: x.t.c.Services})
@@ -38,7 +38,7 @@
 
 // reach notes when all of some flows have the newest version, since when it was
 // acknowledged.
-func (x *watch) reach(ctx context.Context, what string, ps []*process, most time.Duration) {
+func (x *observation) reach(ctx context.Context, what string, ps []*process, most time.Duration) {
 	n, had := 0, 0
 	for _, p := range ps {
 		n += p.size
@@ -59,7 +59,7 @@
 }
 
 // ready notes how many of some flows follow a fresh mind.
-func (x *watch) ready(ctx context.Context, what string, ps []*process) int {
+func (x *observation) ready(ctx context.Context, what string, ps []*process) int {
 	n := 0
 	m, _ := tell(ctx, ps, same(Order{Op: "mark"}))
 	for _, y := range m {
@@ -69,7 +69,7 @@
 	return n
 }
 
-func (x *watch) suspected(ctx context.Context, what string) {
+func (x *observation) suspected(ctx context.Context, what string) {
 	most := int64(0)
 	for _, y := range x.t.look(ctx) {
 		most = max(most, y.Counts["suspected"])
@@ -78,7 +78,7 @@
 }
 
 // used notes what was used between two looks.
-func (x *watch) used(a, b map[*process]Told, what string) {
+func (x *observation) used(a, b map[*process]Told, what string) {
 	w := Window{Roles: map[string]PerNode{}, Messages: map[string][2]float64{}, Took: map[string]Times{}, Counts: map[string]int64{}}
 	w.fill(a, b)
 	for _, r := range []string{"minds", "flows"} {
@@ -92,7 +92,7 @@
 }
 
 func (t *town) fault(ctx context.Context, what string) ([]Event, error) {
-	x := &watch{t: t, begun: time.Now()}
+	x := &observation{t: t, begun: time.Now()}
 	switch what {
 	case "zone":
 		x.zone(ctx)
@@ -117,7 +117,7 @@
 }
 
 // zone loses zone 0 with all that is in it, and gets its minds back.
-func (x *watch) zone(ctx context.Context) {
+func (x *observation) zone(ctx context.Context) {
 	t := x.t
 	lost := func(z int) bool { return z == 0 }
 	rest := func(z int) bool { return z != 0 }
@@ -163,7 +163,7 @@
 const apartTime = 90 * time.Second
 
 // regions cuts the two regions apart, and joins them again.
-func (x *watch) regions(ctx context.Context) {
+func (x *observation) regions(ctx context.Context) {
 	t := x.t
 	var far [regions][]string // IPs of the minds that a region can't reach
 	var own [regions][]int
@@ -212,7 +212,7 @@
 }
 
 // control loses minds one after the other, until none can be borne any more.
-func (x *watch) control(ctx context.Context) {
+func (x *observation) control(ctx context.Context) {
 	t := x.t
 	left := []int{}
 	for i := range t.minds {
--- a/tools/hollow/flows.go
+++ b/tools/hollow/flows.go
@@ -11,10 +11,10 @@
 
 	"github.com/samber/lo"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/link"
-	"walkrudder/internal/news"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/target"
+	"walkrudder/internal/watch"
 )
 
 // FlowsArgs describe one process of hollow flows, all of one zone.
@@ -46,7 +46,7 @@
 }
 
 // count takes in what was news to a flow.
-func (s *seen) count(t news.WatchTold) {
+func (s *seen) count(t watch.WatchTold) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.told["items told"] += int64(len(t.Items))
@@ -67,15 +67,15 @@
 	life, end := context.WithCancel(ctx)
 	s := &seen{at: map[uint64][]int64{}, last: map[int]uint64{}, told: map[string]int64{}}
 	var wg sync.WaitGroup
-	var subs []*news.Subscriber
+	var subs []*watch.Subscriber
 	var lines []*link.TCP
 	var cuts []*Way
 	for i := range a.Count {
 		id := fmt.Sprintf("flow%d-%d", a.Zone, i)
-		line := link.NewTCP(link.Who{ID: id, Kind: news.Flow}, ip(a.Net, flowNet, a.Zone)+":0", quiet())
+		line := link.NewTCP(link.Who{ID: id, Kind: watch.Flow}, ip(a.Net, flowNet, a.Zone)+":0", quiet())
 		way := &Way{Line: line, Delay: ways(a.Zone)}
-		sub := &news.Subscriber{Me: news.Member{ID: id, Kind: news.Flow, Zone: zoneName(a.Zone), Inc: rand.Uint64() | 1}, Line: way, Clock: pulse.Wall{}, Log: quiet()}
-		sub.OnNews = func(t news.WatchTold) {
+		sub := &watch.Subscriber{Me: watch.Member{ID: id, Kind: watch.Flow, Zone: zoneName(a.Zone), Inc: rand.Uint64() | 1}, Line: way, Clock: clock.Wall{}, Log: quiet()}
+		sub.OnNews = func(t watch.WatchTold) {
 			s.count(t)
 			for _, x := range t.Items {
 				if x.Name == routeName(0) {
@@ -87,7 +87,7 @@
 		subs, lines, cuts = append(subs, sub), append(lines, line), append(cuts, way)
 		wg.Go(func() {
 			// Not all at the very same moment, as machines do not start so either.
-			if (pulse.Wall{}).Sleep(life, time.Duration(i)*5*time.Millisecond) == nil {
+			if (clock.Wall{}).Sleep(life, time.Duration(i)*5*time.Millisecond) == nil {
 				sub.Run(life)
 			}
 		})
--- a/tools/hollow/meter.go
+++ b/tools/hollow/meter.go
@@ -147,7 +147,7 @@
 }
 
 // packages are those whose messages have names on links.
-var packages = []string{"news", "accord"}
+var packages = []string{"watch", "quorum"}
 
 // message finds the name of a frame's message: gob writes the registered name of a
 // value's type before the value.
--- a/tools/hollow/minds.go
+++ b/tools/hollow/minds.go
@@ -16,10 +16,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/valyala/fasthttp"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/control"
-	"walkrudder/internal/keep"
 	"walkrudder/internal/link"
-	"walkrudder/internal/pulse"
+	"walkrudder/internal/storage"
 	"walkrudder/internal/target"
 )
 
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, errors.Join(err, inner.Close())
 	}
-	disk, err := keep.OpenBunt(a.Dir, "items.db")
+	disk, err := storage.OpenBunt(a.Dir, "items.db")
 	if err != nil {
 		return nil, errors.Join(err, inner.Close(), door.Close())
 	}
@@ -64,8 +64,8 @@
 	way := &Way{Line: line, Delay: ways(mindZone(a.N))}
 	bad := &atomic.Pointer[string]{}
 	n, err := control.New(control.Parts{
-		Settings: control.Settings{ID: id, Zone: zoneName(mindZone(a.N)), Inner: a.Inner, Door: a.Door, Seeds: strings.Split(a.Seeds, ","), Bear: a.Bear, First: a.First, BeatEvery: a.Every},
-		Inc:      rand.Uint64() | 1, Fresh: fmt.Sprintf("%016x", rand.Uint64()), Line: way, Clock: pulse.Wall{}, Disk: disk, Log: quiet(),
+		Settings: control.Settings{ID: id, Zone: zoneName(mindZone(a.N)), Inner: a.Inner, Door: a.Door, Seeds: strings.Split(a.Seeds, ","), FaultsTolerated: a.Bear, First: a.First, BeatEvery: a.Every},
+		Inc:      rand.Uint64() | 1, Fresh: fmt.Sprintf("%016x", rand.Uint64()), Line: way, Clock: clock.Wall{}, Disk: disk, Log: quiet(),
 		OnBad: func(err error) { s := err.Error(); bad.Store(&s) }})
 	if err != nil {
 		return nil, errors.Join(err, inner.Close(), door.Close(), disk.Close())
--- a/tools/hollow/proxy.go
+++ b/tools/hollow/proxy.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/item"
 	"walkrudder/internal/proxy"
-	"walkrudder/internal/pulse"
 	"walkrudder/internal/target"
 )
 
@@ -37,7 +37,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	n := proxy.New(proxy.Parts{Settings: s, Clock: pulse.Wall{}, Log: quiet()})
+	n := proxy.New(proxy.Parts{Settings: s, Clock: clock.Wall{}, Log: quiet()})
 	begun := time.Now()
 	var items []item.Item
 	for _, x := range services(a.Services, 1) {
@@ -61,7 +61,7 @@
 	go n.Run(life)
 	go func() {
 		// The number of nodes comes with each answer of the control plane.
-		for (pulse.Wall{}).Sleep(life, time.Second) == nil {
+		for (clock.Wall{}).Sleep(life, time.Second) == nil {
 			n.SetFlows(a.Flows, near)
 		}
 	}()
