--- a/internal/quorum/voter.go
+++ b/internal/quorum/voter.go
@@ -38,35 +38,6 @@
 // ErrBad says that this voter's disk has failed; it votes no more.
 var ErrBad = errors.New("disk failed, voting ended")
 
-// form is a node's consent to a first core (design 4.5).
-type form struct {
-	By   string
-	Core Core
-}
-
-// next tells what becomes of the consent and of the core known when a is asked, and
-// whether a is granted. free says that a new consent may be given.
-func (f form) next(known Core, a FormAsk, free bool) (form, Core, bool) {
-	same := f.By == a.By && slices.Equal(f.Core.Seats, a.Core.Seats)
-	switch {
-	case known.Epoch > 0:
-		return f, known, same && a.Seal
-	case a.Drop:
-		if f.By == a.By {
-			f = form{}
-		}
-		return f, known, true
-	case a.Seal:
-		if same {
-			known = a.Core
-		}
-		return f, known, same
-	case f.By == "" && free && a.Core.Epoch == 1:
-		return form{a.By, a.Core}, known, true
-	}
-	return f, known, same
-}
-
 // Voter answers for the items on one disk. One goroutine owns all its state and
 // works through a queue of commands; what a batch of them wrote is synced
 // before any of them is answered (design 4.2, 5.1).
@@ -168,13 +139,6 @@
 	return v.view
 }
 
-// Consent is the formation this voter consented to, and its proposer.
-func (v *Voter) Consent() (string, Core) {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.cons.By, v.cons.Core
-}
-
 // Voting tells whether this disk has a seat in the core it knows.
 func (v *Voter) Voting() bool { return v.seated(v.Core()) }
 
@@ -276,25 +240,6 @@
 	return t
 }
 
-func (v *Voter) set(k string, it Item) {
-	if _, old := v.items[k]; !old {
-		i, _ := slices.BinarySearch(v.keys, k)
-		v.keys = slices.Insert(v.keys, i, k)
-	}
-	v.items[k] = it
-	v.puts = append(v.puts, storage.Put{Key: itemPrefix + k, Value: pack(it)})
-}
-
-// below tells whether k was folded away for good (design 6.5).
-func (v *Voter) below(k string) bool {
-	for p, f := range v.floor {
-		if strings.HasPrefix(k, p) && k < f {
-			return true
-		}
-	}
-	return false
-}
-
 // Serve teaches d to answer for this voter.
 func (v *Voter) Serve(d *link.Desk) {
 	link.On(d, v.prepare)
@@ -309,218 +254,6 @@
 	link.On(d, v.listMerged)
 }
 
-func (v *Voter) prepare(ctx context.Context, _ link.Who, a PrepareAsk) (r PrepareTold, err error) {
-	return get(ctx, v, func() (r PrepareTold) {
-		if r.Told = v.told(a.Mark); !r.OK || len(a.Key) > MaxKey || v.below(a.Key) {
-			return r
-		}
-		it := v.items[a.Key]
-		if a.Ballot.Compare(it.Promised) > 0 && a.Ballot.Compare(it.Accepted) > 0 {
-			v.faults.At(fault.BeforePromise)
-			v.after = append(v.after, fault.AfterPromise)
-			it.Promised = a.Ballot
-			v.set(a.Key, it)
-			r.Yes = true
-		}
-		r.Item = it
-		return r
-	})
-}
-
-func (v *Voter) accept(ctx context.Context, _ link.Who, a AcceptAsk) (r AcceptTold, err error) {
-	if len(a.Value) > MaxValue {
-		return r, steperr.New("accept", v.me.ID, "value of %d bytes, limit %d", len(a.Value), MaxValue)
-	}
-	return get(ctx, v, func() (r AcceptTold) {
-		if r.Told = v.told(a.Mark); !r.OK || a.Disk == "" || v.below(a.Key) {
-			r.OK = r.OK && a.Disk != ""
-			return r
-		}
-		it := v.items[a.Key]
-		if r.Promised = it.Promised; a.Ballot.Compare(it.Promised) >= 0 && a.Ballot.Compare(it.Accepted) >= 0 {
-			v.faults.At(fault.BeforeAccept)
-			v.after = append(v.after, fault.AfterAccept)
-			v.set(a.Key, Item{Promised: a.Ballot, Accepted: a.Ballot, Value: a.Value})
-			r.Yes = true
-		}
-		return r
-	})
-}
-
-func (v *Voter) read(ctx context.Context, _ link.Who, a ReadAsk) (r ReadTold, err error) {
-	return get(ctx, v, func() (r ReadTold) {
-		if r.Told = v.told(a.Mark); r.OK {
-			r.Item = v.items[a.Key]
-		}
-		return r
-	})
-}
-
-func (v *Voter) list(ctx context.Context, _ link.Who, a ListAsk) (r ListTold, err error) {
-	return get(ctx, v, func() (r ListTold) {
-		r.Told = v.told(a.Mark)
-		// A voter that was swapped out still lets its successor pull.
-		if !r.OK && !(a.All && a.Epoch == v.core.Epoch) {
-			return r
-		}
-		r.OK = true
-		if a.Last {
-			r.Entries = v.last(a.Prefix)
-			return r
-		}
-		r.Entries, r.More = v.page(a)
-		return r
-	})
-}
-
-func (v *Voter) last(prefix string) []Entry {
-	i, _ := slices.BinarySearch(v.keys, prefix+"\xff")
-	for i--; i >= 0 && strings.HasPrefix(v.keys[i], prefix); i-- {
-		if it := v.items[v.keys[i]]; !it.Accepted.Zero() {
-			return []Entry{{v.keys[i], it}}
-		}
-	}
-	return nil
-}
-
-func (v *Voter) page(a ListAsk) (out []Entry, more bool) {
-	i, _ := slices.BinarySearch(v.keys, max(a.Prefix, a.After))
-	n := 0
-	for ; i < len(v.keys) && strings.HasPrefix(v.keys[i], a.Prefix); i++ {
-		k := v.keys[i]
-		it := v.items[k]
-		if k <= a.After || (!a.All && it.Accepted.Zero()) {
-			continue
-		}
-		if n += len(k) + len(it.Value) + 64; len(out) > 0 && (n > listPage || (a.Max > 0 && len(out) >= a.Max)) {
-			return out, true
-		}
-		out = append(out, Entry{k, it})
-	}
-	return out, false
-}
-
-// formed consents to a first core, drops a consent, or seals the core (design
-// 4.5). A consent binds until its own proposer drops it. A seed is asked also where
-// it gets no seat; its disk tells whether it has one.
-func (v *Voter) formed(ctx context.Context, _ link.Who, a FormAsk) (r FormTold, err error) {
-	return get(ctx, v, func() (r FormTold) {
-		f, c, ok := v.form.next(v.core, a, !v.later.Load())
-		r.Core, r.By, r.OK, r.Disk = v.core, f.By, ok, v.me.Disk
-		if f.By != v.form.By || !slices.Equal(f.Core.Seats, v.form.Core.Seats) {
-			v.setForm(f)
-		}
-		if c.Epoch > v.core.Epoch {
-			v.setCore(c)
-		}
-		return r
-	})
-}
-
-// Adopt lets a voter that consented to c take it, once c is known to be sealed
-// elsewhere.
-func (v *Voter) Adopt(ctx context.Context, c Core) error {
-	return v.do(ctx, func() {
-		if v.core.Epoch == 0 && c.Epoch == 1 && slices.Equal(v.form.Core.Seats, c.Seats) {
-			v.setCore(c)
-		}
-	})
-}
-
-func (v *Voter) setForm(f form) {
-	v.form = f
-	v.puts = append(v.puts, storage.Put{Key: formKey, Value: pack(f)})
-}
-
-func (v *Voter) setCore(c Core) {
-	v.core = c
-	v.puts = append(v.puts, storage.Put{Key: coreKey, Value: pack(c)})
-}
-
-// seal moves this voter to the next epoch: it accepts nothing more in the one
-// before (design 4.4).
-func (v *Voter) seal(ctx context.Context, _ link.Who, a SealAsk) (r SealTold, err error) {
-	return get(ctx, v, func() (r SealTold) {
-		switch {
-		case v.core.Epoch == a.Next.Epoch:
-			r.OK = true
-		case v.core.Epoch > 0 && a.Next.Epoch == v.core.Epoch+1 && v.seated(v.core):
-			v.setCore(a.Next)
-			r.OK = true
-		}
-		r.Disk, r.Core = v.me.Disk, v.core
-		return r
-	})
-}
-
-// join pulls every item from the former voters and only then votes in the next
-// core (design 4.4). A promise that this node gave on an earlier disk is not
-// among them, but no accept that relies on it can reach this seat: it carries
-// the earlier incarnation.
-func (v *Voter) join(ctx context.Context, _ link.Who, a JoinAsk) (r JoinTold, err error) {
-	if !v.seated(a.Next) {
-		return r, steperr.New("join", v.me.ID, "no seat in epoch %d for disk %s", a.Next.Epoch, v.me.Disk)
-	}
-	if c := v.Core(); c.Epoch >= a.Next.Epoch && v.seated(c) {
-		return JoinTold{OK: c.Epoch == a.Next.Epoch}, nil
-	}
-	all, merged := map[string]Item{}, map[item.Key]item.Item{}
-	for _, s := range a.From {
-		if err := v.pull(ctx, s, a.Next.Epoch, all); err != nil {
-			return r, err
-		}
-		if err := v.pullMerged(ctx, s, a.Next.Epoch, merged); err != nil {
-			return r, err
-		}
-	}
-	v.faults.At(fault.AfterPull)
-	return get(ctx, v, func() (r JoinTold) {
-		if v.core.Epoch >= a.Next.Epoch && v.seated(v.core) {
-			r.OK = v.core.Epoch == a.Next.Epoch
-			return r
-		}
-		for k, it := range all {
-			if old, ok := v.items[k]; ok && old.Accepted.Compare(it.Accepted) > 0 {
-				continue
-			}
-			v.set(k, it)
-		}
-		for _, it := range merged {
-			v.take(it)
-		}
-		v.setCore(a.Next)
-		r.OK, r.Items = true, len(all)+len(merged)
-		return r
-	})
-}
-
-func (v *Voter) pull(ctx context.Context, s Seat, epoch uint64, into map[string]Item) error {
-	after := ""
-	for {
-		t, err := link.Ask[ListTold](ctx, v.line, s.Addr, ListAsk{Mark: Mark{Epoch: epoch}, After: after, All: true})
-		if err != nil {
-			return steperr.At("pull", s.ID, err)
-		}
-		if !t.OK || t.Disk != s.Disk {
-			return steperr.New("pull", s.ID, "not sealed for epoch %d", epoch)
-		}
-		for _, e := range t.Entries {
-			o := into[e.Key]
-			if e.Item.Accepted.Compare(o.Accepted) > 0 {
-				o.Accepted, o.Value = e.Item.Accepted, e.Item.Value
-			}
-			if e.Item.Promised.Compare(o.Promised) > 0 {
-				o.Promised = e.Item.Promised
-			}
-			into[e.Key] = o
-			after = e.Key
-		}
-		if !t.More {
-			return nil
-		}
-	}
-}
-
 type (
 	// LiftAsk raises the floor under Prefix: items below Floor were folded into
 	// an item above it and may go (design 6.5).
@@ -536,25 +269,6 @@
 	}
 )
 
-func (v *Voter) lift(ctx context.Context, _ link.Who, a LiftAsk) (r LiftTold, err error) {
-	return get(ctx, v, func() (r LiftTold) {
-		if r.Told = v.told(a.Mark); !r.OK || a.Prefix == "" || !strings.HasPrefix(a.Floor, a.Prefix) || a.Floor <= v.floor[a.Prefix] {
-			return r
-		}
-		v.floor[a.Prefix] = a.Floor
-		v.puts = append(v.puts, storage.Put{Key: floorKey + a.Prefix, Value: []byte(a.Floor)})
-		i, _ := slices.BinarySearch(v.keys, a.Prefix)
-		j, _ := slices.BinarySearch(v.keys, a.Floor)
-		for _, k := range v.keys[i:j] {
-			delete(v.items, k)
-			v.puts = append(v.puts, storage.Put{Key: itemPrefix + k})
-		}
-		r.Gone = j - i
-		v.keys = slices.Delete(v.keys, i, j)
-		return r
-	})
-}
-
 func pack(x any) []byte {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(x); err != nil {
