One content at most is confirmed for a version of an item: a register decides it

Ruled out: first holder wins at each voter (two halves can wedge); a register that holds the digest alone (content may be lost with its only holder, and the version is wedged then).

Change: each item has a register of its own at the voters (Decide: promises and accepts of a majority of synced disks, all items of a call together or none); only what it decided is merged, shown and confirmed. Joiners pull the registers too. A read has a majority hold what it shows before it answers.

TestOlderVersionsChangeNothing expected another content of the version that stands to be acknowledged; that was the fault, and it now wants a conflict there, and one for earlier settled versions. The tests' own ledger of what was acknowledged used the product's comparison and could not see it; it compares contents now.

--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/item"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/route"
 	"walkrudder/internal/steperr"
 )
@@ -36,7 +38,7 @@
 	Limits   *route.Limits
 }
 
-// ledger knows which copies were once held by a majority of synced disks.
+// ledger knows of which items a majority of synced disks holds a copy at least as new.
 type ledger struct {
 	mu   sync.Mutex
 	sure map[item.Key]uint64 // version
@@ -46,7 +48,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v, ok := l.sure[i.Key]
-	return ok && v == i.Version
+	return ok && v >= i.Version
 }
 
 func (l *ledger) note(is []item.Item) {
@@ -56,7 +58,7 @@
 		l.sure = map[item.Key]uint64{}
 	}
 	for _, i := range is {
-		l.sure[i.Key] = i.Version
+		l.sure[i.Key] = max(l.sure[i.Key], i.Version)
 	}
 }
 
@@ -83,16 +85,17 @@
 	return out, ps
 }
 
-// Apply checks a change as a whole and has it held by a majority of synced disks; only
-// then is it acknowledged, by no problem and no error. After problems nothing of it was
-// stored or shown; after an error it may take effect yet.
+// Apply checks a change as a whole, has one content settled for each of its versions, and
+// has the items held by a majority of synced disks; only then is it acknowledged, by no
+// problem and no error. After problems, and after a conflict (IsConflict), nothing of it was
+// or will be in force; after another error it may take effect yet.
 //
 // All voters are asked for news first, always: the check needs everything acknowledged
 // before the call, so that a valid change is not refused for an old view and an invalid
 // one does not slip through, and as many voters as that takes are needed for the change
 // anyway.
 func (n *Node) Apply(ctx context.Context, c Change) (ps []route.Problem, err error) {
-	defer func() { n.counts.changes.note(len(ps) > 0, err) }()
+	defer func() { n.counts.changes.note(len(ps) > 0 || IsConflict(err), err) }()
 	all, ps := c.items()
 	if len(ps) > 0 || len(all) == 0 {
 		return ps, nil
@@ -108,84 +111,129 @@
 	if err := n.Mesh.Sync(ctx); err != nil {
 		return nil, err
 	}
-	put, ps := n.weigh(all)
-	if len(ps) > 0 {
-		return ps, nil
+	w := n.weigh(all)
+	switch {
+	case len(w.problems) > 0:
+		return n.refuse(ctx, all, w.problems)
+	case w.stands:
+		return nil, nil
 	}
-	over, err := n.Prop.MergeOver(ctx, put)
+	decided, err := n.Prop.Decide(ctx, all)
 	if err != nil {
 		return nil, err
 	}
-	n.ledger.note(lo.Filter(put, func(i item.Item, _ int) bool { return !slices.Contains(over, i.Key) }))
-	n.Board.MergeItems(put)
-	return nil, nil
+	return nil, n.secure(ctx, append(decided, w.support...))
+}
+
+// IsConflict tells whether a change was refused because another content of the version of
+// one of its items is settled.
+func IsConflict(err error) bool {
+	var conflict quorum.ConflictError
+	return errors.As(err, &conflict)
+}
+
+// refuse refuses a change for its problems, unless an earlier try of it may have got through:
+// then it may be in force, and there is no clear answer.
+func (n *Node) refuse(ctx context.Context, all []item.Item, ps []route.Problem) ([]route.Problem, error) {
+	found, err := n.Prop.Trace(ctx, all)
+	switch {
+	case err != nil:
+		return nil, err
+	case found:
+		return nil, steperr.At("apply", "", quorum.ErrPartly)
+	}
+	return ps, nil
 }
 
-// weigh checks a change against what stands, and lists what a majority must hold before
-// it is acknowledged: the items that take effect, what stands in place of those that
-// don't, and the services that the routes among them rely on. What a majority is known
-// to hold is left out.
-func (n *Node) weigh(all []item.Item) (put []item.Item, ps []route.Problem) {
+// secure has a majority of synced disks hold settled items, and shows them.
+func (n *Node) secure(ctx context.Context, items []item.Item) error {
+	need := lo.Filter(items, func(i item.Item, _ int) bool { return !n.ledger.has(i) })
+	if len(need) == 0 {
+		return nil
+	}
+	if err := n.Prop.Merge(ctx, need); err != nil {
+		return err
+	}
+	n.ledger.note(need)
+	n.Board.MergeItems(need)
+	return nil
+}
+
+// weighed is what a check of a change against what stands has shown.
+type weighed struct {
+	problems []route.Problem
+	// stands says that all of it is in force and held by a majority.
+	stands bool
+	// support are the services that its routes rely on.
+	support []item.Item
+}
+
+// weigh checks a change against what stands.
+func (n *Node) weigh(all []item.Item) (w weighed) {
 	n.Board.Items(func(s *item.Set) {
-		need := map[item.Key]item.Item{}
-		stands := func(k item.Key) {
-			if i, ok := s.Get(k); ok && !n.ledger.has(i) {
-				need[k] = i
-			}
-		}
+		var put []item.Item
+		w.stands = true
 		for _, i := range all {
+			old, ok := s.Get(i.Key)
+			w.stands = w.stands && ok && old.Same(i) && n.ledger.has(i)
 			// A version not above what stands changes nothing, whatever it holds.
-			if old, ok := s.Get(i.Key); ok && i.Version <= old.Version {
-				stands(i.Key)
-				continue
+			if !ok || i.Version > old.Version {
+				put = append(put, i)
 			}
-			put = append(put, i)
 		}
-		if ps = n.book.Problems(put); len(ps) > 0 {
+		if w.problems = n.book.Problems(put); len(w.problems) > 0 {
 			return
 		}
+		given := lo.SliceToMap(put, func(i item.Item) (item.Key, bool) { return i.Key, true })
 		for _, i := range put {
-			if r, err := route.FromItem(i); i.Kind == item.Route && !i.Gone && err == nil {
-				for _, x := range r.Shares {
-					stands(item.Key{Kind: item.Service, Name: x.Service})
+			r, err := route.FromItem(i)
+			if i.Kind != item.Route || i.Gone || err != nil {
+				continue
+			}
+			for _, x := range r.Shares {
+				k := item.Key{Kind: item.Service, Name: x.Service}
+				if service, ok := s.Get(k); ok && !given[k] {
+					given[k] = true
+					w.support = append(w.support, service)
 				}
 			}
 		}
-		for _, i := range put {
-			delete(need, i.Key)
-		}
-		put = append(put, lo.Values(need)...)
 	})
-	return put, ps
+	return w
 }
 
-// Current is what stands, with everything that was acknowledged before the call.
+// Current is what stands, with everything that was acknowledged or shown to a reader before
+// the call.
 func (n *Node) Current(ctx context.Context) (st State, err error) {
 	defer func() { n.counts.reads.note(false, err) }()
 	if err := n.Mesh.Sync(ctx); err != nil {
 		return st, err
 	}
-	n.Board.Items(func(s *item.Set) {
-		for i := range s.All() {
-			if i.Gone || err != nil {
-				continue
-			}
-			switch i.Kind {
-			case item.Route:
-				var r route.Route
-				r, err = route.FromItem(i)
-				st.Routes = append(st.Routes, r)
-			case item.Service:
-				var x route.Service
-				x, err = route.ServiceFromItem(i)
-				st.Services = append(st.Services, x)
-			case item.Limits:
-				var l route.Limits
-				l, err = route.LimitsFromItem(i)
-				st.Limits = &l
-			}
+	var all []item.Item
+	n.Board.Items(func(s *item.Set) { all = slices.Collect(s.All()) })
+	// What this answer shows must be shown by every later one: a majority is to hold it.
+	if err := n.secure(ctx, all); err != nil {
+		return st, err
+	}
+	for _, i := range all {
+		if i.Gone || err != nil {
+			continue
 		}
-	})
+		switch i.Kind {
+		case item.Route:
+			var r route.Route
+			r, err = route.FromItem(i)
+			st.Routes = append(st.Routes, r)
+		case item.Service:
+			var x route.Service
+			x, err = route.ServiceFromItem(i)
+			st.Services = append(st.Services, x)
+		case item.Limits:
+			var l route.Limits
+			l, err = route.LimitsFromItem(i)
+			st.Limits = &l
+		}
+	}
 	if err != nil {
 		return State{}, steperr.At("current", "", err)
 	}
--- a/internal/control/change_test.go
+++ b/internal/control/change_test.go
@@ -297,19 +297,30 @@
 	})
 }
 
+// A lower version changes nothing and is acknowledged. Another content under the version that
+// stands is refused, and so is one under an earlier version whose content is settled; the same
+// content is acknowledged again, also of an earlier version.
 func TestOlderVersionsChangeNothing(t *testing.T) {
 	each(t, func(w *world) {
 		w.order(base(3), w.minds)
 		w.order(Change{Routes: []route.Route{routeTo("r0", 7, "b")}, Drops: []Drop{{item.Route, "r1", 7}}}, w.minds)
+		w.order(Change{Routes: []route.Route{routeTo("r2", 5, "b")}}, w.minds)
+		w.order(Change{Routes: []route.Route{routeTo("r2", 9, "b")}}, w.minds)
 		for _, m := range w.minds {
 			old := routeTo("r0", 7, "a")
 			old.HoldMS = 1 + w.chance(1000)
-			for _, c := range []Change{{Routes: []route.Route{routeTo("r0", 6, "a"), routeTo("r1", 6, "a")}}, {Routes: []route.Route{old}}, {Routes: []route.Route{routeTo("r1", 7, "a")}},
-				{Drops: []Drop{{item.Route, "r0", 7}}}} {
+			for _, c := range []Change{{Routes: []route.Route{routeTo("r0", 6, "a"), routeTo("r1", 6, "a")}}, {Routes: []route.Route{routeTo("r2", 5, "b")}},
+				{Drops: []Drop{{item.Route, "r1", 7}}}, {Routes: []route.Route{routeTo("r0", 7, "b")}}, {Routes: []route.Route{routeTo("r2", 1, "a")}}} {
 				if ps, err := w.apply(m, c); len(ps) > 0 || err != nil {
 					t.Fatalf("%s: %v %v", m.id, ps, err)
 				}
 			}
+			for _, c := range []Change{{Routes: []route.Route{old}}, {Routes: []route.Route{routeTo("r1", 7, "a")}}, {Drops: []Drop{{item.Route, "r0", 7}}},
+				{Routes: []route.Route{routeTo("r2", 5, "a")}}, {Routes: []route.Route{routeTo("r2", 1, "b")}}, {Routes: []route.Route{routeTo("r0", 6, "b")}}} {
+				if ps, err := w.apply(m, c); len(ps) > 0 || !IsConflict(err) {
+					t.Fatalf("%s: another content of a settled version: %v %v", m.id, ps, err)
+				}
+			}
 		}
 		w.readBack(w.minds)
 		w.known(lo.Values(w.acked), w.flows)
@@ -321,6 +332,30 @@
 	})
 }
 
+// Of a call that is refused for a conflict nothing comes into force, whatever else it holds.
+func TestARefusedCallLeavesNothingInForce(t *testing.T) {
+	each(t, func(w *world) {
+		w.order(base(3), w.minds)
+		for _, m := range w.minds {
+			c := Change{Routes: []route.Route{routeTo("r0", 1, "b"), routeTo("r1", 50, "b"), routeTo("beside", 50, "b")}}
+			if ps, err := w.apply(m, c); len(ps) > 0 || !IsConflict(err) {
+				t.Fatalf("%s: %v %v", m.id, ps, err)
+			}
+		}
+		// Lower versions of the same names are free still, and find nothing of the call.
+		w.order(Change{Routes: []route.Route{routeTo("r1", 40, "a"), routeTo("beside", 40, "a")}}, w.minds)
+		time.Sleep(bound)
+		w.readBack(w.minds)
+		for _, x := range w.flows {
+			for _, name := range []string{"r1", "beside"} {
+				if i := x.item(item.Key{Kind: item.Route, Name: name}); i.Version != 40 {
+					t.Errorf("%s: %s is at version %d", x.id, name, i.Version)
+				}
+			}
+		}
+	})
+}
+
 func TestAMinorityAcknowledgesNothing(t *testing.T) {
 	each(t, func(w *world) {
 		w.order(base(3), w.minds)
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -261,7 +261,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, i := range is {
-		if old, ok := w.acked[i.Key]; !ok || i.Compare(old) > 0 {
+		old, ok := w.acked[i.Key]
+		if ok && i.Version == old.Version && content(i) != content(old) {
+			w.t.Errorf("two contents of %v at version %d were acknowledged", i.Key, i.Version)
+		}
+		if !ok || i.Version > old.Version {
 			w.acked[i.Key] = i
 		}
 	}
@@ -379,7 +383,7 @@
 	for k, i := range w.acked {
 		g, ok := got[k]
 		switch {
-		case i.Gone && ok && g.Version < i.Version:
+		case i.Gone && ok && g.Version <= i.Version:
 			w.t.Errorf("%v is back at version %d, dropped at %d", k, g.Version, i.Version)
 		case !i.Gone && (!ok || g.Version < i.Version):
 			w.t.Errorf("%v read back as version %d (%v), acknowledged %d", k, g.Version, ok, i.Version)
--- a/internal/item/item.go
+++ b/internal/item/item.go
@@ -18,6 +18,9 @@
 	Route Kind = iota + 1
 	Service
 	Limits
+	// Departure is the leaving of a target's run: its version is the run's state, which only
+	// rises. It is kept at the voters like other items, and is no part of the configuration.
+	Departure
 )
 
 // Key names one item.
@@ -44,6 +47,11 @@
 	return hex.EncodeToString(s[:8])
 }
 
+// Same tells whether two copies are of one version and one content.
+func (i Item) Same(o Item) bool {
+	return i.Key == o.Key && i.Version == o.Version && i.Gone == o.Gone && (i.Gone || bytes.Equal(i.Body, o.Body))
+}
+
 // Compare orders two copies of an item: by version, and where two operators gave
 // one version to two contents at once, by content, so that all copies end alike.
 func (i Item) Compare(o Item) int {
--- a/internal/quorum/mergecode.go
+++ b/internal/quorum/mergecode.go
@@ -22,8 +22,19 @@
 var errMergeForm = errors.New("not a merge item")
 
 // mergeKey is the disk key of a merge item.
-func mergeKey(k item.Key) string {
-	return mergePrefix + strconv.Itoa(int(k.Kind)) + "/" + k.Name
+func mergeKey(k item.Key) string { return keyUnder(mergePrefix, k) }
+
+// keyUnder is the disk key of an item in a key space.
+func keyUnder(prefix string, k item.Key) string {
+	return prefix + strconv.Itoa(int(k.Kind)) + "/" + k.Name
+}
+
+// keyOf reads what keyUnder wrote.
+func keyOf(prefix, key string) (item.Key, bool) {
+	rest, under := strings.CutPrefix(key, prefix)
+	kind, name, ok := strings.Cut(rest, "/")
+	n, err := strconv.ParseUint(kind, 10, 8)
+	return item.Key{Kind: item.Kind(n), Name: name}, under && ok && err == nil
 }
 
 // packMerge writes what the disk key does not say: the encoding's version, flags,
@@ -40,9 +51,8 @@
 
 // unpackMerge reads a merge item from its disk key and value.
 func unpackMerge(key string, b []byte) (it item.Item, err error) {
-	kind, name, ok := strings.Cut(strings.TrimPrefix(key, mergePrefix), "/")
-	n, err := strconv.ParseUint(kind, 10, 8)
-	if !ok || err != nil || !strings.HasPrefix(key, mergePrefix) {
+	k, ok := keyOf(mergePrefix, key)
+	if !ok {
 		return it, errMergeForm
 	}
 	if len(b) < 3 || b[0] != mergeForm || b[1]&^mergeGone != 0 {
@@ -52,7 +62,7 @@
 	if w <= 0 {
 		return it, errMergeForm
 	}
-	it.Key = item.Key{Kind: item.Kind(n), Name: name}
+	it.Key = k
 	it.Version, it.Gone = v, b[1] == mergeGone
 	if body := b[2+w:]; len(body) > 0 {
 		it.Body = body
--- a/internal/quorum/register.go
+++ b/internal/quorum/register.go
@@ -13,5 +13,9 @@
 	link.Pair[LiftAsk, LiftTold]()
 	link.Pair[MergeAsk, MergeTold]()
 	link.Pair[MergedAsk, MergedTold]()
+	link.Pair[OfferAsk, OfferTold]()
+	link.Pair[DecideAsk, DecideTold]()
+	link.Pair[TraceAsk, TraceTold]()
+	link.Pair[RecordsAsk, RecordsTold]()
 	link.Pair[HelloAsk, CoreTold]()
 }
--- a/internal/quorum/voter.go
+++ b/internal/quorum/voter.go
@@ -60,13 +60,17 @@
 	items  map[string]Item
 	keys   []string // sorted keys of items
 	merged map[item.Key]item.Item
-	taken  []item.Item // merge items new in this batch
-	core   Core
-	form   form
-	floor  map[string]string
-	puts   []storage.Put
-	after  []int
-	dead   error
+	// records are the item registers; bodiless are those that are being loaded and whose
+	// body stands with the merge item.
+	records  map[item.Key]record
+	bodiless []item.Key
+	taken    []item.Item // merge items new in this batch
+	core     Core
+	form     form
+	floor    map[string]string
+	puts     []storage.Put
+	after    []int
+	dead     error
 
 	mu   sync.RWMutex
 	view Core // copies of core and form, for others
@@ -86,7 +90,7 @@
 // disk is empty; onBad is told once when the disk fails.
 func NewVoter(me Seat, d storage.Disk, fresh string, l link.Line, fs *fault.Set, onBad func(error)) (*Voter, error) {
 	v := &Voter{me: me, disk: d, faults: fs, line: l, onBad: onBad,
-		cmds: make(chan *cmd, 4*maxBatch), items: map[string]Item{}, floor: map[string]string{}, merged: map[item.Key]item.Item{}}
+		cmds: make(chan *cmd, 4*maxBatch), items: map[string]Item{}, floor: map[string]string{}, merged: map[item.Key]item.Item{}, records: map[item.Key]record{}}
 	m, err := d.Load()
 	if err != nil {
 		return nil, steperr.At("load voter", "", err)
@@ -119,11 +123,16 @@
 			}
 		case strings.HasPrefix(k, mergePrefix):
 			err = v.loadMerge(k, b)
+		case strings.HasPrefix(k, recordPrefix):
+			err = v.loadRecord(k, b)
 		}
 		if err != nil {
 			return nil, steperr.At("load item "+k, "", err)
 		}
 	}
+	if err := v.completeRecords(); err != nil {
+		return nil, err
+	}
 	slices.Sort(v.keys)
 	v.view, v.cons = v.core, v.form
 	return v, nil
@@ -252,6 +261,10 @@
 	link.On(d, v.lift)
 	link.On(d, v.merge)
 	link.On(d, v.listMerged)
+	link.On(d, v.offer)
+	link.On(d, v.decide)
+	link.On(d, v.listRecords)
+	link.On(d, v.trace)
 }
 
 type (
--- a/internal/quorum/voterjoin.go
+++ b/internal/quorum/voterjoin.go
@@ -42,11 +42,14 @@
 	if c := v.Core(); c.Epoch >= a.Next.Epoch && v.seated(c) {
 		return JoinTold{OK: c.Epoch == a.Next.Epoch}, nil
 	}
-	all, merged := map[string]Item{}, map[item.Key]item.Item{}
+	all, merged, records := map[string]Item{}, map[item.Key]item.Item{}, map[item.Key]record{}
 	for _, s := range a.From {
 		if err := v.pull(ctx, s, a.Next.Epoch, all); err != nil {
 			return r, err
 		}
+		if err := v.pullRecords(ctx, s, a.Next.Epoch, records); err != nil {
+			return r, err
+		}
 		if err := v.pullMerged(ctx, s, a.Next.Epoch, merged); err != nil {
 			return r, err
 		}
@@ -63,6 +66,9 @@
 			}
 			v.set(k, it)
 		}
+		for k, held := range records {
+			v.setRecord(k, v.records[k].join(held))
+		}
 		for _, it := range merged {
 			v.take(it)
 		}
--- a/internal/quorum/votermerge.go
+++ b/internal/quorum/votermerge.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"slices"
 
 	"walkrudder/internal/item"
 	"walkrudder/internal/link"
@@ -57,10 +56,6 @@
 	return a.Compare(b) > 0
 }
 
-func compareKeys(a, b item.Key) int {
-	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
-}
-
 // checkMerge bounds one merge item.
 func checkMerge(it item.Item) error {
 	if len(it.Name) > maxMergeName || len(it.Body) > MaxValue {
@@ -92,6 +87,9 @@
 	v.merged[it.Key] = it
 	v.puts = append(v.puts, storage.Put{Key: mergeKey(it.Key), Value: packMerge(it)})
 	v.taken = append(v.taken, it)
+	if r, ok := v.records[it.Key]; ok {
+		v.setRecord(it.Key, r)
+	}
 }
 
 // merge takes what is newer than the copies held. Why an acknowledged item
@@ -147,13 +145,7 @@
 		r.OK = true
 		// Sorted here, for joins are rare and a sorted table would be paid for by
 		// every merge.
-		keys := make([]item.Key, 0, len(v.merged))
-		for k := range maps.Keys(v.merged) {
-			if compareKeys(k, a.After) > 0 {
-				keys = append(keys, k)
-			}
-		}
-		slices.SortFunc(keys, compareKeys)
+		keys := keysAfter(maps.Keys(v.merged), a.After)
 		n := 0
 		for _, k := range keys {
 			it := v.merged[k]
@@ -192,3 +184,17 @@
 		}
 	}
 }
+
+// Forget takes merge items off this disk. It is for kinds whose copies lose their worth
+// with time; a register's item must not go.
+func (v *Voter) Forget(ctx context.Context, keys []item.Key) error {
+	return v.do(ctx, func() {
+		for _, k := range keys {
+			if _, held := v.merged[k]; !held || v.records[k].Decision.Decided() {
+				continue
+			}
+			delete(v.merged, k)
+			v.puts = append(v.puts, storage.Put{Key: mergeKey(k)})
+		}
+	})
+}
