A model checker explores schedules of the real core, with planted faults

internal/sim/model plays voters, proposers, reconfigurers and the item path of control nodes (the product's own code) in a bubble where every message, sync, loss, repeat, crash in the middle of a sync, power loss, lost disk, cut, time-out and replacement is a step that a schedule chooses. Every schedule with few deviations from the usual one is played, and random ones beyond; a counterexample is shortened, printed as a list of steps and repeated by its deviations. Invariants: one content confirmed or shown for a version; nothing refused is shown; reads are never older than what was confirmed or read before; a confirmed leaving is not undone; at each step no core can be formed without what was confirmed; and all becomes well at the end.

Eight planted faults, each found: acknowledged before the sync; a joiner that votes before it pulled; one seat too few sealed; an emptied disk that keeps its seat; the digest decides; a promise not kept; a read that asks a node less; a note believed over a leaving. Without the fault the same schedules keep every invariant.

Reconfigurer.Step is what its loop did, and Shuffle a seam. A decision keeps the call it came by, so that a call is refused for a conflict though another call's item stands in both, and gets no clear answer only where a part of this very call may be in force.

--- a/internal/quorum/decision.go
+++ b/internal/quorum/decision.go
@@ -2,7 +2,11 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"slices"
+	"strings"
 
 	"walkrudder/internal/item"
 )
@@ -21,6 +25,9 @@
 // versions before it have (design 20.4).
 type Decision struct {
 	Item item.Item // of no kind where nothing was decided
+	// Call names the call that offered the item, by the digest of all that it held; "" is not
+	// known.
+	Call string
 	Past []PastVersion
 }
 
@@ -42,13 +49,13 @@
 	conflicting
 )
 
-// offer tells what becomes of the register when an item is offered to it.
-func (d Decision) offer(it item.Item) (Decision, verdict) {
+// offer tells what becomes of the register when a call offers an item to it.
+func (d Decision) offer(it item.Item, call string) (Decision, verdict) {
 	switch c := cmp.Compare(it.Version, d.Item.Version); {
 	case !d.Decided():
-		return Decision{Item: it}, taken
+		return Decision{Item: it, Call: call}, taken
 	case c > 0:
-		return Decision{Item: it, Past: withPast(d.Past, PastVersion{d.Item.Version, d.Item.Digest()})}, taken
+		return Decision{Item: it, Call: call, Past: withPast(d.Past, PastVersion{d.Item.Version, d.Item.Digest()})}, taken
 	case c == 0 && it.Same(d.Item):
 		return d, repeated
 	case c == 0:
@@ -64,7 +71,7 @@
 		// Older than all that is remembered: it changes nothing, whatever it holds.
 		return d, repeated
 	}
-	return Decision{Item: d.Item, Past: withPast(d.Past, PastVersion{it.Version, it.Digest()})}, overtaken
+	return Decision{Item: d.Item, Call: d.Call, Past: withPast(d.Past, PastVersion{it.Version, it.Digest()})}, overtaken
 }
 
 // withPast is past with one more version, without the oldest where that is too many.
@@ -77,12 +84,27 @@
 // under is the decision where an item is known to be decided: an older one that was only
 // accepted here gives way to it.
 func (d Decision) under(it item.Item) Decision {
-	if !d.Decided() || it.Version >= d.Item.Version {
-		d.Item = it
+	switch {
+	case d.Decided() && it.Version < d.Item.Version:
+		return d
+	case !d.Item.Same(it):
+		d.Call = ""
 	}
+	d.Item = it
 	return d
 }
 
+// callOf is the digest of all that a call holds, in whatever order.
+func callOf(items []item.Item) string {
+	lines := make([]string, 0, len(items))
+	for _, it := range items {
+		lines = append(lines, fmt.Sprintf("%d %q %d %s", it.Kind, it.Name, it.Version, it.Digest()))
+	}
+	slices.Sort(lines)
+	sum := sha256.Sum256([]byte(strings.Join(lines, "\n")))
+	return hex.EncodeToString(sum[:8])
+}
+
 // record is the state of one item's register at one voter.
 type record struct {
 	Promised Ballot
--- a/internal/quorum/decisioncode.go
+++ b/internal/quorum/decisioncode.go
@@ -41,6 +41,7 @@
 		b = binary.AppendUvarint(b, ballot.N)
 		b = appendText(b, ballot.By)
 	}
+	b = appendText(b, r.Decision.Call)
 	b = binary.AppendUvarint(b, r.Decision.Item.Version)
 	b = binary.AppendUvarint(b, uint64(len(r.Decision.Past)))
 	for _, p := range r.Decision.Past {
@@ -97,6 +98,7 @@
 	for _, ballot := range []*Ballot{&r.Promised, &r.Accepted} {
 		ballot.N, ballot.By = in.number(), in.text()
 	}
+	r.Decision.Call = in.text()
 	r.Decision.Item.Version = in.number()
 	past := in.number()
 	if in.bad || past > maxPast {
--- a/internal/quorum/handover.go
+++ b/internal/quorum/handover.go
@@ -86,7 +86,7 @@
 func (w *Reconfigurer) join(ctx context.Context, next Core, from source, s Seat) (int, error) {
 	cx, end := context.WithTimeout(ctx, joinTime)
 	defer end()
-	r, err := link.Ask[JoinTold](cx, w.Line, s.Addr, JoinAsk{Next: next, From: nearest(from, s)})
+	r, err := link.Ask[JoinTold](cx, w.Line, s.Addr, JoinAsk{Next: next, From: w.nearest(from, s)})
 	if err == nil && !r.OK {
 		err = steperr.New("join", s.ID, "stands at a later epoch than %d", next.Epoch)
 	}
@@ -173,9 +173,13 @@
 // nearest picks from whom s pulls: its own zone first, for what crosses zones is
 // paid for; the rest by chance, so that one that does not answer is passed by at
 // the next try.
-func nearest(f source, s Seat) []Seat {
+func (w *Reconfigurer) nearest(f source, s Seat) []Seat {
+	shuffle := w.Shuffle
+	if shuffle == nil {
+		shuffle = rand.Shuffle
+	}
 	all := slices.Clone(f.seats)
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	slices.SortStableFunc(all, func(a, b Seat) int {
 		return cmp.Compare(lo.Ternary(a.Zone == s.Zone, 0, 1), lo.Ternary(b.Zone == s.Zone, 0, 1))
 	})
--- a/internal/quorum/proposerdecide.go
+++ b/internal/quorum/proposerdecide.go
@@ -13,8 +13,9 @@
 	"walkrudder/internal/steperr"
 )
 
-// ErrPartly says that a change can neither be confirmed nor refused: another content of one
-// of its versions is settled, while another of its items may be in force.
+// ErrPartly says that a call can neither be confirmed nor refused: another content of one of
+// its versions is settled, while another item that came by this very call may be in force. That
+// takes two calls that share some names and not others, and a third one that finished a part.
 var ErrPartly = errors.New("a part of the change is overtaken by a conflicting one, another part may be in force")
 
 // ConflictError says that a version of an item has another content than the one given.
@@ -46,7 +47,7 @@
 	if len(items) > maxDecide {
 		return nil, steperr.New("decide", "", "%d items, limit %d", len(items), maxDecide)
 	}
-	r := decideRound{Proposer: p, items: items}
+	r := decideRound{Proposer: p, items: items, call: callOf(items)}
 	for _, it := range items {
 		r.keys = append(r.keys, it.Key)
 	}
@@ -73,6 +74,7 @@
 	*Proposer
 	items []item.Item
 	keys  []item.Key
+	call  string
 	over  uint64 // the highest number of a ballot met
 }
 
@@ -88,10 +90,10 @@
 	var conflict error
 	settled, mine := true, false
 	for i, h := range held {
-		next, v := h.Decision.offer(r.items[i])
+		next, v := h.Decision.offer(r.items[i], r.call)
 		decisions[i] = next
 		stands := h.Decision.Decided() && h.Decision.Item.Same(r.items[i])
-		settled, mine = settled && stands && h.Settled, mine || stands
+		settled, mine = settled && stands && h.Settled, mine || stands && h.Decision.Call == r.call
 		if v == conflicting && conflict == nil {
 			conflict = ConflictError{r.items[i].Key, r.items[i].Version}
 		}
--- a/internal/quorum/reconfigurer.go
+++ b/internal/quorum/reconfigurer.go
@@ -63,6 +63,8 @@
 	Clock   clock.Clock
 	Faults  *fault.Set
 	Log     *log.Logger
+	// Shuffle orders those from whom a joiner may pull; nil is by chance.
+	Shuffle func(n int, swap func(i, j int))
 
 	noted   map[string]time.Time // since when each seat's disk is known here
 	well    time.Time            // since when a majority is heard, zero if it is not
@@ -75,7 +77,6 @@
 
 // Run looks after the seats until ctx ends.
 func (w *Reconfigurer) Run(ctx context.Context) {
-	w.doubt = true
 	for {
 		at := w.Clock.Now()
 		if w.Clock.Sleep(ctx, lookEvery) != nil {
@@ -85,13 +86,16 @@
 			// It was this process that stood still.
 			w.well, w.noted = time.Time{}, nil
 		}
-		w.look(ctx)
+		w.Step(ctx)
 	}
 }
 
-// look decides from what was heard alone whether there is anything to do.
-func (w *Reconfigurer) look(ctx context.Context) {
+// Step looks once, decides from what was heard alone whether there is anything to do, and
+// does it. Run takes one each 300 ms.
+func (w *Reconfigurer) Step(ctx context.Context) {
 	v := w.view()
+	// One that begins does not know what those before it left undone.
+	w.doubt = w.doubt || w.noted == nil
 	w.note(v)
 	if v.core.Epoch == 0 || v.rank < 0 || v.seats < v.core.Quorum() {
 		w.well, w.need = time.Time{}, time.Time{}
--- a/internal/quorum/reconfigurer_test.go
+++ b/internal/quorum/reconfigurer_test.go
@@ -659,7 +659,7 @@
 			if err != nil {
 				continue
 			}
-			got := nearest(f, Seat{ID: "x"})
+			got := (&Reconfigurer{}).nearest(f, Seat{ID: "x"})
 			if len(got) < n-q+1 {
 				t.Errorf("%d of %d: pulls from %v", len(at), n, got)
 			}
@@ -676,7 +676,7 @@
 	f := source{[]Seat{{ID: "a", Zone: "1"}, {ID: "b", Zone: "2"}, {ID: "c", Zone: "3"}}, 2}
 	other := map[string]bool{}
 	for range 50 {
-		got := nearest(f, Seat{ID: "x", Zone: "2"})
+		got := (&Reconfigurer{}).nearest(f, Seat{ID: "x", Zone: "2"})
 		if got[0].ID != "b" {
 			t.Errorf("%v", got)
 		}
--- /dev/null
+++ b/internal/sim/model/node.go
@@ -0,0 +1,132 @@
+package model
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"walkrudder/internal/control"
+	"walkrudder/internal/link"
+	"walkrudder/internal/quorum"
+)
+
+// node is a machine with a disk and one process at most.
+type node struct {
+	w    *World
+	id   string
+	disk *disk
+	// notes are what its journal holds at each start.
+	notes [][]byte
+	lives int
+	// read is what the disk holds, as it was read after so many writes.
+	read   *quorum.Voter
+	readAt int
+
+	now atomic.Pointer[process] // nil where none runs
+	// keepsSeat is a planted fault: an emptied disk still says which seat it has.
+	keepsSeat bool
+}
+
+// process is one life of a node.
+type process struct {
+	control *control.Node
+	reconf  *quorum.Reconfigurer
+	ctx     context.Context
+	end     context.CancelFunc
+	stopped chan struct{}
+}
+
+func (n *node) up() bool { return n.now.Load() != nil }
+
+// voter is that of the present process, nil where none runs.
+func (n *node) voter() *quorum.Voter {
+	if p := n.now.Load(); p != nil {
+		return p.control.Voter
+	}
+	return nil
+}
+
+// boot starts a process on what the disk holds.
+func (n *node) boot() {
+	n.lives++
+	p := &process{stopped: make(chan struct{})}
+	p.ctx, p.end = context.WithCancel(n.w.ctx)
+	fresh := fmt.Sprintf("%s#%d", n.id, n.lives)
+	line := port{n.w, n, p.ctx}
+	clk := modelClock{n.w, n, p.ctx}
+	n.disk.calm = true
+	c, err := control.New(control.Parts{
+		Settings: control.Settings{ID: n.id, Zone: "z", Inner: n.id, Seeds: []string{n.id}, FaultsTolerated: n.w.tolerated(), First: n.lives == 1, BeatEvery: time.Second},
+		Inc:      uint64(n.lives), Fresh: fresh, Line: line, Clock: clk,
+		Disk: &handle{n.disk, n.w, n, p.ctx}, Notes: &notes{n.notes}, Log: quiet(), OnBad: func(error) {}})
+	if err != nil {
+		panic(err) // the model's own settings
+	}
+	n.disk.calm = false
+	p.control = c
+	seat := c.Voter.Seat()
+	p.reconf = &quorum.Reconfigurer{Heard: func() []quorum.Heard { return n.heard(seat) }, Prop: c.Prop, Line: line, Clock: clk, Shuffle: func(int, func(i, j int)) {}}
+	go func() {
+		defer close(p.stopped)
+		c.Voter.Run(p.ctx)
+	}()
+	n.now.Store(p)
+}
+
+func quiet() *log.Logger { return log.NewWithOptions(io.Discard, log.Options{Level: log.FatalLevel}) }
+
+// crash ends the process; of a sync under way so many values are kept.
+func (n *node) crash(kept int) {
+	p := n.now.Swap(nil)
+	if p == nil {
+		return
+	}
+	p.end()
+	<-p.stopped
+	n.disk.crash(kept)
+	n.w.forget(n.id)
+}
+
+// lose ends the process, and starts another on an empty disk.
+func (n *node) lose() {
+	n.crash(0)
+	if n.keepsSeat {
+		n.disk.wipeBut("disk", "owner", "core")
+	} else {
+		n.disk.wipe()
+	}
+	n.boot()
+}
+
+// heard is what this node heard of the others: all that run, just now.
+func (n *node) heard(own quorum.Seat) []quorum.Heard {
+	out := []quorum.Heard{{Seat: own}}
+	for _, o := range n.w.list {
+		v := o.voter()
+		if o == n || v == nil {
+			continue
+		}
+		ago := time.Millisecond
+		if n.w.cut(o.id, n.id) || n.w.cut(n.id, o.id) {
+			ago = time.Minute
+		}
+		out = append(out, quorum.Heard{Seat: v.Seat(), Ago: ago})
+	}
+	return out
+}
+
+// ask asks this node's own desk, without the network.
+func ask[R any](n *node, question any) R {
+	n.disk.calm = true
+	defer func() { n.disk.calm = false }()
+	p := n.now.Load()
+	answer, err := p.control.Desk.Answer(p.ctx, link.Who{ID: "model"}, question)
+	if err != nil {
+		panic(fmt.Sprintf("%s: %v", n.id, err)) // the model's own set-up
+	}
+	return answer.(R)
+}
--- /dev/null
+++ b/internal/sim/model/planted_test.go
@@ -0,0 +1,151 @@
+package model
+
+import (
+	"strings"
+	"testing"
+
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/target"
+	"walkrudder/internal/watch"
+)
+
+// seatOf is a node's seat, as it would tell it itself.
+func seatOf(w *World, id string) quorum.Seat { return w.nodes[id].voter().Seat() }
+
+// yes is the head of an answer that takes everything.
+func yes(w *World, id string) quorum.Told {
+	return quorum.Told{OK: true, Disk: seatOf(w, id).Disk}
+}
+
+// planted is a fault put into the world, and where it must show.
+type planted struct {
+	name     string
+	scenario Scenario
+	plant    func(w *World)
+	shows    string // a part of the invariant that it breaks
+}
+
+func plants() []planted {
+	ready := []target.Run{{ID: "i-1", Service: "s", Addr: "10.0.0.1:80", Zone: "z", Slots: 1, Seq: 5, State: target.Ready}}
+	race := []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Order("b", To(2, "b", "r"), "n2", "n3")}
+	twoLosses := []Actor{Script("losses", Order("a", To(2, "a", "r"), "n1"), Lose("n3"), Reconfigure("n1"), Lose("n2"), Reconfigure("n1"), Read("n1"))}
+	return []planted{
+		{"acknowledged before the sync", Scenario{Seats: 3, Budget: Budget{PowerOff: 1}, Actors: []Actor{Order("a", To(2, "a", "r"), "n1")}},
+			func(w *World) {
+				for _, n := range w.list {
+					n.disk.lies = true
+				}
+			}, "confirmed"},
+		{"a joiner votes before it pulled", Scenario{Seats: 3, Actors: twoLosses},
+			func(w *World) {
+				w.Tamper = func(_, _ string, ask any) (any, any, bool) {
+					if a, ok := ask.(quorum.JoinAsk); ok {
+						a.From = nil
+						ask = a
+					}
+					return ask, nil, false
+				}
+			}, "vote without"},
+		{"one seat too few is sealed", Scenario{Seats: 3, Spares: 1, Actors: []Actor{
+			Script("swap", TurnCut("n3"), Reconfigure("n1"), Split("n1", "n4"), Order("b", To(2, "b", "r"), "n3"), Order("a", To(2, "a", "r"), "n1"))}},
+			func(w *World) {
+				// n2 is taken for sealed, though it was not told.
+				w.Tamper = func(_, to string, ask any) (any, any, bool) {
+					if to != "n2" || w.ending {
+						return ask, nil, false
+					}
+					switch a := ask.(type) {
+					case quorum.SealAsk:
+						return ask, quorum.SealTold{Told: yes(w, to)}, true
+					case quorum.ListAsk:
+						a.Epoch = w.nodes[to].voter().Core().Epoch
+						return a, nil, false
+					case quorum.MergedAsk:
+						a.Epoch = w.nodes[to].voter().Core().Epoch
+						return a, nil, false
+					case quorum.RecordsAsk:
+						a.Epoch = w.nodes[to].voter().Core().Epoch
+						return a, nil, false
+					}
+					return ask, nil, false
+				}
+			}, "vote without"},
+		{"an emptied disk keeps its seat", Scenario{Seats: 3, Budget: Budget{Losses: 1, Wipes: 1}, Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2")}},
+			func(w *World) {
+				for _, n := range w.list {
+					n.keepsSeat = true
+				}
+			}, "vote without"},
+		{"the digest decides", Scenario{Seats: 3, Actors: race},
+			func(w *World) {
+				w.Tamper = func(_, to string, ask any) (any, any, bool) {
+					switch a := ask.(type) {
+					case quorum.OfferAsk:
+						return ask, quorum.OfferTold{Told: yes(w, to), Yes: true, Held: make([]quorum.HeldDecision, len(a.Keys))}, true
+					case quorum.DecideAsk:
+						return ask, quorum.DecideTold{Told: yes(w, to), Yes: true}, true
+					}
+					return ask, nil, false
+				}
+			}, "content"},
+		{"a promise is not kept", Scenario{Seats: 3, Budget: Budget{Losses: 2}, Actors: race},
+			func(w *World) {
+				w.Tamper = func(_, _ string, ask any) (any, any, bool) {
+					if a, ok := ask.(quorum.DecideAsk); ok {
+						a.Ballot.N += 1000
+						ask = a
+					}
+					return ask, nil, false
+				}
+			}, "content"},
+		{"a read asks a node less", Scenario{Seats: 3, Budget: Budget{Losses: 2}, Actors: []Actor{Script("a", Order("a", To(2, "a", "r"), "n2"), Read("n1"))}},
+			func(w *World) {
+				// n2 counts as heard out, though it tells nothing.
+				w.Tamper = func(from, to string, ask any) (any, any, bool) {
+					a, ok := ask.(watch.WatchAsk)
+					if !ok || from != "n1" || to != "n2" {
+						return ask, nil, false
+					}
+					me := watch.Member{ID: to, Kind: watch.Mind, Inner: to, Seat: seatOf(w, to)}
+					return ask, watch.WatchTold{Inc: 1, Seen: a.Seen, Votes: w.core().Epoch, Disk: me.Seat.Disk, Me: me}, true
+				}
+			}, "reads r"},
+		{"a note is believed over a leaving", Scenario{Seats: 3, Notes: ready, Actors: []Actor{Script("a", Leave("i-1", "n1"), PowerOff(), Read("n2"))}},
+			func(w *World) {
+				for _, n := range w.list {
+					n.disk.hides = "m/4/"
+				}
+			}, "holds run i-1 for ready"},
+	}
+}
+
+// Each planted fault is found, told as a short list of steps, and found again by its deviations;
+// without the fault the same schedules keep every invariant.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	const most = 4000
+	for _, p := range plants() {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			p.scenario.Name = p.name
+			sound := p.scenario
+			p.scenario.Plant = p.plant
+			got := Walks(bubble(t), p.scenario, 1, most)
+			if got.Found == nil {
+				t.Fatalf("not found in %d schedules", got.Schedules)
+			}
+			t.Logf("found in %d schedules, %d deviations, %d steps: %s", got.Schedules, len(got.Found.Deviations), len(got.Found.Steps), got.Found.Broken)
+			if !strings.Contains(got.Found.Broken, p.shows) {
+				t.Errorf("it shows as %q", got.Found.Broken)
+			}
+			if again := Replay(bubble(t), p.scenario, got.Found.Deviations); again == nil || again.Broken != got.Found.Broken {
+				t.Errorf("played again: %v", again)
+			}
+			if c := Walks(bubble(t), sound, 1, min(got.Schedules, 200)).Found; c != nil {
+				t.Errorf("without the fault: %s", c)
+			}
+			if c := Replay(bubble(t), sound, got.Found.Deviations); c != nil {
+				t.Errorf("the same schedule without the fault: %s", c)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/sim/model/scenarios.go
@@ -0,0 +1,33 @@
+package model
+
+import (
+	"walkrudder/internal/target"
+)
+
+// Scenarios are what the core is explored by. Each has the least that it takes to bring its
+// trouble about.
+func Scenarios() []Scenario {
+	ready := []target.Run{{ID: "i-1", Service: "s", Addr: "10.0.0.1:80", Zone: "z", Slots: 1, Seq: 5, State: target.Ready}}
+	return []Scenario{
+		{Name: "two contents of one version, 3 seats", Seats: 3, Budget: Budget{Losses: 2, Repeats: 1, Crashes: 1, PowerOff: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Order("b", To(2, "b", "r"), "n2", "n3")}},
+		{Name: "two contents of one version, 5 seats", Seats: 5, Budget: Budget{Losses: 2, Repeats: 1, Crashes: 2, PowerOff: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Order("b", To(2, "b", "r"), "n4", "n5")}},
+		{Name: "calls that share a name", Seats: 3, Budget: Budget{Losses: 2, Crashes: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r", "q"), "n1", "n3"), Order("b", To(2, "b", "q", "p"), "n2", "n1"), Order("c", To(2, "c", "r"), "n3", "n2")}},
+		{Name: "an older version beside a newer", Seats: 3, Budget: Budget{Losses: 2, Crashes: 1, PowerOff: 1},
+			Actors: []Actor{Order("new", To(5, "new", "r"), "n1", "n2"), Order("old", To(3, "old", "r"), "n2", "n3"), Order("other old", To(3, "other", "r"), "n3", "n1")}},
+		{Name: "reads beside a change", Seats: 3, Budget: Budget{Losses: 1, Crashes: 1, Cuts: 2, Wipes: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Read("n2"), Read("n3"), Read("n1")}},
+		{Name: "a disk lost beside a change", Seats: 3, Budget: Budget{Losses: 1, Wipes: 1, Crashes: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Reconfigure("n1"), Reconfigure("n2"), Read("n3")}},
+		{Name: "a seat passed on beside a race", Seats: 3, Spares: 1, Budget: Budget{Losses: 1, Crashes: 1, Cuts: 2, Delays: 2},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n4"), Order("b", To(2, "b", "r"), "n2", "n4"), Reconfigure("n1"), Reconfigure("n2"), Reconfigure("n4")}},
+		{Name: "a second loss after a replacement", Seats: 3, Spares: 2, Budget: Budget{Losses: 1, Crashes: 1, Cuts: 1, Wipes: 2, PowerOff: 1, Delays: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2", "n4"), Reconfigure("n1"), Reconfigure("n2"), Read("n4"), Reconfigure("n1")}},
+		{Name: "two disks lost of five", Seats: 5, Spares: 1, Budget: Budget{Losses: 1, Wipes: 2, PowerOff: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2", "n3"), Reconfigure("n1"), Reconfigure("n4"), Read("n5")}},
+		{Name: "a leaving beside losses", Seats: 3, Notes: ready, Budget: Budget{Losses: 1, Crashes: 1, PowerOff: 1, Wipes: 1},
+			Actors: []Actor{Leave("i-1", "n1", "n2", "n3"), Read("n2"), Reconfigure("n3"), Read("n3")}},
+	}
+}
--- /dev/null
+++ b/internal/sim/model/world.go
@@ -0,0 +1,421 @@
+package model
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"walkrudder/internal/item"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/target"
+)
+
+const (
+	// most is how many steps the explored part of a schedule has at most; after that it ends as
+	// usual.
+	most = 500
+	// mostEnd bounds the steps of the end, in which all must become well.
+	mostEnd = 2000
+	// settleTime is what passes at the end of a play, so that no goroutine stays behind.
+	settleTime = 10 * time.Second
+	// waitTime is longer than any wait for an answer, and than a try of a reconfigurer. At the
+	// end it passes each patientSteps steps.
+	waitTime     = 6 * time.Second
+	patientSteps = 150
+)
+
+// Budget is how much may go wrong in one schedule.
+type Budget struct {
+	Losses   int // messages lost
+	Repeats  int // questions that arrive twice
+	Crashes  int // processes killed, in the middle of a sync or not
+	PowerOff int // times at which all processes end together
+	Wipes    int // disks lost
+	Cuts     int // nodes cut off from all others, or joined again
+	Delays   int // times at which whoever waits for an answer has waited for too long
+}
+
+// Scenario is what a schedule is explored of.
+type Scenario struct {
+	Name   string
+	Seats  int // in the first core
+	Spares int // further nodes with a disk
+	Budget Budget
+	// Actors do what operators, readers, targets and reconfigurers do; each begins at once, or
+	// by a step of the schedule.
+	Actors []Actor
+	// Notes are what every node's journal of runs holds at each start.
+	Notes []target.Run
+	// Plant changes the world before it starts: a planted fault.
+	Plant func(w *World)
+}
+
+// Actor does something at nodes, one after the other.
+type Actor struct {
+	Name string
+	Do   func(w *World)
+}
+
+// World is one play of a scenario.
+type World struct {
+	scenario Scenario
+	ctx      context.Context
+	list     []*node
+	nodes    map[string]*node
+	history  *history
+	left     Budget
+	// patience ends when whoever is still at work gives up.
+	patience context.Context
+	giveUp   context.CancelFunc
+	// Tamper is a planted fault in the network.
+	Tamper Tamper
+
+	mu     sync.Mutex
+	now    time.Time
+	events []*event
+	fresh  []*event
+	lastID int
+	cuts   map[[2]string]bool
+	actors int // still at work
+	steps  []string
+	ending bool
+}
+
+func (w *World) tolerated() int { return (w.scenario.Seats - 1) / 2 }
+
+// play runs one schedule; it is to run in a bubble of testing/synctest. It tells the invariant
+// that was broken, if any, and the steps.
+func play(ctx context.Context, s Scenario, by Chooser) (broken string, steps []string) {
+	ctx, end := context.WithCancel(ctx)
+	w := &World{scenario: s, ctx: ctx, nodes: map[string]*node{}, history: newHistory(), left: s.Budget, now: time.Unix(1e9, 0), cuts: map[[2]string]bool{}}
+	w.patience, w.giveUp = context.WithCancel(ctx)
+	defer func() {
+		w.giveUp()
+		for _, n := range w.list {
+			n.crash(0)
+		}
+		end()
+		time.Sleep(settleTime)
+	}()
+	w.build()
+	w.begin(Order("base", base(), w.list[0].id))
+	if !w.drive() {
+		return "the first change is not acknowledged", w.steps
+	}
+	w.steps = nil
+	for _, a := range s.Actors {
+		w.begin(a)
+		w.quiesce()
+	}
+	for range most {
+		w.quiesce()
+		if w.inspect(); w.history.verdict() != "" {
+			return w.history.verdict(), w.steps
+		}
+		if !w.step(by) {
+			break
+		}
+	}
+	w.finish()
+	return w.history.verdict(), w.steps
+}
+
+// build starts the nodes and gives them their first core.
+func (w *World) build() {
+	var seats []quorum.Seat
+	for i := range w.scenario.Seats + w.scenario.Spares {
+		n := &node{w: w, id: fmt.Sprintf("n%d", i+1), disk: newDisk()}
+		for _, r := range w.scenario.Notes {
+			n.notes = append(n.notes, r.Record())
+		}
+		w.list = append(w.list, n)
+		w.nodes[n.id] = n
+	}
+	if w.scenario.Plant != nil {
+		w.scenario.Plant(w)
+	}
+	for i, n := range w.list {
+		n.boot()
+		if i < w.scenario.Seats {
+			seats = append(seats, n.voter().Seat())
+		}
+	}
+	core := quorum.Core{Epoch: 1, Seats: seats}
+	for _, seal := range []bool{false, true} {
+		for _, n := range w.list[:w.scenario.Seats] {
+			if r := ask[quorum.FormTold](n, quorum.FormAsk{By: "model", Core: core, Seal: seal}); !r.OK {
+				panic("the first core is refused") // the model's own set-up
+			}
+		}
+	}
+	for _, n := range w.list {
+		n.now.Load().control.Prop.Learn(core)
+	}
+}
+
+// begin has an actor start.
+func (w *World) begin(a Actor) {
+	w.mu.Lock()
+	w.actors++
+	w.mu.Unlock()
+	go func() {
+		a.Do(w)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.actors--
+	}()
+}
+
+// quiesce waits until nothing happens any more without a step.
+func (w *World) quiesce() {
+	synctest.Wait()
+	w.admit()
+}
+
+// idle tells whether all actors are through.
+func (w *World) idle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.actors == 0
+}
+
+// choice is one possible step.
+type choice struct {
+	label string
+	do    func()
+}
+
+// step takes the next step; false says that there is none, and nobody at work.
+func (w *World) step(by Chooser) bool {
+	all := w.choices()
+	if len(all) == 0 || w.idle() && len(w.waiting()) == 0 {
+		return false
+	}
+	c := all[by.Choose(len(all))]
+	w.mu.Lock()
+	w.steps = append(w.steps, c.label)
+	w.mu.Unlock()
+	c.do()
+	return true
+}
+
+// choices are the possible steps: first the events in their usual order, then what may go wrong.
+func (w *World) choices() (out []choice) {
+	events := w.waiting()
+	for _, e := range events {
+		out = append(out, choice{e.String(), func() { w.take(e); e.fire() }})
+	}
+	if w.ending || len(events) == 0 && w.idle() {
+		return out
+	}
+	for _, e := range events {
+		if w.left.Losses > 0 && e.lose != nil {
+			out = append(out, choice{"lost: " + e.String(), func() { w.left.Losses--; w.take(e); e.lose() }})
+		}
+		if w.left.Repeats > 0 && e.again != nil {
+			out = append(out, choice{"twice: " + e.String(), func() { w.left.Repeats--; e.again() }})
+		}
+	}
+	for _, n := range w.list {
+		out = append(out, w.troubles(n)...)
+	}
+	if w.left.Delays > 0 {
+		out = append(out, choice{"time-outs pass", func() { w.left.Delays--; time.Sleep(waitTime) }})
+	}
+	if w.left.PowerOff > 0 {
+		out = append(out, choice{"power off everywhere", func() { w.left.PowerOff--; w.powerOff(nil) }})
+		if w.left.Wipes > 0 {
+			for _, n := range w.list {
+				if w.bearsLoss(n) {
+					out = append(out, choice{"power off everywhere, disk of " + n.id + " lost", func() {
+						w.left.PowerOff--
+						w.left.Wipes--
+						w.powerOff(n)
+					}})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// troubles are what may happen to one node.
+func (w *World) troubles(n *node) (out []choice) {
+	if !n.up() {
+		return []choice{{n.id + " starts", n.boot}}
+	}
+	if w.left.Crashes > 0 {
+		kept := []int{0}
+		if k := n.disk.unsynced(); k > 0 {
+			kept = append(kept, k)
+		}
+		if k := n.disk.unsynced(); k > 1 {
+			kept = append(kept, k/2)
+		}
+		for _, k := range kept {
+			out = append(out, choice{fmt.Sprintf("%s ends, %d of %d values synced", n.id, k, n.disk.unsynced()), func() { w.left.Crashes--; n.crash(k) }})
+		}
+	}
+	if w.left.Wipes > 0 && w.bearsLoss(n) {
+		out = append(out, choice{n.id + " loses its disk and starts", func() { w.left.Wipes--; n.lose() }})
+	}
+	if w.left.Cuts > 0 {
+		out = append(out, choice{n.id + " is cut off, or joined again", func() { w.left.Cuts--; w.turnCut(n) }})
+	}
+	return out
+}
+
+// bearsLoss tells whether a disk may be lost now: no more seats may be without what they held
+// than are to be borne at once.
+func (w *World) bearsLoss(n *node) bool {
+	core := w.core()
+	lost := 0
+	for _, s := range core.Seats {
+		if _, votes := w.votes(core, s); !votes || s.ID == n.id {
+			lost++
+		}
+	}
+	return lost <= w.tolerated()
+}
+
+// powerOff ends every process, loses a disk, if any is named, and starts all again.
+func (w *World) powerOff(lost *node) {
+	for _, n := range w.list {
+		n.crash(0)
+	}
+	if lost != nil {
+		lost.disk.wipe()
+	}
+	for _, n := range w.list {
+		n.boot()
+	}
+}
+
+// turnCut cuts a node off from all others, or joins it.
+func (w *World) turnCut(n *node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range w.list {
+		for _, way := range [][2]string{{n.id, o.id}, {o.id, n.id}} {
+			if o != n {
+				w.cuts[way] = !w.cuts[way]
+			}
+		}
+	}
+}
+
+// split cuts a group of nodes from all others, and joins all other ways.
+func (w *World) split(group []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cuts = map[[2]string]bool{}
+	for _, a := range w.list {
+		for _, b := range w.list {
+			if slices.Contains(group, a.id) != slices.Contains(group, b.id) {
+				w.cuts[[2]string{a.id, b.id}] = true
+			}
+		}
+	}
+}
+
+// finish heals everything, has the core complete itself, and reads at every node. That no answer
+// comes then is a fault, too.
+func (w *World) finish() {
+	w.mu.Lock()
+	w.ending, w.cuts = true, map[[2]string]bool{}
+	w.mu.Unlock()
+	for _, n := range w.list {
+		if !n.up() {
+			n.boot()
+		}
+	}
+	w.giveUp()
+	if !w.drive() {
+		w.history.note("an actor does not give up")
+		return
+	}
+	w.patience, w.giveUp = context.WithCancel(w.ctx)
+	for round := 0; ; round++ {
+		for _, n := range w.list {
+			w.begin(Actor{"reconfigure at " + n.id, func(w *World) { w.reconfigure(n.id) }})
+			if !w.drive() {
+				w.history.note("%s does not come to an end with the core", n.id)
+				return
+			}
+		}
+		if w.complete() {
+			break
+		}
+		if round == 8 {
+			w.history.note("the core does not fill its seats")
+			return
+		}
+	}
+	for _, n := range w.list {
+		w.begin(Actor{"read at " + n.id, func(w *World) { w.read(n.id) }})
+		if !w.drive() {
+			w.history.note("%s does not answer a read though all is well", n.id)
+			return
+		}
+	}
+	w.inspect()
+}
+
+// drive takes the usual steps until all actors are through.
+func (w *World) drive() bool {
+	for n := range mostEnd {
+		w.quiesce()
+		if n%patientSteps == patientSteps-1 {
+			time.Sleep(waitTime)
+			w.quiesce()
+		}
+		if w.idle() {
+			return true
+		}
+		if !w.step(&Deviations{}) {
+			return w.idle()
+		}
+	}
+	return false
+}
+
+// complete tells whether every seat of the newest core votes.
+func (w *World) complete() bool {
+	core := w.core()
+	for _, s := range core.Seats {
+		n := w.nodes[s.ID]
+		if !n.up() || n.voter().Core().Epoch != core.Epoch || n.voter().Seat().Disk != s.Disk {
+			return false
+		}
+	}
+	return true
+}
+
+// core is the newest that any disk holds.
+func (w *World) core() (newest quorum.Core) {
+	for _, n := range w.list {
+		if v := n.voter(); v != nil && v.Core().Epoch > newest.Epoch {
+			newest = v.Core()
+		}
+	}
+	return newest
+}
+
+// inspect looks at what every node shows, and at what the disks of the core hold.
+func (w *World) inspect() {
+	for _, n := range w.list {
+		p := n.now.Load()
+		if p == nil {
+			continue
+		}
+		p.control.Board.Items(func(s *item.Set) {
+			for i := range s.All() {
+				w.history.show(n.id, i)
+			}
+		})
+	}
+	w.inspectDisks()
+}
