--- a/internal/sim/day/config.go
+++ b/internal/sim/day/config.go
@@ -38,7 +38,7 @@
 			if i.Kind != item.Route {
 				continue
 			}
-			c := copyOf{version: i.Version, gone: i.Gone, sent: o.Sent, acked: o.Acked, isAcked: o.Acknowledged, valid: o.Valid}
+			c := copyOf{version: i.Version, gone: i.Gone, sent: o.Sent, acked: o.Acked, isAcked: o.Acknowledged, valid: o.Valid && !o.lostRace()}
 			if x, err := route.FromItem(i); err == nil && !i.Gone {
 				for _, s := range x.Shares {
 					c.services = append(c.services, s.Service)
@@ -181,7 +181,7 @@
 	var sent []item.Item
 	for _, o := range r.Orders {
 		for _, i := range o.Items {
-			if o.Valid {
+			if o.Valid && !o.lostRace() {
 				sent = append(sent, i)
 			}
 			if old, ok := newest[i.Key]; o.Acknowledged && o.Valid && (!ok || i.Version > old.Version) {
@@ -209,6 +209,29 @@
 	return out
 }
 
+// OneContent: of a version of an item one content at most is acknowledged, the other order is
+// refused or gets no answer.
+func OneContent(r *Record) (out []Breach) {
+	type version struct {
+		key    item.Key
+		number uint64
+	}
+	acked := map[version]item.Item{}
+	for _, o := range r.Orders {
+		if !o.Acknowledged && !o.Lost {
+			continue
+		}
+		for _, i := range o.Items {
+			v := version{i.Key, i.Version}
+			if old, ok := acked[v]; ok && (old.Gone != i.Gone || !bytes.Equal(old.Body, i.Body)) {
+				out = append(out, Breach{"CONFIG", o.Acked, fmt.Sprintf("two contents of %v version %d were acknowledged", i.Key, i.Version)})
+			}
+			acked[v] = i
+		}
+	}
+	return out
+}
+
 // Acks: a proper order is acknowledged while the core is settled, and never refused.
 func Acks(r *Record) (out []Breach) {
 	t := newTouch(r)
@@ -216,6 +239,9 @@
 		if !o.Valid {
 			continue
 		}
+		if o.lostRace() && !o.Lost {
+			continue
+		}
 		if o.Refused {
 			out = append(out, Breach{"ACKS", o.Sent, fmt.Sprintf("a valid order of %s was refused", o.By)})
 			continue
--- a/internal/sim/day/operator.go
+++ b/internal/sim/day/operator.go
@@ -78,6 +78,11 @@
 		})
 		end()
 		switch {
+		case control.IsConflict(err):
+			w.note(func(*Record) { order.Refused = true })
+		case err == nil && len(ps) == 0 && w.losesAck():
+			w.note(func(*Record) { order.Lost = true })
+			continue
 		case err != nil:
 			t := time.NewTimer(pause)
 			select {
@@ -206,17 +211,7 @@
 	turn := some(w, w.minds(), len(w.minds()))
 	for n, until := 0, w.now()+3*w.Shape.Bounds.Contact; w.now() < until; n++ {
 		m := turn[n%len(turn)]
-		cx, end := context.WithTimeout(w.ctx, time.Second)
-		st, err := simnet.Do(cx, o.p, m.innerAddr(), func(cx context.Context, _ *simnet.Proc) (control.State, error) {
-			n := m.node()
-			if n == nil {
-				return control.State{}, net.ErrClosed
-			}
-			cx, end := context.WithTimeout(cx, 3*time.Second)
-			defer end()
-			return n.Current(cx)
-		})
-		end()
+		got, err := o.current(m)
 		if err != nil {
 			if errors.Is(err, context.Canceled) {
 				return
@@ -224,8 +219,34 @@
 			time.Sleep(200 * time.Millisecond)
 			continue
 		}
-		got := itemsOf(control.Change{Routes: st.Routes, Services: st.Services, Limits: st.Limits})
 		w.note(func(r *Record) { r.Read = got })
 		return
 	}
 }
+
+// current asks a machine for what stands, and waits for a second.
+func (o *operator) current(m *Machine) ([]item.Item, error) {
+	cx, end := context.WithTimeout(o.w.ctx, time.Second)
+	defer end()
+	st, err := simnet.Do(cx, o.p, m.innerAddr(), func(cx context.Context, _ *simnet.Proc) (control.State, error) {
+		n := m.node()
+		if n == nil {
+			return control.State{}, net.ErrClosed
+		}
+		cx, end := context.WithTimeout(cx, 3*time.Second)
+		defer end()
+		return n.Current(cx)
+	})
+	return itemsOf(control.Change{Routes: st.Routes, Services: st.Services, Limits: st.Limits}), err
+}
+
+// ask notes what a machine says that stands; one that can't be sure says nothing.
+func (o *operator) ask(m *Machine) {
+	from := o.w.now()
+	got, err := o.current(m)
+	if err != nil {
+		return
+	}
+	to := o.w.now()
+	o.w.note(func(r *Record) { r.Reads = append(r.Reads, ConfigRead{from, to, got}) })
+}
--- a/internal/sim/day/record.go
+++ b/internal/sim/day/record.go
@@ -87,10 +87,21 @@
 	Acknowledged bool
 	Acked        time.Duration
 	Refused      bool
+	// Contested says that another order has another content of one of its versions: one of the
+	// two is to be refused.
+	Contested bool
+	// Lost says that an acknowledgement of it did not reach the operator.
+	Lost bool
 	// Overtaken says that a higher version was sent before the acknowledgement.
 	Overtaken bool
 }
 
+// ConfigRead is an answer to an operator who asked for what stands.
+type ConfigRead struct {
+	From, To time.Duration
+	Items    []item.Item
+}
+
 // Leaving is a target's word that it leaves.
 type Leaving struct {
 	Run          string
@@ -152,6 +163,8 @@
 	Closing *Closing
 	// Read is what came back at the end of the day; nil is nothing.
 	Read []item.Item
+	// Reads are those during the day.
+	Reads []ConfigRead
 	// ReadAt is when the reading began.
 	ReadAt time.Duration
 }
@@ -162,3 +175,6 @@
 	At   time.Duration
 	What string
 }
+
+// lostRace tells whether another content of one of its versions is the one that counts.
+func (o *Order) lostRace() bool { return o.Contested && o.Refused }
--- a/internal/sim/day/rules_test.go
+++ b/internal/sim/day/rules_test.go
@@ -104,6 +104,24 @@
 			r.Orders = append(r.Orders, &Order{By: "op", Valid: true, Sent: at(98), Acknowledged: true, Acked: at(98.1), Items: []item.Item{gone}})
 		}},
 		"a valid order refused": {"ACKS", func(r *Record) { r.Orders[1].Refused = true }},
+		"two contents of one version": {"CONFIG", func(r *Record) {
+			o := *r.Orders[1]
+			o.Items = []item.Item{routeItem(5, "c")}
+			r.Orders = append(r.Orders, &o)
+		}},
+		"refused after a lost acknowledgement": {"ACKS", func(r *Record) {
+			r.Orders[1].Contested, r.Orders[1].Lost = true, true
+			o := *r.Orders[1]
+			o.Acknowledged, o.Refused = false, true
+			o.Items = []item.Item{routeItem(6, "c")}
+			r.Orders = append(r.Orders, &o)
+		}},
+		"a read that goes back": {"CONFIG", func(r *Record) {
+			r.Reads = []ConfigRead{{at(25), at(25.1), []item.Item{routeItem(5, "b")}}, {at(26), at(26.1), []item.Item{routeItem(1, "a")}}}
+		}},
+		"a read of another content": {"CONFIG", func(r *Record) {
+			r.Reads = []ConfigRead{{at(25), at(25.1), []item.Item{routeItem(5, "c")}}}
+		}},
 		"a valid order unheard": {"ACKS", func(r *Record) { r.Orders[0].Acked = at(6) }},
 		"too many more": {"BUDGET", func(r *Record) {
 			for range r.Bounds.BudgetSlack + 2 {
--- a/internal/sim/day/target.go
+++ b/internal/sim/day/target.go
@@ -35,6 +35,7 @@
 	conns   int
 	seq     uint64
 	home    string
+	unsaid  bool          // it says that it is gone, and serves on
 	by      string        // the machine that acknowledged the last call
 	leaving chan struct{} // closed when it begins to leave
 	drained chan struct{} // closed when that was acknowledged
@@ -86,6 +87,33 @@
 	t.kill()
 }
 
+// leaveUnsaid ends the run without a word before the end: it says that it is gone, serves on
+// for as long as one that drains, and ends.
+func (t *Target) leaveUnsaid() {
+	t.mu.Lock()
+	if t.state != target.Ready || t.unsaid {
+		t.mu.Unlock()
+		return
+	}
+	t.unsaid = true
+	t.mu.Unlock()
+	for range 6 {
+		if t.p.Dead() || t.tell(true) {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(t.w.Shape.Bounds.Drain + 4*time.Second)
+	t.kill()
+}
+
+// hushed tells whether it has said that it is gone.
+func (t *Target) hushed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unsaid
+}
+
 // beat tells the control plane of the run each second, and at once when it begins to
 // leave.
 func (t *Target) beat() {
@@ -106,6 +134,9 @@
 		if t.p.Dead() {
 			return
 		}
+		if t.hushed() {
+			return
+		}
 		leaving = t.now() == target.Draining
 		ok := t.tell(false)
 		wait = beatEvery*95/100 + t.w.within(beatEvery/10)
--- a/internal/sim/day/trouble_operators.go
+++ b/internal/sim/day/trouble_operators.go
@@ -1,6 +1,7 @@
 package day
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -40,6 +41,63 @@
 	}
 }
 
+// RaceOneVersion has two operators send n times two contents of one version of a route at once.
+func RaceOneVersion(n int) Trouble {
+	return func(w *World) {
+		a, b := w.operator(w.id("one")), w.operator(w.id("one"))
+		for range n {
+			name, v := fmt.Sprintf("x%d", w.chance(3)), w.nextVersion()
+			a.watch(name)
+			orders := []*operator{a, b}
+			services := []string{"orders", "archive"}
+			var wg sync.WaitGroup
+			for i, o := range orders {
+				x := w.added(name, v)
+				x.Shares = []route.Share{only(services[i])}
+				x.Source = []byte(services[i])
+				c := control.Change{Routes: []route.Route{x}}
+				order := o.begin(c, true)
+				w.note(func(*Record) { order.Contested = true })
+				wg.Go(func() { o.press(order, c, w.minds(), 1<<62) })
+			}
+			wg.Wait()
+			time.Sleep(w.within(time.Second))
+		}
+	}
+}
+
+// AcksLost loses a part of the acknowledgements to operators for a while, who send the same
+// again, to any machine.
+func AcksLost(part float64, d time.Duration) Trouble {
+	return For(d, func(w *World) func() {
+		set := func(part float64) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.ackLoss = part
+		}
+		set(part)
+		return func() { set(0) }
+	})
+}
+
+// losesAck tells whether an acknowledgement is lost now.
+func (w *World) losesAck() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ackLoss > 0 && w.rnd.Float64() < w.ackLoss
+}
+
+// Reads has an operator ask for what stands, n times, at any machine.
+func Reads(n int, pause time.Duration) Trouble {
+	return func(w *World) {
+		o := w.operator(w.id("asker"))
+		for range n {
+			o.ask(pick(w, w.minds()))
+			time.Sleep(pause/2 + w.within(pause))
+		}
+	}
+}
+
 // Storm sends changes in quick succession, without waiting.
 func Storm(n int) Trouble {
 	return func(w *World) {
--- a/internal/sim/day/trouble_targets.go
+++ b/internal/sim/day/trouble_targets.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// ScaleInUnsaid takes a part of a service's targets away that never say that they drain: they
+// say that they are gone, serve on, and end.
+func ScaleInUnsaid(service string, part float64) Trouble {
+	return func(w *World) {
+		each(share(w, w.herd.of(service), part), func(t *Target) { t.leaveUnsaid() })
+	}
+}
+
 // Faulty has a part of a service's targets behave by a fault.
 func Faulty(service string, part float64, f Fault, d time.Duration) Trouble {
 	return For(d, func(w *World) func() {
