--- /dev/null
+++ b/internal/control/price_test.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"walkrudder/internal/route"
+)
+
+// What an acknowledgement costs in calm, on the virtual clock: ways of 0.2 to 2 ms and syncs of
+// 0.2 to 3 ms. A change takes four round trips (what stands, promises, accepts, copies) and three
+// syncs, a leaving one of each.
+func TestAcknowledgementsTakeFewRoundTrips(t *testing.T) {
+	play(t, 21, small, func(w *world) {
+		w.order(base(10), w.minds)
+		var changes, leavings []time.Duration
+		for i := range 60 {
+			changes = append(changes, w.order(Change{Routes: []route.Route{routeTo("r0", uint64(10+i), "b")}}, mixed(w, w.minds)))
+			begun := time.Now()
+			if err := pick(w, w.minds).control().Leave(w.ctx, fmt.Sprintf("i-%d", i)); err != nil {
+				t.Fatal(err)
+			}
+			leavings = append(leavings, time.Since(begun))
+			time.Sleep(200 * time.Millisecond)
+		}
+		for _, x := range []struct {
+			what string
+			took []time.Duration
+			most time.Duration
+		}{{"change", changes, 40 * time.Millisecond}, {"leaving", leavings, 15 * time.Millisecond}} {
+			slices.Sort(x.took)
+			middle, last := x.took[len(x.took)/2], x.took[len(x.took)-1]
+			t.Logf("%s acknowledged after %v in the middle, %v at worst", x.what, middle.Round(10*time.Microsecond), last.Round(10*time.Microsecond))
+			if last > x.most {
+				t.Errorf("%s: %v, bound %v", x.what, last, x.most)
+			}
+		}
+	})
+}
