--- a/cmd/mind/build_test.go
+++ b/cmd/controller/build_test.go
@@ -12,12 +12,12 @@
 // The build command of README links both daemons to the C library as usual.
 func TestDaemonsAreLinkedToTheCLibrary(t *testing.T) {
 	dir := t.TempDir()
-	c := exec.Command("go", "build", "-o", dir+"/", "../flow", "../mind")
+	c := exec.Command("go", "build", "-o", dir+"/", "../gateway", "../controller")
 	c.Env = append(os.Environ(), "CGO_ENABLED=1")
 	if out, err := c.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	for _, n := range []string{"flow", "mind"} {
+	for _, n := range []string{"gateway", "controller"} {
 		f, err := elf.Open(filepath.Join(dir, n))
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/mind/main.go
+++ b/cmd/controller/main.go
@@ -1,4 +1,4 @@
-// Command mind is the control plane: it keeps the shared state, watches targets
+// Command controller is the control plane: it keeps the shared state, watches targets
 // and brings changes into force.
 package main
 
@@ -11,8 +11,8 @@
 	"github.com/charmbracelet/log"
 
 	"walkrudder/internal/clock"
+	"walkrudder/internal/controller"
 	"walkrudder/internal/link"
-	"walkrudder/internal/mind"
 	"walkrudder/internal/quorum"
 	"walkrudder/internal/shell"
 	"walkrudder/internal/startup"
@@ -29,16 +29,16 @@
 		os.Exit(show(os.Args[2:], os.Stdout, os.Stderr))
 	}
 	if len(os.Args) > 1 && os.Args[1] == "platform" {
-		os.Exit(platform.MindMain(os.Args[2:], os.Stdout, os.Stderr))
+		os.Exit(platform.ControllerMain(os.Args[2:], os.Stdout, os.Stderr))
 	}
-	var s startup.Mind
-	os.Exit(shell.Main(&s, "mind", os.Args[1:], os.Stdout, os.Stderr, func(ctx context.Context, lg *log.Logger) error { return run(ctx, lg, s) }))
+	var s startup.Controller
+	os.Exit(shell.Main(&s, "controller", os.Args[1:], os.Stdout, os.Stderr, func(ctx context.Context, lg *log.Logger) error { return run(ctx, lg, s) }))
 }
 
 // file is the name of the file in the data folder.
 const file = "items.db"
 
-func open(s startup.Mind, lg *log.Logger) (storage.Disk, error) {
+func open(s startup.Controller, lg *log.Logger) (storage.Disk, error) {
 	if s.Data == "" {
 		return nil, nil
 	}
@@ -51,7 +51,7 @@
 	return d, nil
 }
 
-func run(ctx context.Context, lg *log.Logger, s startup.Mind) error {
+func run(ctx context.Context, lg *log.Logger, s startup.Controller) error {
 	inner, err := shell.Listen("inner", s.Own())
 	if err != nil {
 		return err
@@ -64,10 +64,10 @@
 	if err != nil {
 		return err
 	}
-	line := link.NewTCP(link.Who{ID: s.ID, Kind: "mind"}, s.Bind, lg)
-	count := tally.New("mind")
+	line := link.NewTCP(link.Who{ID: s.ID, Kind: "controller"}, s.Bind, lg)
+	count := tally.New("controller")
 	bad := make(chan error, 1)
-	m, err := mind.New(mind.Parts{Startup: s, Inc: shell.Incarnation(), Fresh: shell.Fresh(), Line: line, Clock: clock.Wall{}, Disk: disk, Log: lg,
+	m, err := controller.New(controller.Parts{Startup: s, Inc: shell.Incarnation(), Fresh: shell.Fresh(), Line: line, Clock: clock.Wall{}, Disk: disk, Log: lg,
 		OnBad:  func(err error) { bad <- err },
 		WallMS: func() int64 { return time.Now().UnixMilli() }})
 	if errors.Is(err, quorum.ErrOwner) {
--- a/cmd/mind/say.go
+++ b/cmd/controller/say.go
@@ -18,23 +18,23 @@
 	"walkrudder/internal/voice"
 )
 
-// saying is what `mind say` takes.
+// saying is what `controller say` takes.
 type saying struct {
-	At    string   `arg:"--at,required" help:"door of a mind, IP:port"`
+	At    string   `arg:"--at,required" help:"door of a controller, IP:port"`
 	JSON  bool     `arg:"--json" help:"print the answer as JSON"`
 	Words []string `arg:"positional" help:"the query or command; without one, lines are read from standard input, up to the first that fails"`
 }
 
 // Description heads the help.
 func (saying) Description() string {
-	return "mind say speaks one query or command to a mind, or one a line. Say help to see what can be said."
+	return "controller say speaks one query or command to a controller, or one a line. Say help to see what can be said."
 }
 
-// say speaks to a mind: exit 0 when all was answered, 1 when something was
+// say speaks to a controller: exit 0 when all was answered, 1 when something was
 // refused or not reached, 2 for bad arguments.
 func say(args []string, in io.Reader, out, errw io.Writer) int {
 	var a saying
-	p, err := arg.NewParser(arg.Config{Program: "mind say"}, &a)
+	p, err := arg.NewParser(arg.Config{Program: "controller say"}, &a)
 	if err == nil {
 		err = p.Parse(args)
 	}
@@ -43,7 +43,7 @@
 		return 0
 	}
 	if err != nil {
-		_, _ = fmt.Fprintln(errw, "mind say:", err)
+		_, _ = fmt.Fprintln(errw, "controller say:", err)
 		return 2
 	}
 	if len(a.Words) > 0 {
@@ -57,12 +57,12 @@
 			continue
 		}
 		if code := a.one(l, out, errw); code != 0 {
-			_, _ = fmt.Fprintf(errw, "mind say: stopped at line %d: %s\n", n, l)
+			_, _ = fmt.Fprintf(errw, "controller say: stopped at line %d: %s\n", n, l)
 			return code
 		}
 	}
 	if err := sc.Err(); err != nil {
-		_, _ = fmt.Fprintln(errw, "mind say:", err)
+		_, _ = fmt.Fprintln(errw, "controller say:", err)
 		return 2
 	}
 	return 0
@@ -87,13 +87,13 @@
 func (a saying) one(text string, out, errw io.Writer) int {
 	r, err := client.Post("http://"+a.At+"/v1/say", "text/plain", strings.NewReader(text))
 	if err != nil {
-		_, _ = fmt.Fprintln(errw, "mind say:", err)
+		_, _ = fmt.Fprintln(errw, "controller say:", err)
 		return 1
 	}
 	defer r.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(r.Body, 256<<20))
 	if err != nil {
-		_, _ = fmt.Fprintln(errw, "mind say:", err)
+		_, _ = fmt.Fprintln(errw, "controller say:", err)
 		return 1
 	}
 	code := 0
@@ -102,7 +102,7 @@
 	}
 	var e struct{ Error string }
 	if code != 0 && json.Unmarshal(raw, &e) == nil && e.Error != "" {
-		_, _ = fmt.Fprintln(errw, "mind say:", e.Error)
+		_, _ = fmt.Fprintln(errw, "controller say:", e.Error)
 		return code
 	}
 	if a.JSON {
@@ -111,7 +111,7 @@
 	}
 	var v struct{ Data json.RawMessage }
 	if err := json.Unmarshal(raw, &v); err != nil {
-		_, _ = fmt.Fprintln(errw, "mind say:", err)
+		_, _ = fmt.Fprintln(errw, "controller say:", err)
 		return 1
 	}
 	table(v.Data, out)
--- a/cmd/mind/show.go
+++ b/cmd/controller/show.go
@@ -19,7 +19,7 @@
 	"walkrudder/internal/link"
 )
 
-// The lists that `mind show` knows.
+// The lists that `controller show` knows.
 const (
 	items    = "items"
 	runs     = "runs"
@@ -30,9 +30,9 @@
 
 var lists = []string{items, runs, members, disk, counters}
 
-// showing is what `mind show` takes.
+// showing is what `controller show` takes.
 type showing struct {
-	Node    string        `arg:"positional,required" placeholder:"NODE-ADDRESS" help:"inner address of a mind on the platform, IP:port"`
+	Node    string        `arg:"positional,required" placeholder:"NODE-ADDRESS" help:"inner address of a controller on the platform, IP:port"`
 	List    string        `arg:"positional,required" placeholder:"LIST" help:"items, runs, members, disk or counters"`
 	Service string        `arg:"--service" placeholder:"S" help:"runs of this service only"`
 	Prefix  string        `arg:"--prefix" placeholder:"P" help:"what begins so: items by name, or by host and path; runs by ID; counters by name"`
@@ -44,7 +44,7 @@
 
 // Description heads the help.
 func (showing) Description() string {
-	return "mind show asks a running mind of the platform what it knows. It changes nothing.\nExit code 0 when it was answered, 1 when it was not, 2 for bad arguments."
+	return "controller show asks a running controller of the platform what it knows. It changes nothing.\nExit code 0 when it was answered, 1 when it was not, 2 for bad arguments."
 }
 
 // check tells what is wrong with the arguments.
@@ -75,7 +75,7 @@
 // bad arguments.
 func show(args []string, out, errw io.Writer) int {
 	var a showing
-	p, err := arg.NewParser(arg.Config{Program: "mind show", Out: out}, &a)
+	p, err := arg.NewParser(arg.Config{Program: "controller show", Out: out}, &a)
 	if err == nil {
 		err = p.Parse(args)
 	}
@@ -87,7 +87,7 @@
 		err = a.check()
 	}
 	if err != nil {
-		_, _ = fmt.Fprintln(errw, "mind show:", err)
+		_, _ = fmt.Fprintln(errw, "controller show:", err)
 		return 2
 	}
 	l := link.NewTCP(link.Who{ID: "show", Kind: "tool"}, "", log.New(io.Discard))
@@ -114,7 +114,7 @@
 		err = rows[control.CounterRow](ctx, a, l, control.CountersAsk{Page: p, Prefix: a.Prefix}, out)
 	}
 	if err != nil {
-		_, _ = fmt.Fprintf(errw, "mind show: %s not told: %v\n", a.List, err)
+		_, _ = fmt.Fprintf(errw, "controller show: %s not told: %v\n", a.List, err)
 		return 1
 	}
 	return 0
--- a/cmd/flow/main.go
+++ b/cmd/gateway/main.go
@@ -1,4 +1,4 @@
-// Command flow is the data plane: it takes callers' requests and passes them to
+// Command gateway is the data plane: it takes callers' requests and passes them to
 // targets.
 package main
 
@@ -10,7 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"walkrudder/internal/clock"
-	"walkrudder/internal/flow"
+	"walkrudder/internal/gateway"
 	"walkrudder/internal/link"
 	"walkrudder/internal/passage"
 	"walkrudder/internal/shell"
@@ -21,13 +21,13 @@
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "platform" {
-		os.Exit(platform.FlowMain(os.Args[2:], os.Stdout, os.Stderr))
+		os.Exit(platform.GatewayMain(os.Args[2:], os.Stdout, os.Stderr))
 	}
-	var s startup.Flow
-	os.Exit(shell.Main(&s, "flow", os.Args[1:], os.Stdout, os.Stderr, func(ctx context.Context, lg *log.Logger) error { return run(ctx, lg, s) }))
+	var s startup.Gateway
+	os.Exit(shell.Main(&s, "gateway", os.Args[1:], os.Stdout, os.Stderr, func(ctx context.Context, lg *log.Logger) error { return run(ctx, lg, s) }))
 }
 
-func run(ctx context.Context, lg *log.Logger, s startup.Flow) error {
+func run(ctx context.Context, lg *log.Logger, s startup.Gateway) error {
 	inner, err := shell.Listen("inner", s.Own())
 	if err != nil {
 		return err
@@ -36,10 +36,10 @@
 	if err != nil {
 		return err
 	}
-	line := link.NewTCP(link.Who{ID: s.ID, Kind: "flow"}, s.Bind, lg)
+	line := link.NewTCP(link.Who{ID: s.ID, Kind: "gateway"}, s.Bind, lg)
 	courier := passage.NewHTTP(s.Bind)
-	count := tally.New("flow")
-	f := flow.New(flow.Parts{Startup: s, Inc: shell.Incarnation(), Line: line, Clock: clock.Wall{}, Courier: courier, Log: lg, Count: count.Add})
+	count := tally.New("gateway")
+	f := gateway.New(gateway.Parts{Startup: s, Inc: shell.Incarnation(), Line: line, Clock: clock.Wall{}, Courier: courier, Log: lg, Count: count.Add})
 	go line.Serve(inner, f.Desk)
 	life, end := context.WithCancel(context.Background())
 	fin := make(chan struct{})
--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -21,7 +21,7 @@
 )
 
 type args struct {
-	Bin   string        `arg:"--bin,required" help:"folder with the programs flow and mind"`
+	Bin   string        `arg:"--bin,required" help:"folder with the programs gateway and controller"`
 	Plan  string        `arg:"--plan" default:"alcazar" help:"alcazar or grachtwerk"`
 	Zone  string        `arg:"--zone" default:"z1" help:"the zone to take out"`
 	How   string        `arg:"--how" default:"kill" help:"kill, freeze or cut (its network, both ways)"`
@@ -80,7 +80,7 @@
 	case !hasZone(plan, a.Zone):
 		err = fmt.Errorf("--zone: %s has no zone %q", plan.Name, a.Zone)
 	}
-	for _, prog := range []string{"flow", "mind"} {
+	for _, prog := range []string{"gateway", "controller"} {
 		if err == nil {
 			if _, e := os.Stat(a.Bin + "/" + prog); e != nil {
 				err = fmt.Errorf("--bin: %w", e)
--- a/cmd/trial/main_test.go
+++ b/cmd/trial/main_test.go
@@ -11,7 +11,7 @@
 // What cannot be run is named, and costs no run.
 func TestBadArgumentsAreNamed(t *testing.T) {
 	bin := t.TempDir()
-	for _, p := range []string{"flow", "mind"} {
+	for _, p := range []string{"gateway", "controller"} {
 		if err := os.WriteFile(filepath.Join(bin, p), nil, 0o700); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -31,7 +31,7 @@
 // together is at most the larger one. It is nowhere needed that nodes live long, that
 // load is steady or that their clocks agree. A bound by the window that ends at t alone,
 // which looks enough, is not: further sends late in their own window and requests that
-// ebb and flow make up to twice the ratio.
+// ebb and gateway make up to twice the ratio.
 //
 // At a steady load the bound is all of share x ratio; half of it may be spent in one
 // instant, and a node that just came has half of it for what it saw.
--- a/internal/claim/circle.go
+++ b/internal/claim/circle.go
@@ -18,11 +18,11 @@
 	// tellTime bounds the wait for what the others know of a key.
 	tellTime = 100 * time.Millisecond
 	// flushEvery is how often ends of claims are passed on, and those that no disk
-	// has are handed to the minds.
+	// has are handed to the controllers.
 	flushEvery = 200 * time.Millisecond
 	// heirAfter is how long after the core's return those claims whose own node has
-	// not brought them to the disks are brought there by the others: minds first, for
-	// they are few and flows may have been killed together, then whoever is left.
+	// not brought them to the disks are brought there by the others: controllers first, for
+	// they are few and gateways may have been killed together, then whoever is left.
 	heirAfter = 300 * time.Millisecond
 	lastAfter = 1500 * time.Millisecond
 	// maxMarks bounds what a node remembers, maxBatch what it passes on at once.
@@ -52,7 +52,7 @@
 	// MarkAsk passes marks on.
 	MarkAsk struct{ Marks []Mark }
 	// MarkTold answers with the marks of other calls that stand under the same
-	// keys. Counts says that ID is a flow confirmed in its present run.
+	// keys. Counts says that ID is a gateway confirmed in its present run.
 	MarkTold struct {
 		ID     string
 		Counts bool
@@ -78,7 +78,7 @@
 
 // Circle is the nodes' common memory of claims: every claim is told to all. While
 // the core is there, the disks decide; while it is away, more than half of the
-// flows that count do, and what they decided is brought to the disks when the core
+// gateways that count do, and what they decided is brought to the disks when the core
 // is back (design 17.2).
 type Circle struct {
 	Me    string
@@ -91,9 +91,9 @@
 	Members, Mates func() []string
 	// Held: this node has a lease. Alone: it serves without the core.
 	Held, Alone func() bool
-	// Flows lists the flows that count; counts says that this node is a flow that
+	// Gateways lists the gateways that count; counts says that this node is a gateway that
 	// was confirmed in its present run.
-	Flows func() (ids []string, counts bool)
+	Gateways func() (ids []string, counts bool)
 
 	own  *owner.Owner
 	asks chan *query
@@ -116,7 +116,7 @@
 		if len(a.Marks) > 2*maxBatch {
 			return r, steperr.New("mark", "", "%d marks at once", len(a.Marks))
 		}
-		_, counts := c.Flows()
+		_, counts := c.Gateways()
 		return owner.Get(ctx, c.own, func() MarkTold { return c.hear(a.Marks, counts) })
 	})
 }
@@ -249,14 +249,14 @@
 type heard struct {
 	loose *Mark // another call's, which the disks do not have
 	any   *Mark // another call's
-	most  bool  // more than half of the flows that count have answered
+	most  bool  // more than half of the gateways that count have answered
 }
 
 // tell passes marks on to addrs and to this node's own memory, and waits for their
-// word: whether more than half of the flows that count gave it, and what stands in
+// word: whether more than half of the gateways that count gave it, and what stands in
 // the way.
 func (c *Circle) tell(ctx context.Context, addrs []string, ms []Mark) (most bool, others []Mark) {
-	flows, counts := c.Flows()
+	gateways, counts := c.Gateways()
 	cx, end := context.WithTimeout(ctx, tellTime)
 	defer end()
 	ch := make(chan MarkTold, len(addrs)+1)
@@ -276,7 +276,7 @@
 		}
 		others = append(others, r.Others...)
 	}
-	return 2*lo.CountBy(flows, func(f string) bool { return ids[f] }) > len(flows), others
+	return 2*lo.CountBy(gateways, func(f string) bool { return ids[f] }) > len(gateways), others
 }
 
 // Take claims a key for a call, or tells who has it; it tries until ctx ends.
@@ -295,7 +295,7 @@
 	}
 }
 
-// alone lets the flows decide.
+// alone lets the gateways decide.
 func (c *Circle) alone(ctx context.Context, m Mark) (TakeTold, error) {
 	h := c.ask(ctx, m, true)
 	switch {
@@ -303,7 +303,7 @@
 		c.release(ctx, m)
 		return TakeTold{State: h.any.state()}, nil
 	case !h.most:
-		return TakeTold{}, steperr.New("claim", "", "not more than half of the flows were heard")
+		return TakeTold{}, steperr.New("claim", "", "not more than half of the gateways were heard")
 	}
 	return TakeTold{OK: true, State: m.state()}, nil
 }
@@ -401,8 +401,8 @@
 		_ = c.own.Do(ctx, func() { c.since = time.Time{} })
 		return
 	}
-	_, flow := c.Flows()
-	after := lo.Ternary(flow, lastAfter, heirAfter)
+	_, gateway := c.Gateways()
+	after := lo.Ternary(gateway, lastAfter, heirAfter)
 	ms, _ := owner.Get(ctx, c.own, func() (ms []Mark) {
 		if c.since.IsZero() {
 			c.since = now
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -23,7 +23,7 @@
 	// Span is the length of one bucket of time. A key is remembered for at least
 	// one span and at most two.
 	Span = 10 * time.Minute
-	// skew is how far the minds' wall clocks may be apart: that near to a border
+	// skew is how far the controllers' wall clocks may be apart: that near to a border
 	// between buckets a key is claimed in both.
 	skew = time.Minute
 	// MaxKey bounds a caller's key.
--- a/internal/commands/beat.go
+++ b/internal/commands/beat.go
@@ -22,7 +22,7 @@
 }
 
 // Take hands a beat to the service's home in every zone; where none answers, to
-// this mind's own house. A leaving beat returns only once no flow elects the
+// this controller's own house. A leaving beat returns only once no gateway elects the
 // target.
 func (b *Beater) Take(ctx context.Context, t face.Beat) (registry.BeatTold, error) {
 	var mu sync.Mutex
--- a/internal/commands/change.go
+++ b/internal/commands/change.go
@@ -19,7 +19,7 @@
 
 // Order is an operator's wish to change the sheet.
 type Order struct {
-	// Base is the version the operator looked at; 0 does not mind.
+	// Base is the version the operator looked at; 0 does not controller.
 	Base *uint64 `json:"base,omitempty"`
 	// Token names the order, so that sending it again does not do it again.
 	Token string      `json:"token,omitempty" validate:"max=128"`
@@ -54,14 +54,14 @@
 
 // Changer carries orders out.
 type Changer struct {
-	Book   *ledger.Book
-	Roller *roll.Roller
-	Clock  clock.Clock
-	Mind   string
+	Book       *ledger.Book
+	Roller     *roll.Roller
+	Clock      clock.Clock
+	Controller string
 }
 
 // Change decides an order and brings it into force (design 8.1). "in force" is
-// said only when every flow has it or has lost its lease.
+// said only when every gateway has it or has lost its lease.
 func (c *Changer) Change(ctx context.Context, o Order) Result {
 	for try := 0; ; try++ {
 		f, err := c.Book.Refresh(ctx)
@@ -83,15 +83,15 @@
 		if o.Dry {
 			return Result{Outcome: Valid, Version: f.N}
 		}
-		ch := ledger.Change{N: f.N + 1, Token: o.Token, By: o.By, Note: o.Note, Mind: c.Mind, At: c.Book.WallMS(), Edits: o.Edits}
+		ch := ledger.Change{N: f.N + 1, Token: o.Token, By: o.By, Note: o.Note, Controller: c.Controller, At: c.Book.WallMS(), Edits: o.Edits}
 		if ch.N%ledger.Whole == 0 {
 			ch.Sheet = &s
 		}
 		if len(ledger.Encode(ch)) > quorum.MaxValue {
 			return Result{Outcome: Invalid, Version: f.N, Problems: []spec.Problem{{Path: "edits", Why: "too large in all"}}}
 		}
-		// What is decided closes every flow that confirms until it is in force. While
-		// the flows to bring it to are not known, as for a second after the core's
+		// What is decided closes every gateway that confirms until it is in force. While
+		// the gateways to bring it to are not known, as for a second after the core's
 		// return, it waits.
 		if _, err := c.Roller.Tenant.Table(ctx); err != nil {
 			if c.Clock.Sleep(ctx, tablePause) != nil {
--- a/internal/commands/drain.go
+++ b/internal/commands/drain.go
@@ -24,14 +24,14 @@
 	Faults *fault.Set
 
 	mu   sync.Mutex
-	done map[string]time.Time // by key: when every flow held it
+	done map[string]time.Time // by key: when every gateway held it
 }
 
 // maxDone bounds what is remembered of finished drains; a forgotten one is only
 // done again.
 const maxDone = 20000
 
-// Leave records that a target run is leaving and returns once no flow elects it
+// Leave records that a target run is leaving and returns once no gateway elects it
 // any more: each holds the word, or has lost its lease and learns it with its
 // next confirmation (design 12.3).
 func (d *Drainer) Leave(ctx context.Context, b face.Beat) error {
@@ -39,7 +39,7 @@
 	return d.run(ctx, ledger.LeavePrefix, t, ledger.Note{Kind: ledger.NoteLeave, Target: &t, Seq: b.Seq})
 }
 
-// Gone records that a target run is let go, and tells every flow.
+// Gone records that a target run is let go, and tells every gateway.
 func (d *Drainer) Gone(ctx context.Context, t ledger.Target, w float64, why string) error {
 	return d.run(ctx, ledger.GonePrefix, t, ledger.Note{Kind: ledger.NoteGone, Target: &t, W: w, Why: why})
 }
--- a/internal/commands/warden.go
+++ b/internal/commands/warden.go
@@ -36,7 +36,7 @@
 	missing = 6 * time.Second
 )
 
-// Warden does the duties that one mind does at a time: it notes suspicions, lets
+// Warden does the duties that one controller does at a time: it notes suspicions, lets
 // silent targets go, and keeps the core's seats filled. It acts only while it
 // holds the duty's lease; every step is safe should two overlap.
 type Warden struct {
@@ -100,7 +100,7 @@
 		}
 	}
 	// Beats may fail to reach those that are asked here. A target that answers the
-	// flows' own probes is not silent (design 10.7).
+	// gateways' own probes is not silent (design 10.7).
 	var views map[ledger.Target]registry.Watched
 	for _, x := range all {
 		t := ledger.Target{ID: x.Beat.ID, Service: x.Beat.Service, Inc: x.Beat.Inc}
@@ -142,13 +142,13 @@
 	return nil
 }
 
-// mark tells every mind's house; one that misses it shows the target a while
-// longer, and flows know better.
+// mark tells every controller's house; one that misses it shows the target a while
+// longer, and gateways know better.
 func (w *Warden) mark(ctx context.Context, t ledger.Target, suspect, gone bool) {
 	cx, end := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer end()
 	var wg sync.WaitGroup
-	for _, m := range w.Tenant.Kind("mind") {
+	for _, m := range w.Tenant.Kind("controller") {
 		wg.Go(func() {
 			_, _ = link.Ask[registry.MarkTold](cx, w.Line, m.Inner, registry.MarkAsk{Service: t.Service, ID: t.ID, Inc: t.Inc, Suspect: suspect, Gone: gone})
 		})
@@ -188,7 +188,7 @@
 	}
 	disks := map[string]membership.Member{}
 	var spare []membership.Member
-	for _, m := range w.Tenant.Kind("mind") {
+	for _, m := range w.Tenant.Kind("controller") {
 		if m.Disk.Disk == "" {
 			continue
 		}
@@ -232,7 +232,7 @@
 	if _, ok := core.Seat(in); ok {
 		return steperr.New("swap", in, "has a seat already")
 	}
-	if !slices.ContainsFunc(w.Tenant.Kind("mind"), func(m membership.Member) bool { return m.ID == in && m.Disk.Disk != "" }) {
+	if !slices.ContainsFunc(w.Tenant.Kind("controller"), func(m membership.Member) bool { return m.ID == in && m.Disk.Disk != "" }) {
 		return steperr.New("swap", in, "no such disk node has a lease now")
 	}
 	raw := ledger.Encode(wish{out, in})
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -60,30 +60,30 @@
 	return n.hold(ctx, r)
 }
 
-// nearFor is how long the list of the minds that may be given work is used for beats: there
+// nearFor is how long the list of the controllers that may be given work is used for beats: there
 // are hundreds of them a second, and who is near is only known to a second or so.
 const nearFor = 100 * time.Millisecond
 
 // nearby is that list, as it stood at a time.
 type nearby struct {
-	at    time.Time
-	minds []watch.Member
+	at          time.Time
+	controllers []watch.Member
 }
 
-// near are the minds that may be given work, as they stood just now.
+// near are the controllers that may be given work, as they stood just now.
 func (n *Node) near() []watch.Member {
 	now := n.Clock.Now()
 	if l := n.nearby.Load(); l != nil && now.Sub(l.at) < nearFor {
-		return l.minds
+		return l.controllers
 	}
 	l := &nearby{now, n.Mesh.Near()}
 	n.nearby.Store(l)
-	return l.minds
+	return l.controllers
 }
 
-// HomeMember is the mind to which later beats of a service's targets in a zone should
+// HomeMember is the controller to which later beats of a service's targets in a zone should
 // go: one of their own zone where there is one, by rendezvous, so that every node says
-// the same and few move when minds come and go.
+// the same and few move when controllers come and go.
 func (n *Node) HomeMember(service, zone string) (best watch.Member, ok bool) {
 	ms := n.near()
 	going := n.stop.Load() && len(ms) > 1
@@ -101,7 +101,7 @@
 	return best, ok
 }
 
-// score ranks a mind among those for a service's targets in a zone.
+// score ranks a controller among those for a service's targets in a zone.
 func score(service, zone, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/internal/control/change_test.go
+++ b/internal/control/change_test.go
@@ -24,15 +24,15 @@
 	}
 }
 
-// follows says which flows follow a mind now.
-func (w *world) following(m *mindHost) int {
-	return lo.CountBy(w.flows, func(x *flowHost) bool { return x.subscriber().Following().ID == m.id })
+// follows says which gateways follow a controller now.
+func (w *world) following(m *controllerHost) int {
+	return lo.CountBy(w.gateways, func(x *gatewayHost) bool { return x.subscriber().Following().ID == m.id })
 }
 
 // upset brings one fault about and says what heals it.
-func (w *world) upset() (what string, m *mindHost, heal func()) {
-	m = pick(w, w.minds)
-	others := lo.Without(w.minds, m)
+func (w *world) upset() (what string, m *controllerHost, heal func()) {
+	m = pick(w, w.controllers)
+	others := lo.Without(w.controllers, m)
 	switch w.chance(5) {
 	case 0:
 		m.kill()
@@ -44,7 +44,7 @@
 		for _, o := range others {
 			w.net.cut(m.addr, o.addr, true)
 		}
-		return "cut from the other minds", m, w.net.mend
+		return "cut from the other controllers", m, w.net.mend
 	case 3:
 		for _, o := range others {
 			w.net.cut(m.addr, o.addr, false)
@@ -60,13 +60,13 @@
 	return "wiped", m, func() { time.Sleep(6 * time.Second) }
 }
 
-func TestChangesReachEveryFlowInTime(t *testing.T) {
+func TestChangesReachEveryGatewayInTime(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(5), w.minds)
-		w.known(itemsOf(base(5)), w.flows)
+		w.order(base(5), w.controllers)
+		w.known(itemsOf(base(5)), w.gateways)
 		v := uint64(1)
 		// change lets two operators change the same and other routes at two nodes at once.
-		change := func(to []*mindHost) {
+		change := func(to []*controllerHost) {
 			done := make(chan []item.Item, 2)
 			for op := range 2 {
 				v += 1 + uint64(w.chance(3))
@@ -78,45 +78,45 @@
 				}()
 			}
 			for range 2 {
-				w.known(<-done, w.flows)
+				w.known(<-done, w.gateways)
 			}
 		}
 		for range 4 {
-			change(w.minds)
+			change(w.controllers)
 			time.Sleep(time.Duration(w.chance(1500)) * time.Millisecond)
 		}
 		for range 3 {
 			what, m, heal := w.upset()
 			w.t.Logf("%s %s, followed by %d", m.id, what, w.following(m))
 			time.Sleep(3 * time.Second)
-			rest := lo.Without(w.minds, m)
+			rest := lo.Without(w.controllers, m)
 			for range 3 {
 				change(rest)
 				time.Sleep(time.Duration(w.chance(700)) * time.Millisecond)
 			}
 			heal()
 			time.Sleep(4 * time.Second)
-			change(w.minds)
+			change(w.controllers)
 		}
 		time.Sleep(bound)
-		w.readBack(w.minds)
+		w.readBack(w.controllers)
 	})
 }
 
 // Without waiting for calm, changes must last and reach everybody in the end, and no
-// flow may go back (which every flow notes by itself).
-func TestNoFlowGoesBackInTrouble(t *testing.T) {
+// gateway may go back (which every gateway notes by itself).
+func TestNoGatewayGoesBackInTrouble(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(5), w.minds)
+		w.order(base(5), w.controllers)
 		v := uint64(1)
 		for range 4 {
 			what, m, heal := w.upset()
 			w.t.Logf("%s %s at %v", m.id, what, time.Now().Format("05.000"))
 			for range 4 {
 				v++
-				w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", w.chance(5)), v, "b")}}, mixed(w, w.minds))
+				w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", w.chance(5)), v, "b")}}, mixed(w, w.controllers))
 				if w.chance(3) == 0 {
-					x := pick(w, w.flows)
+					x := pick(w, w.gateways)
 					x.kill()
 					x.boot()
 				}
@@ -125,8 +125,8 @@
 			heal()
 		}
 		time.Sleep(5 * time.Second)
-		w.known(lo.Values(w.acked), w.flows)
-		w.readBack(w.minds)
+		w.known(lo.Values(w.acked), w.gateways)
+		w.readBack(w.controllers)
 	})
 }
 
@@ -135,22 +135,22 @@
 	name string
 	lose func(w *world)
 }{
-	{"every mind killed at once", func(w *world) {
-		for _, m := range w.minds {
+	{"every controller killed at once", func(w *world) {
+		for _, m := range w.controllers {
 			m.kill()
 		}
 	}},
 	{"as many disks lost as can be borne", func(w *world) {
-		for _, m := range mixed(w, disked(w.minds))[:w.bear] {
+		for _, m := range mixed(w, disked(w.controllers))[:w.bear] {
 			m.kill()
 			m.disk.wipe()
 		}
 	}},
-	{"every mind killed and disks lost", func(w *world) {
-		for _, m := range w.minds {
+	{"every controller killed and disks lost", func(w *world) {
+		for _, m := range w.controllers {
 			m.kill()
 		}
-		for _, m := range mixed(w, disked(w.minds))[:w.bear] {
+		for _, m := range mixed(w, disked(w.controllers))[:w.bear] {
 			m.disk.wipe()
 		}
 	}},
@@ -161,28 +161,28 @@
 		l := losses[seed%len(losses)]
 		t.Run(fmt.Sprintf("seed=%d/%s", seed, l.name), func(t *testing.T) {
 			play(t, uint64(seed), lo.Ternary(seed%2 == 1, large, small), func(w *world) {
-				w.order(base(20), w.minds)
+				w.order(base(20), w.controllers)
 				for v := range uint64(5) {
-					w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", v), v+2, "b")}, Drops: []Drop{{item.Route, fmt.Sprintf("r%d", v+10), v + 2}}}, mixed(w, w.minds))
+					w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", v), v+2, "b")}, Drops: []Drop{{item.Route, fmt.Sprintf("r%d", v+10), v + 2}}}, mixed(w, w.controllers))
 				}
 				l.lose(w)
 				time.Sleep(time.Duration(w.chance(500)) * time.Millisecond)
-				for _, m := range w.minds {
+				for _, m := range w.controllers {
 					if m.up() == nil {
 						m.boot()
 					}
 				}
-				w.readBack(w.minds)
+				w.readBack(w.controllers)
 				// A second loss, once the first is made good.
 				time.Sleep(6 * time.Second)
-				m := pick(w, disked(w.minds))
+				m := pick(w, disked(w.controllers))
 				m.kill()
 				m.disk.wipe()
 				m.boot()
-				w.readBack(w.minds)
-				w.order(Change{Routes: []route.Route{routeTo("late", 1, "a")}}, w.minds)
+				w.readBack(w.controllers)
+				w.order(Change{Routes: []route.Route{routeTo("late", 1, "a")}}, w.controllers)
 				time.Sleep(4 * time.Second)
-				w.known(lo.Values(w.acked), w.flows)
+				w.known(lo.Values(w.acked), w.gateways)
 			})
 		})
 	}
@@ -191,11 +191,11 @@
 func TestSeedsAreExchanged(t *testing.T) {
 	for seed := range *seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			play(t, uint64(seed), shape{zones: 3, disks: 3, others: 3, flows: 6, bear: 1}, func(w *world) {
-				w.order(base(10), w.minds)
-				old := append([]*mindHost(nil), w.minds[:3]...)
+			play(t, uint64(seed), shape{zones: 3, disks: 3, others: 3, gateways: 6, bear: 1}, func(w *world) {
+				w.order(base(10), w.controllers)
+				old := append([]*controllerHost(nil), w.controllers[:3]...)
 				for i, o := range old {
-					m := w.addMind(fmt.Sprintf("n%d", i), o.zone, true)
+					m := w.addController(fmt.Sprintf("n%d", i), o.zone, true)
 					w.mu.Lock()
 					w.seeds = append(lo.Without(w.seeds, o.addr), m.addr)
 					w.mu.Unlock()
@@ -204,27 +204,27 @@
 					for _, x := range w.alive() {
 						x.control().SetSeeds(w.seedList())
 					}
-					for _, x := range w.flows {
+					for _, x := range w.gateways {
 						x.subscriber().SetSeeds(w.seedList())
 					}
 					time.Sleep(time.Duration(500+w.chance(1500)) * time.Millisecond)
 					o.kill()
-					w.minds = lo.Without(w.minds, o)
+					w.controllers = lo.Without(w.controllers, o)
 					time.Sleep(4 * time.Second)
-					w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", i), uint64(i+2), "b")}}, w.minds)
-					w.known(lo.Values(w.acked), w.flows)
+					w.order(Change{Routes: []route.Route{routeTo(fmt.Sprintf("r%d", i), uint64(i+2), "b")}}, w.controllers)
+					w.known(lo.Values(w.acked), w.gateways)
 				}
 				time.Sleep(bound)
-				w.readBack(w.minds)
-				c := w.minds[0].control().core()
-				if lo.SomeBy(old, func(o *mindHost) bool { _, ok := c.Seat(o.id); return ok }) {
-					t.Errorf("a mind that is gone still has a seat: %+v", c)
+				w.readBack(w.controllers)
+				c := w.controllers[0].control().core()
+				if lo.SomeBy(old, func(o *controllerHost) bool { _, ok := c.Seat(o.id); return ok }) {
+					t.Errorf("a controller that is gone still has a seat: %+v", c)
 				}
-				// A flow that starts now finds its way by the new seeds alone.
-				x := w.flows[0]
+				// A gateway that starts now finds its way by the new seeds alone.
+				x := w.gateways[0]
 				x.kill()
 				x.boot()
-				w.await("flow that starts by the new seeds", 3*time.Second, func() bool { return x.subscriber().Synced() })
+				w.await("gateway that starts by the new seeds", 3*time.Second, func() bool { return x.subscriber().Synced() })
 			})
 		})
 	}
@@ -232,7 +232,7 @@
 
 func TestInvalidChangesLeaveNoTrace(t *testing.T) {
 	play(t, 1, small, func(w *world) {
-		w.order(base(3), w.minds)
+		w.order(base(3), w.controllers)
 		mark := "trace-of-an-invalid-change"
 		with := func(f func(*route.Route)) Change {
 			r := routeTo("bad", 5, "a")
@@ -252,7 +252,7 @@
 			"nameless drop": {Services: []route.Service{service("c-"+mark, 5)}, Drops: []Drop{{item.Route, "", 9}}},
 		}
 		for name, c := range bad {
-			for _, m := range w.minds {
+			for _, m := range w.controllers {
 				ps, err := w.apply(m, c)
 				if len(ps) == 0 || err != nil {
 					t.Errorf("%s at %s: problems %v, error %v", name, m.id, ps, err)
@@ -260,7 +260,7 @@
 			}
 		}
 		time.Sleep(5 * time.Second)
-		for _, m := range w.minds {
+		for _, m := range w.controllers {
 			if m.disk != nil && m.disk.holds(mark) {
 				t.Errorf("%s keeps an invalid change", m.id)
 			}
@@ -273,23 +273,23 @@
 				}
 			})
 		}
-		w.readBack(w.minds)
+		w.readBack(w.controllers)
 	})
 }
 
 // A view that is old must neither refuse what is valid nor take what is not.
 func TestChangesAreCheckedAgainstAllThatWasAcknowledged(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(3), w.minds)
-		a, b := w.minds[0], w.minds[1]
+		w.order(base(3), w.controllers)
+		a, b := w.controllers[0], w.controllers[1]
 		for v := uint64(2); v < 20; v++ {
 			name := fmt.Sprintf("s%d", v)
-			w.order(Change{Services: []route.Service{service(name, v)}}, []*mindHost{a})
+			w.order(Change{Services: []route.Service{service(name, v)}}, []*controllerHost{a})
 			// Right after the acknowledgement, at another node.
 			if ps, err := w.apply(b, Change{Routes: []route.Route{routeTo("on-"+name, v, name)}}); len(ps) > 0 || err != nil {
 				t.Fatalf("refused for an old view: %v %v", ps, err)
 			}
-			w.order(Change{Drops: []Drop{{item.Route, "on-" + name, v + 1}, {item.Service, name, v + 1}}}, []*mindHost{a})
+			w.order(Change{Drops: []Drop{{item.Route, "on-" + name, v + 1}, {item.Service, name, v + 1}}}, []*controllerHost{a})
 			if ps, err := w.apply(b, Change{Routes: []route.Route{routeTo("again-"+name, v, name)}}); len(ps) == 0 || err != nil {
 				t.Fatalf("taken for an old view: %v %v", ps, err)
 			}
@@ -302,11 +302,11 @@
 // content is acknowledged again, also of an earlier version.
 func TestOlderVersionsChangeNothing(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(3), w.minds)
-		w.order(Change{Routes: []route.Route{routeTo("r0", 7, "b")}, Drops: []Drop{{item.Route, "r1", 7}}}, w.minds)
-		w.order(Change{Routes: []route.Route{routeTo("r2", 5, "b")}}, w.minds)
-		w.order(Change{Routes: []route.Route{routeTo("r2", 9, "b")}}, w.minds)
-		for _, m := range w.minds {
+		w.order(base(3), w.controllers)
+		w.order(Change{Routes: []route.Route{routeTo("r0", 7, "b")}, Drops: []Drop{{item.Route, "r1", 7}}}, w.controllers)
+		w.order(Change{Routes: []route.Route{routeTo("r2", 5, "b")}}, w.controllers)
+		w.order(Change{Routes: []route.Route{routeTo("r2", 9, "b")}}, w.controllers)
+		for _, m := range w.controllers {
 			old := routeTo("r0", 7, "a")
 			old.HoldMS = 1 + w.chance(1000)
 			for _, c := range []Change{{Routes: []route.Route{routeTo("r0", 6, "a"), routeTo("r1", 6, "a")}}, {Routes: []route.Route{routeTo("r2", 5, "b")}},
@@ -322,9 +322,9 @@
 				}
 			}
 		}
-		w.readBack(w.minds)
-		w.known(lo.Values(w.acked), w.flows)
-		for _, x := range w.flows {
+		w.readBack(w.controllers)
+		w.known(lo.Values(w.acked), w.gateways)
+		for _, x := range w.gateways {
 			if i := x.item(item.Key{Kind: item.Route, Name: "r0"}); i.Gone || i.Version != 7 {
 				t.Errorf("%s took an older version: %+v", x.id, i)
 			}
@@ -335,18 +335,18 @@
 // Of a call that is refused for a conflict nothing comes into force, whatever else it holds.
 func TestARefusedCallLeavesNothingInForce(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(3), w.minds)
-		for _, m := range w.minds {
+		w.order(base(3), w.controllers)
+		for _, m := range w.controllers {
 			c := Change{Routes: []route.Route{routeTo("r0", 1, "b"), routeTo("r1", 50, "b"), routeTo("beside", 50, "b")}}
 			if ps, err := w.apply(m, c); len(ps) > 0 || !IsConflict(err) {
 				t.Fatalf("%s: %v %v", m.id, ps, err)
 			}
 		}
 		// Lower versions of the same names are free still, and find nothing of the call.
-		w.order(Change{Routes: []route.Route{routeTo("r1", 40, "a"), routeTo("beside", 40, "a")}}, w.minds)
+		w.order(Change{Routes: []route.Route{routeTo("r1", 40, "a"), routeTo("beside", 40, "a")}}, w.controllers)
 		time.Sleep(bound)
-		w.readBack(w.minds)
-		for _, x := range w.flows {
+		w.readBack(w.controllers)
+		for _, x := range w.gateways {
 			for _, name := range []string{"r1", "beside"} {
 				if i := x.item(item.Key{Kind: item.Route, Name: name}); i.Version != 40 {
 					t.Errorf("%s: %s is at version %d", x.id, name, i.Version)
@@ -358,11 +358,11 @@
 
 func TestAMinorityAcknowledgesNothing(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(3), w.minds)
-		core := w.minds[0].control().core()
-		voters := lo.Filter(w.minds, func(m *mindHost, _ int) bool { _, ok := core.Seat(m.id); return ok })
+		w.order(base(3), w.controllers)
+		core := w.controllers[0].control().core()
+		voters := lo.Filter(w.controllers, func(m *controllerHost, _ int) bool { _, ok := core.Seat(m.id); return ok })
 		few := mixed(w, voters)[:core.Quorum()-1]
-		rest := lo.Filter(w.minds, func(m *mindHost, _ int) bool { return !lo.Contains(few, m) })
+		rest := lo.Filter(w.controllers, func(m *controllerHost, _ int) bool { return !lo.Contains(few, m) })
 		for _, a := range few {
 			for _, b := range rest {
 				w.net.cut(a.addr, b.addr, true)
@@ -394,12 +394,12 @@
 			}
 		}
 		w.order(Change{Routes: []route.Route{routeTo("r1", 50, "b")}}, rest)
-		w.known(itemsOf(Change{Routes: []route.Route{routeTo("r1", 50, "b")}}), w.flows)
+		w.known(itemsOf(Change{Routes: []route.Route{routeTo("r1", 50, "b")}}), w.gateways)
 		time.Sleep(bound)
 		w.net.mend()
 		time.Sleep(3 * time.Second)
-		w.readBack(w.minds)
-		for _, m := range w.minds {
+		w.readBack(w.controllers)
+		for _, m := range w.controllers {
 			if !m.control().Ready() {
 				t.Errorf("%s is not ready after the cut", m.id)
 			}
@@ -407,26 +407,26 @@
 	})
 }
 
-func TestMembersAndFlowsAreCounted(t *testing.T) {
+func TestMembersAndGatewaysAreCounted(t *testing.T) {
 	play(t, 3, small, func(w *world) {
 		time.Sleep(6 * time.Second)
-		for _, m := range w.minds {
+		for _, m := range w.controllers {
 			v := m.control().View()
-			if len(v.Minds) != len(w.minds)-1 || v.Flows != len(w.flows) || !v.Fresh || v.Core.Epoch != 1 {
-				t.Errorf("%s sees %d minds, %d flows, fresh %v, epoch %d", m.id, len(v.Minds), v.Flows, v.Fresh, v.Core.Epoch)
+			if len(v.Controllers) != len(w.controllers)-1 || v.Gateways != len(w.gateways) || !v.Fresh || v.Core.Epoch != 1 {
+				t.Errorf("%s sees %d controllers, %d gateways, fresh %v, epoch %d", m.id, len(v.Controllers), v.Gateways, v.Fresh, v.Core.Epoch)
 			}
 		}
-		for _, x := range w.flows {
-			all, near := x.subscriber().Flows()
-			if want := lo.CountBy(w.flows, func(o *flowHost) bool { return o.zone == x.zone }); all != len(w.flows) || near != want {
-				t.Errorf("%s is told of %d flows, %d in its zone", x.id, all, near)
+		for _, x := range w.gateways {
+			all, near := x.subscriber().Gateways()
+			if want := lo.CountBy(w.gateways, func(o *gatewayHost) bool { return o.zone == x.zone }); all != len(w.gateways) || near != want {
+				t.Errorf("%s is told of %d gateways, %d in its zone", x.id, all, near)
 			}
 			if z := x.subscriber().Following().Zone; z != x.zone {
-				t.Errorf("%s follows a mind in %s", x.id, z)
+				t.Errorf("%s follows a controller in %s", x.id, z)
 			}
 		}
 		// All say the same home, of the target's zone.
-		homes := lo.Map(w.minds, func(m *mindHost, _ int) watch.Member {
+		homes := lo.Map(w.controllers, func(m *controllerHost, _ int) watch.Member {
 			h, _ := m.control().HomeMember("a", "z1")
 			h.Age = 0
 			return h
@@ -437,11 +437,11 @@
 	})
 }
 
-// In calm nothing but long polls is sent: a mind sends and answers some twenty messages a
-// second, a flow sends one or two.
+// In calm nothing but long polls is sent: a controller sends and answers some twenty messages a
+// second, a gateway sends one or two.
 func TestCalmCostsFewMessages(t *testing.T) {
-	play(t, 6, shape{zones: 4, disks: 4, others: 2, flows: 13, bear: 1}, func(w *world) {
-		w.order(base(50), w.minds)
+	play(t, 6, shape{zones: 4, disks: 4, others: 2, gateways: 13, bear: 1}, func(w *world) {
+		w.order(base(50), w.controllers)
 		time.Sleep(20 * time.Second)
 		count := func() (asks, bytes int) {
 			kinds, bytes := w.net.Traffic()
@@ -456,7 +456,7 @@
 		a, b := count()
 		time.Sleep(span * time.Second)
 		c, d := count()
-		t.Logf("%d asks and %d bytes a second between %d nodes", (c-a)/span, (d-b)/span, len(w.minds)+len(w.flows))
+		t.Logf("%d asks and %d bytes a second between %d nodes", (c-a)/span, (d-b)/span, len(w.controllers)+len(w.gateways))
 		if n := (c - a) / span; n == 0 || n > 80 {
 			t.Errorf("%d asks a second", n)
 		}
--- a/internal/control/home_test.go
+++ b/internal/control/home_test.go
@@ -15,13 +15,13 @@
 func TestMovesToTheHomeMakeNoSuspicion(t *testing.T) {
 	for _, gap := range []time.Duration{time.Second, 1500 * time.Millisecond, 1900 * time.Millisecond} {
 		t.Run(gap.String(), func(t *testing.T) {
-			play(t, 8, shape{zones: 3, disks: 3, flows: 2, bear: 1}, func(w *world) {
-				w.order(base(1), w.minds)
+			play(t, 8, shape{zones: 3, disks: 3, gateways: 2, bear: 1}, func(w *world) {
+				w.order(base(1), w.controllers)
 				stop, over := map[int]bool{}, false
 				for i := range 100 {
 					w.wg.Go(func() {
 						time.Sleep(time.Duration(w.chance(int(gap))))
-						m := pick(w, w.minds)
+						m := pick(w, w.controllers)
 						for seq := uint64(1); ; seq++ {
 							w.mu.Lock()
 							end := over || stop[i]
@@ -34,14 +34,14 @@
 								t.Error(err)
 							}
 							home := m.control().Home("a", zone)
-							m, _ = lo.Find(w.minds, func(m *mindHost) bool { return m.addr == home })
+							m, _ = lo.Find(w.controllers, func(m *controllerHost) bool { return m.addr == home })
 							time.Sleep(gap)
 						}
 					})
 				}
 				// A suspicion is over as soon as the home hears of it, but it leaves its trace.
 				suspected := func() (out []string) {
-					for _, m := range w.minds {
+					for _, m := range w.controllers {
 						m.control().Board.Table(func(tb *target.Table, now time.Time) bool {
 							for r := range tb.All(now) {
 								if r.Silent > 0 {
@@ -63,7 +63,7 @@
 				stop[17] = true
 				w.mu.Unlock()
 				w.await("suspicion of the one that fell silent", 4*gap, func() bool {
-					return w.flows[0].run("i-17").Suspected() && w.flows[1].run("i-17").Suspected()
+					return w.gateways[0].run("i-17").Suspected() && w.gateways[1].run("i-17").Suspected()
 				})
 				if s := suspected(); len(s) != 1 {
 					t.Errorf("suspected: %v", s)
@@ -76,16 +76,16 @@
 	}
 }
 
-// TestHomesFollowWhoIsNear: who is near is looked up seldom, for beats are many, but a mind
+// TestHomesFollowWhoIsNear: who is near is looked up seldom, for beats are many, but a controller
 // that stops names another at once.
 func TestHomesFollowWhoIsNear(t *testing.T) {
-	play(t, 9, shape{zones: 3, disks: 3, flows: 1, bear: 1}, func(w *world) {
-		w.order(base(1), w.minds)
-		m := w.minds[0].control()
+	play(t, 9, shape{zones: 3, disks: 3, gateways: 1, bear: 1}, func(w *world) {
+		w.order(base(1), w.controllers)
+		m := w.controllers[0].control()
 		time.Sleep(time.Second)
 		a, ok := m.HomeMember("a", m.Zone)
 		if !ok || a.ID != m.ID {
-			t.Fatalf("%+v: a zone's own mind is not its home", a)
+			t.Fatalf("%+v: a zone's own controller is not its home", a)
 		}
 		if n := testing.AllocsPerRun(100, func() { m.HomeMember("a", m.Zone) }); n > 0 {
 			t.Errorf("%v allocations a beat", n)
@@ -93,10 +93,10 @@
 		m.Stop()
 		b, ok := m.HomeMember("a", m.Zone)
 		if !ok || b.ID == m.ID {
-			t.Errorf("a mind that stops names itself")
+			t.Errorf("a controller that stops names itself")
 		}
 		time.Sleep(2 * nearFor)
-		for _, other := range w.minds[1:] {
+		for _, other := range w.controllers[1:] {
 			if o, _ := other.control().HomeMember("a", m.Zone); o.ID == m.ID {
 				t.Errorf("%s still names the one that stops", other.control().ID)
 			}
@@ -107,6 +107,6 @@
 func BenchmarkScore(b *testing.B) {
 	b.ReportAllocs()
 	for b.Loop() {
-		score("service", "zone", "mind")
+		score("service", "zone", "controller")
 	}
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -27,7 +27,7 @@
 
 const (
 	// judgeEvery is how often silent runs are looked for; nobody waits for it, since
-	// flows judge by their own probes too.
+	// gateways judge by their own probes too.
 	judgeEvery = 250 * time.Millisecond
 	// tendEvery is how often the table of runs is tidied.
 	tendEvery = time.Second
@@ -41,7 +41,7 @@
 	Zone  string `validate:"required,max=64"`
 	Inner string `validate:"required,max=256"` // address for other nodes
 	Door  string `validate:"max=256"`          // address for targets and operators
-	// Seeds are inner addresses of minds.
+	// Seeds are inner addresses of controllers.
 	Seeds []string `validate:"required,min=1,max=64,dive,required"`
 	// FaultsTolerated is how many of the machines with a disk may be lost at once.
 	FaultsTolerated int `validate:"min=0,max=16"`
@@ -60,7 +60,7 @@
 	Fresh string
 	Line  link.Line
 	Clock clock.Clock
-	Disk  storage.Disk // nil for a mind that does not vote
+	Disk  storage.Disk // nil for a controller that does not vote
 	// Notes are what this node tells its next life of the targets; nil where there is no
 	// place for them.
 	Notes  storage.Journal
@@ -143,7 +143,7 @@
 	n.Mesh = &watch.Mesh{Me: n.me, Line: p.Line, Clock: p.Clock, Board: n.Board, Core: n.core, Learn: func(c quorum.Core) { n.Prop.Learn(c) }, Votes: n.votes}
 	n.SetSeeds(p.Seeds)
 	n.teller = &watch.Teller{Me: n.me, Board: n.Board, Clock: p.Clock, Core: n.core, Votes: n.votes, Fresh: n.fresh, Going: n.stop.Load,
-		Others: n.Mesh.Others, Elsewhere: n.Mesh.Flows, Met: n.Mesh.Met}
+		Others: n.Mesh.Others, Elsewhere: n.Mesh.Gateways, Met: n.Mesh.Met}
 	n.teller.Serve(n.Desk)
 	n.serveQueries()
 	if n.Voter != nil {
@@ -154,7 +154,7 @@
 
 // me is this node as others know it.
 func (n *Node) me() watch.Member {
-	m := watch.Member{ID: n.ID, Kind: watch.Mind, Inner: n.Inner, Door: n.Door, Zone: n.Zone, Inc: n.Inc}
+	m := watch.Member{ID: n.ID, Kind: watch.Controller, Inner: n.Inner, Door: n.Door, Zone: n.Zone, Inc: n.Inc}
 	if n.Voter != nil {
 		m.Seat = n.Voter.Seat()
 	}
--- a/internal/control/page_test.go
+++ b/internal/control/page_test.go
@@ -11,11 +11,11 @@
 // A list that is asked for page by page has each row once, in order.
 func TestPagesMakeTheList(t *testing.T) {
 	play(t, 25, small, func(w *world) {
-		w.order(base(20), w.minds[:1])
+		w.order(base(20), w.controllers[:1])
 		l := w.operator()
 		var got []string
 		for after, pages := "", 1; ; pages++ {
-			a := look[ItemRow](w, l, w.minds[0], ItemsAsk{Page: Page{After: after, Most: 7}})
+			a := look[ItemRow](w, l, w.controllers[0], ItemsAsk{Page: Page{After: after, Most: 7}})
 			if a.Total != 23 || len(a.Rows) > 7 {
 				t.Fatalf("%d rows of %d", len(a.Rows), a.Total)
 			}
--- a/internal/control/price_test.go
+++ b/internal/control/price_test.go
@@ -14,12 +14,12 @@
 // syncs, a leaving one of each.
 func TestAcknowledgementsTakeFewRoundTrips(t *testing.T) {
 	play(t, 21, small, func(w *world) {
-		w.order(base(10), w.minds)
+		w.order(base(10), w.controllers)
 		var changes, leavings []time.Duration
 		for i := range 60 {
-			changes = append(changes, w.order(Change{Routes: []route.Route{routeTo("r0", uint64(10+i), "b")}}, mixed(w, w.minds)))
+			changes = append(changes, w.order(Change{Routes: []route.Route{routeTo("r0", uint64(10+i), "b")}}, mixed(w, w.controllers)))
 			begun := time.Now()
-			if err := pick(w, w.minds).control().Leave(w.ctx, fmt.Sprintf("i-%d", i)); err != nil {
+			if err := pick(w, w.controllers).control().Leave(w.ctx, fmt.Sprintf("i-%d", i)); err != nil {
 				t.Fatal(err)
 			}
 			leavings = append(leavings, time.Since(begun))
--- a/internal/control/query_test.go
+++ b/internal/control/query_test.go
@@ -23,8 +23,8 @@
 	return simnet.Line{P: w.net.add("operator", nil).Start(w.ctx, "")}
 }
 
-// look asks a mind over the network, and must be answered.
-func look[R any](w *world, l link.Line, m *mindHost, ask any) Answer[R] {
+// look asks a controller over the network, and must be answered.
+func look[R any](w *world, l link.Line, m *controllerHost, ask any) Answer[R] {
 	w.t.Helper()
 	cx, end := context.WithTimeout(w.ctx, 3*time.Second)
 	defer end()
@@ -35,7 +35,7 @@
 	return a
 }
 
-func counter(w *world, l link.Line, m *mindHost, name string) uint64 {
+func counter(w *world, l link.Line, m *controllerHost, name string) uint64 {
 	w.t.Helper()
 	x, ok := lo.Find(look[CounterRow](w, l, m, CountersAsk{Prefix: name}).Rows, func(r CounterRow) bool { return r.Name == name })
 	if !ok {
@@ -46,9 +46,9 @@
 
 func TestBadQueriesAreToldAndChangeNothing(t *testing.T) {
 	play(t, 21, small, func(w *world) {
-		w.order(base(3), w.minds[:1])
+		w.order(base(3), w.controllers[:1])
 		time.Sleep(bound)
-		l, m := w.operator(), w.minds[0]
+		l, m := w.operator(), w.controllers[0]
 		before := m.control().Board.End()
 		bad := []any{
 			ItemsAsk{Page: Page{Most: -1}}, ItemsAsk{Page: Page{Most: 1001}}, ItemsAsk{Prefix: strings.Repeat("x", 2049)},
@@ -73,26 +73,26 @@
 	})
 }
 
-// A mind that stands still costs the asker its patience, and another one answers.
-func TestASilentMindCostsNoMoreThanPatience(t *testing.T) {
+// A controller that stands still costs the asker its patience, and another one answers.
+func TestASilentControllerCostsNoMoreThanPatience(t *testing.T) {
 	play(t, 22, small, func(w *world) {
 		l := w.operator()
-		w.minds[1].freeze()
+		w.controllers[1].freeze()
 		cx, end := context.WithTimeout(w.ctx, 3*time.Second)
 		defer end()
 		begun := time.Now()
-		if _, err := link.Ask[Answer[ItemRow]](cx, l, w.minds[1].addr, ItemsAsk{}); !errors.Is(err, context.DeadlineExceeded) || time.Since(begun) != 3*time.Second {
+		if _, err := link.Ask[Answer[ItemRow]](cx, l, w.controllers[1].addr, ItemsAsk{}); !errors.Is(err, context.DeadlineExceeded) || time.Since(begun) != 3*time.Second {
 			t.Errorf("%v after %v", err, time.Since(begun))
 		}
-		look[ItemRow](w, l, w.minds[2], ItemsAsk{})
-		w.minds[1].thaw()
+		look[ItemRow](w, l, w.controllers[2], ItemsAsk{})
+		w.controllers[1].thaw()
 	})
 }
 
 // Queries wait for their turn, and no longer than whoever asks.
 func TestFewQueriesAreAnsweredAtOnce(t *testing.T) {
 	play(t, 23, small, func(w *world) {
-		n := w.minds[0].control()
+		n := w.controllers[0].control()
 		for range mostQueries {
 			n.asked <- struct{}{}
 		}
@@ -106,7 +106,7 @@
 			time.Sleep(time.Second)
 			<-n.asked
 		}()
-		look[DiskRow](w, l, w.minds[0], DiskAsk{})
+		look[DiskRow](w, l, w.controllers[0], DiskAsk{})
 		if n := len(n.asked); n != mostQueries-1 {
 			t.Errorf("%d tokens are out", n)
 		}
@@ -133,7 +133,7 @@
 	})
 }
 
-// alone is a mind that is asked without a network.
+// alone is a controller that is asked without a network.
 func alone(tb testing.TB) *Node {
 	n, err := New(Parts{Settings: Settings{ID: "m", Zone: "z", Inner: "in-m", Seeds: []string{"in-m"}, BeatEvery: time.Second}, Inc: 1, Fresh: "x",
 		Line: simnet.Line{}, Clock: clock.Wall{}, Log: quietLog()})
--- a/internal/control/querycounters_test.go
+++ b/internal/control/querycounters_test.go
@@ -8,11 +8,11 @@
 
 func TestCountersCount(t *testing.T) {
 	play(t, 30, small, func(w *world) {
-		l, m := w.operator(), w.minds[0]
+		l, m := w.operator(), w.controllers[0]
 		good := target.Beat{ID: "i-1", Service: "a", Addr: "10.0.0.1:80", Zone: "z0", Slots: 2, Seq: 1}
 		_ = w.beat(m, good)
 		_ = w.beat(m, target.Beat{})
-		w.order(base(1), []*mindHost{m})
+		w.order(base(1), []*controllerHost{m})
 		bad := base(1)
 		bad.Routes[0].Version, bad.Routes[0].Host = 9, ""
 		if ps, _ := w.apply(m, bad); len(ps) == 0 {
--- a/internal/control/querydisk.go
+++ b/internal/control/querydisk.go
@@ -7,7 +7,7 @@
 	"walkrudder/internal/storage"
 )
 
-// DiskAsk asks for a mind's files.
+// DiskAsk asks for a controller's files.
 type DiskAsk struct{ Page }
 
 // DiskRow is one file.
--- a/internal/control/querydisk_test.go
+++ b/internal/control/querydisk_test.go
@@ -8,11 +8,11 @@
 func TestDisksTellOfTheirWrites(t *testing.T) {
 	play(t, 29, small, func(w *world) {
 		l := w.operator()
-		// The flow of notes began with the core; each change is synced besides.
-		before := look[DiskRow](w, l, w.minds[0], DiskAsk{}).Rows
-		w.order(base(2), w.minds[:1])
+		// The gateway of notes began with the core; each change is synced besides.
+		before := look[DiskRow](w, l, w.controllers[0], DiskAsk{}).Rows
+		w.order(base(2), w.controllers[:1])
 		time.Sleep(bound)
-		for _, m := range w.minds {
+		for _, m := range w.controllers {
 			rows := look[DiskRow](w, l, m, DiskAsk{}).Rows
 			if m.disk == nil {
 				if len(rows) != 0 {
@@ -25,7 +25,7 @@
 				t.Errorf("%s: %+v", m.id, rows)
 			}
 		}
-		if after := look[DiskRow](w, l, w.minds[0], DiskAsk{}).Rows; after[0].Writes <= before[0].Writes {
+		if after := look[DiskRow](w, l, w.controllers[0], DiskAsk{}).Rows; after[0].Writes <= before[0].Writes {
 			t.Errorf("%d writes before a change, %d after", before[0].Writes, after[0].Writes)
 		}
 	})
--- a/internal/control/queryitems.go
+++ b/internal/control/queryitems.go
@@ -41,17 +41,17 @@
 	Services []string `json:"services"`
 	// Held says that this node saw a majority of synced disks hold this version.
 	Held bool `json:"held"`
-	// Flows is how many flows asked this node within the last seconds, and Behind how many
+	// Gateways is how many gateways asked this node within the last seconds, and Behind how many
 	// of them had not yet heard of this version then; Late names the first of these. One
-	// whose ask is old may have gone to another mind.
-	Flows  int    `json:"flows"`
-	Behind int    `json:"behind"`
-	Late   []Late `json:"late"`
+	// whose ask is old may have gone to another controller.
+	Gateways int    `json:"gateways"`
+	Behind   int    `json:"behind"`
+	Late     []Late `json:"late"`
 }
 
-// Late is a flow that had not heard of something when it asked last.
+// Late is a gateway that had not heard of something when it asked last.
 type Late struct {
-	Flow    string `json:"flow"`
+	Gateway string `json:"gateway"`
 	AskedMS int64  `json:"asked_ago_ms"`
 }
 
@@ -82,11 +82,11 @@
 			seqs[x.of.Key] = s.SeqOf(x.of.Key)
 		}
 	})
-	flows := n.attached()
+	gateways := n.attached()
 	return pageOf(n.about(), p, func(_ string, i item.Item) (ItemRow, int) {
 		x := itemRow(i)
-		x.Held, x.Flows = n.ledger.has(i), len(flows)
-		for _, f := range flows {
+		x.Held, x.Gateways = n.ledger.has(i), len(gateways)
+		for _, f := range gateways {
 			if f.Seen.Items >= seqs[i.Key] {
 				continue
 			}
@@ -99,16 +99,16 @@
 			size += len(s)
 		}
 		for _, l := range x.Late {
-			size += len(l.Flow)
+			size += len(l.Gateway)
 		}
 		return x, size
 	}), nil
 }
 
-// attached are the flows that follow this node.
+// attached are the gateways that follow this node.
 func (n *Node) attached() (out []watch.Follower) {
 	for _, f := range n.teller.Followers() {
-		if f.Kind == watch.Flow && !f.Gone() {
+		if f.Kind == watch.Gateway && !f.Gone() {
 			out = append(out, f)
 		}
 	}
--- a/internal/control/queryitems_test.go
+++ b/internal/control/queryitems_test.go
@@ -14,10 +14,10 @@
 
 func TestItemsTellWhatStandsAndWhoHasIt(t *testing.T) {
 	play(t, 24, small, func(w *world) {
-		l, m, o := w.operator(), w.minds[0], w.minds[1]
-		time.Sleep(6 * time.Second) // flows that began at any mind have gone to their own
-		w.order(base(5), []*mindHost{m})
-		w.order(Change{Drops: []Drop{{Kind: item.Route, Name: "r0", Version: 2}}}, []*mindHost{m})
+		l, m, o := w.operator(), w.controllers[0], w.controllers[1]
+		time.Sleep(6 * time.Second) // gateways that began at any controller have gone to their own
+		w.order(base(5), []*controllerHost{m})
+		w.order(Change{Drops: []Drop{{Kind: item.Route, Name: "r0", Version: 2}}}, []*controllerHost{m})
 		time.Sleep(bound)
 		by := func(rows []ItemRow) map[string]ItemRow {
 			return lo.SliceToMap(rows, func(r ItemRow) (string, ItemRow) { return r.Kind + "/" + r.Name, r })
@@ -33,29 +33,29 @@
 		if r := all["route/r0"]; r.State != Dropped || r.Version != 2 || r.Place != "" || !r.Held {
 			t.Errorf("%+v", r)
 		}
-		if r := all["route/r1"]; r.State != InForce || r.Version != 1 || r.Place != "h.example/r1/" || !slices.Equal(r.Services, []string{"a"}) || !r.Held || r.Flows == 0 || r.Behind > 0 {
+		if r := all["route/r1"]; r.State != InForce || r.Version != 1 || r.Place != "h.example/r1/" || !slices.Equal(r.Services, []string{"a"}) || !r.Held || r.Gateways == 0 || r.Behind > 0 {
 			t.Errorf("%+v", r)
 		}
 		if r := by(look[ItemRow](w, l, o, ItemsAsk{}).Rows)["route/r1"]; r.Held || r.State != InForce {
-			t.Errorf("a mind that did not take the change: %+v", r)
+			t.Errorf("a controller that did not take the change: %+v", r)
 		}
 		for prefix, want := range map[string]int{"r1": 1, "h.example/r": 4, "h.example/r3/": 1, "limits": 1, "none": 0, "": 8} {
 			if a := look[ItemRow](w, l, m, ItemsAsk{Prefix: prefix}); len(a.Rows) != want || a.Total != want {
 				t.Errorf("%q: %d rows, %d in all, want %d", prefix, len(a.Rows), a.Total, want)
 			}
 		}
-		// A flow that stands still has not heard of a change, until it does.
-		frozen, ok := lo.Find(w.flows, func(x *flowHost) bool {
+		// A gateway that stands still has not heard of a change, until it does.
+		frozen, ok := lo.Find(w.gateways, func(x *gatewayHost) bool {
 			return lo.ContainsBy(m.control().attached(), func(f watch.Follower) bool { return f.ID == x.id })
 		})
 		if !ok {
-			t.Fatal("no flow follows the mind")
+			t.Fatal("no gateway follows the controller")
 		}
 		frozen.freeze()
-		w.order(Change{Routes: nil, Drops: []Drop{{Kind: item.Route, Name: "r1", Version: 7}}}, []*mindHost{m})
+		w.order(Change{Routes: nil, Drops: []Drop{{Kind: item.Route, Name: "r1", Version: 7}}}, []*controllerHost{m})
 		time.Sleep(500 * time.Millisecond)
 		a = look[ItemRow](w, l, m, ItemsAsk{Prefix: "r"})
-		if r := by(a.Rows)["route/r1"]; r.Version != 7 || r.Behind != 1 || len(r.Late) != 1 || r.Late[0].Flow != frozen.id || r.Late[0].AskedMS < 400 || r.Flows < 1 {
+		if r := by(a.Rows)["route/r1"]; r.Version != 7 || r.Behind != 1 || len(r.Late) != 1 || r.Late[0].Gateway != frozen.id || r.Late[0].AskedMS < 400 || r.Gateways < 1 {
 			t.Errorf("%s stands still: %+v", frozen.id, r)
 		}
 		if r := by(a.Rows)["route/r2"]; r.Behind > 0 {
--- a/internal/control/querymembers.go
+++ b/internal/control/querymembers.go
@@ -27,15 +27,15 @@
 	// this node when it asked last.
 	ItemsBehind Maybe `json:"items_behind"`
 	RunsBehind  Maybe `json:"runs_behind"`
-	// Follows are the minds that a flow follows, as far as known here.
+	// Follows are the controllers that a gateway follows, as far as known here.
 	Follows []string `json:"follows"`
-	// Votes is the epoch of the core in which a mind's disk has a seat, as it said; 0 is
+	// Votes is the epoch of the core in which a controller's disk has a seat, as it said; 0 is
 	// none.
 	Votes uint64 `json:"votes"`
 	Going bool   `json:"going"`
 }
 
-// memberRows lists minds and flows.
+// memberRows lists controllers and gateways.
 func (n *Node) memberRows(_ context.Context, a MembersAsk) (Answer[MemberRow], error) {
 	// Where everything known here ends is taken first: who has heard more by then is
 	// not behind.
@@ -49,16 +49,16 @@
 		return rows[key]
 	}
 	me := n.me()
-	self := at(watch.Mind, me.ID, me.Inner)
+	self := at(watch.Controller, me.ID, me.Inner)
 	self.Zone, self.Votes, self.Going = me.Zone, n.votes(), n.stop.Load()
 	for _, x := range n.Mesh.Neighbours() {
-		r := at(watch.Mind, x.ID, x.Inner)
+		r := at(watch.Controller, x.ID, x.Inner)
 		r.Zone, r.Votes, r.Going = x.Zone, x.Votes, x.Going
 		if x.Answered {
 			r.AnsweredMS = some(float64(x.Age.Milliseconds()))
 		}
-		for id, zone := range x.Flows {
-			f := at(watch.Flow, id, "")
+		for id, zone := range x.Gateways {
+			f := at(watch.Gateway, id, "")
 			f.Zone = zone
 			f.Follows = append(f.Follows, x.ID)
 		}
@@ -68,7 +68,7 @@
 		r.Zone = f.Zone
 		r.AskedMS = some(float64(f.Age.Milliseconds()))
 		r.ItemsBehind, r.RunsBehind = behind(end.Items, f.Seen.Items), behind(end.Runs, f.Seen.Runs)
-		if f.Kind == watch.Flow && !f.Gone() {
+		if f.Kind == watch.Gateway && !f.Gone() {
 			r.Follows = append(r.Follows, me.ID)
 		}
 	}
--- a/internal/control/queryruns.go
+++ b/internal/control/queryruns.go
@@ -28,15 +28,15 @@
 	// Held says that this node saw a majority of the voters hold that the run drains or
 	// has ended.
 	Held bool `json:"held"`
-	// Home is the inner address of the mind at which its beats should come in: that one
+	// Home is the inner address of the controller at which its beats should come in: that one
 	// judges it.
 	Home string `json:"home"`
 	Beat uint64 `json:"beat"`
 	// BeatMS is how long ago its last beat came in here, and NewsMS when anything was
-	// heard of it, also from other minds.
+	// heard of it, also from other controllers.
 	BeatMS Maybe `json:"beat_ago_ms"`
 	NewsMS Maybe `json:"news_ago_ms"`
-	// Suspicion is w_d now, where its beats come in here. Suspected is what all minds
+	// Suspicion is w_d now, where its beats come in here. Suspected is what all controllers
 	// hold.
 	Suspicion Maybe `json:"suspicion"`
 	Suspected bool  `json:"suspected"`
--- a/internal/control/queryruns_test.go
+++ b/internal/control/queryruns_test.go
@@ -12,7 +12,7 @@
 
 func TestRunsTellHowTheyAre(t *testing.T) {
 	play(t, 26, small, func(w *world) {
-		w.order(base(1), w.minds[:1])
+		w.order(base(1), w.controllers[:1])
 		stops := map[string]func(){}
 		for i := range 4 {
 			id := fmt.Sprintf("i-%d", i)
@@ -21,10 +21,10 @@
 		other := w.beats("x-0", "b", "z1", "10.0.1.0:80")
 		time.Sleep(20 * time.Second)
 		l := w.operator()
-		addr := w.minds[0].control().Home("a", "z0")
-		home, _ := lo.Find(w.minds, func(m *mindHost) bool { return m.addr == addr })
-		away, _ := lo.Find(w.minds, func(m *mindHost) bool { return m.zone != "z0" })
-		row := func(m *mindHost, id string) RunRow {
+		addr := w.controllers[0].control().Home("a", "z0")
+		home, _ := lo.Find(w.controllers, func(m *controllerHost) bool { return m.addr == addr })
+		away, _ := lo.Find(w.controllers, func(m *controllerHost) bool { return m.zone != "z0" })
+		row := func(m *controllerHost, id string) RunRow {
 			t.Helper()
 			a := look[RunRow](w, l, m, RunsAsk{Service: "a", Prefix: id})
 			if len(a.Rows) != 1 || a.Total != 1 {
@@ -47,7 +47,7 @@
 			t.Errorf("of the other service: %+v", a)
 		}
 		// Where a run was heard once, its silence shows nothing after it moved on.
-		for seq, m := range []*mindHost{away, home} {
+		for seq, m := range []*controllerHost{away, home} {
 			if err := w.beat(m, target.Beat{ID: "y-0", Service: "a", Addr: "10.0.0.9:80", Zone: "z0", Slots: 2, Seq: uint64(seq + 1)}); err != nil {
 				t.Fatal(err)
 			}
@@ -81,7 +81,7 @@
 		}
 		time.Sleep(bound)
 		if r := row(home, "i-3"); r.State != "ended" || r.Held || r.Home != "" {
-			t.Errorf("ended, at a mind that did not take it: %+v", r)
+			t.Errorf("ended, at a controller that did not take it: %+v", r)
 		}
 		other()
 		for _, stop := range stops {
--- a/internal/control/race_test.go
+++ b/internal/control/race_test.go
@@ -69,7 +69,7 @@
 	var wg sync.WaitGroup
 	for op, service := range []string{"a", "b"} {
 		change := Change{Routes: []route.Route{routeTo("r0", version, service)}}
-		turn := mixed(w, w.minds)
+		turn := mixed(w, w.controllers)
 		wg.Go(func() {
 			confirmed, refused := false, false
 			for try := range 12 {
@@ -103,7 +103,7 @@
 // the other refused, and the refused content is in force nowhere.
 func TestOneContentOfAVersionIsConfirmed(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(2), w.minds)
+		w.order(base(2), w.controllers)
 		var c confirmations
 		for round := range 10 {
 			if got := w.race(&c, round, nil); got.confirmed != 1 || got.refused != 1 {
@@ -113,7 +113,7 @@
 		c.check(t)
 		time.Sleep(bound)
 		key := item.Key{Kind: item.Route, Name: "r0"}
-		for _, x := range w.flows {
+		for _, x := range w.gateways {
 			if got := x.item(key); !c.sets[key][got.Version][content(got)] {
 				t.Errorf("%s shows a content that was not confirmed: %+v", x.id, got)
 			}
@@ -121,15 +121,15 @@
 	})
 }
 
-// The same while answers are lost and a mind is killed or loses its disk in each round.
+// The same while answers are lost and a controller is killed or loses its disk in each round.
 func TestOneContentOfAVersionIsConfirmedInTrouble(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(2), w.minds)
+		w.order(base(2), w.controllers)
 		var c confirmations
 		for round := range 6 {
 			w.wg.Go(func() {
 				time.Sleep(time.Duration(w.chance(12)) * time.Millisecond)
-				m := pick(w, w.minds)
+				m := pick(w, w.controllers)
 				m.kill()
 				if m.disk != nil && round%3 == 0 {
 					m.disk.wipe()
@@ -148,6 +148,6 @@
 				t.Error(fmt.Sprint("version ", 10+2*v, " has ", n, " contents"))
 			}
 		}
-		w.readBack(w.minds)
+		w.readBack(w.controllers)
 	})
 }
--- a/internal/control/recall.go
+++ b/internal/control/recall.go
@@ -7,17 +7,15 @@
 	"walkrudder/internal/target"
 )
 
-// A mind notes the runs that it knows, so that after a loss of all processes flows have
+// A controller notes the runs that it knows, so that after a loss of all processes gateways have
 // targets at once and not only with the next beats. The notes are not synced and may be
 // old or torn. A run from them is recalled: as good as ready until this life's beats had
-// the time to come in, then suspected where none came; a mind that was up before takes
+// the time to come in, then suspected where none came; a controller that was up before takes
 // none of them in, and has this one doubt them at once.
 //
 // Why no old note breaks the rules, whichever processes, machines or disks are lost:
-//   - A leaving that is missing in the notes was acknowledged before the loss. Where a
-//     voter that holds it lives, a fresh node has heard of it. Where none does, the run
-//     beats again as draining within a beat's time of the minds' start, or it has ended
-//     and takes nothing; machines that were restarted are not judged before that.
+//   - A leaving that is missing in the notes is on the synced disks of a majority (departure.go):
+//     a fresh node has heard of it, whichever processes died.
 //   - An address that has another run by now is never served by mistake, for each send
 //     names the run that is meant, and another one turns it away. The other's first beat
 //     has the older run suspected.
--- a/internal/control/recall_test.go
+++ b/internal/control/recall_test.go
@@ -44,7 +44,7 @@
 // noted are the notes of all disks now, and lose puts them back, as a power loss does
 // with what was written since and not synced.
 func (w *world) noted() map[*disk][][]byte {
-	return lo.SliceToMap(disked(w.minds), func(m *mindHost) (*disk, [][]byte) { return m.disk, m.disk.noted() })
+	return lo.SliceToMap(disked(w.controllers), func(m *controllerHost) (*disk, [][]byte) { return m.disk, m.disk.noted() })
 }
 
 func lose(to map[*disk][][]byte) {
@@ -55,7 +55,7 @@
 	}
 }
 
-// herd are targets that beat when a test says so, each at some mind.
+// herd are targets that beat when a test says so, each at some controller.
 type herd struct {
 	w    *world
 	seq  uint64
@@ -81,7 +81,7 @@
 			continue
 		}
 		b := target.Beat{ID: id, Service: "a", Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: fmt.Sprintf("z%d", i%3), Slots: 2, Seq: h.seq, Draining: h.away[id]}
-		h.w.await("answer to a beat", 3*time.Second, func() bool { return h.w.beat(pick(h.w, h.w.minds), b) == nil })
+		h.w.await("answer to a beat", 3*time.Second, func() bool { return h.w.beat(pick(h.w, h.w.controllers), b) == nil })
 	}
 }
 
@@ -97,41 +97,41 @@
 
 // loss kills every process and starts all again.
 func (w *world) loss(between func()) {
-	for _, m := range w.minds {
+	for _, m := range w.controllers {
 		m.kill()
 	}
-	for _, x := range w.flows {
+	for _, x := range w.gateways {
 		x.kill()
 	}
 	between()
 	time.Sleep(time.Duration(100+w.chance(900)) * time.Millisecond)
-	for _, m := range w.minds {
+	for _, m := range w.controllers {
 		m.boot()
 	}
-	for _, x := range w.flows {
+	for _, x := range w.gateways {
 		x.boot()
 	}
 }
 
-// serves tells whether a flow that was told everything would use a run.
-func (x *flowHost) serves(id string) bool {
+// serves tells whether a gateway that was told everything would use a run.
+func (x *gatewayHost) serves(id string) bool {
 	r := x.run(id)
 	return x.subscriber().Synced() && r.State == target.Ready && !r.Suspected()
 }
 
 func TestTargetsAreKnownAtOnceAfterAllWereKilled(t *testing.T) {
 	each(t, func(w *world) {
-		w.order(base(1), w.minds)
+		w.order(base(1), w.controllers)
 		h := w.herd(12)
 		h.live(6*time.Second, func() {})
 		for range 2 {
 			w.loss(func() {})
 			// No beat comes in meanwhile.
 			w.await("knowledge of all targets", 500*time.Millisecond, func() bool {
-				return lo.EveryBy(w.flows, func(x *flowHost) bool { return lo.EveryBy(h.runs, x.serves) })
+				return lo.EveryBy(w.gateways, func(x *gatewayHost) bool { return lo.EveryBy(h.runs, x.serves) })
 			})
 			h.live(8*time.Second, func() {
-				for _, x := range w.flows {
+				for _, x := range w.gateways {
 					for _, id := range h.runs {
 						if !x.serves(id) {
 							t.Errorf("%s: a run that beats is %+v", x.id, x.run(id))
@@ -144,15 +144,15 @@
 		h.over["i-3"] = true
 		w.loss(func() {})
 		at := time.Now()
-		n := w.minds[0].control()
+		n := w.controllers[0].control()
 		h.live(n.confirmTime()+1500*time.Millisecond, func() {
-			for _, x := range w.flows {
+			for _, x := range w.gateways {
 				if r := x.run("i-3"); r.Suspected() && time.Since(at) < n.confirmTime()-200*time.Millisecond {
 					t.Errorf("%s: doubted after %v: %+v", x.id, time.Since(at), r)
 				}
 			}
 		})
-		for _, x := range w.flows {
+		for _, x := range w.gateways {
 			for _, id := range h.runs {
 				if x.serves(id) != (id != "i-3") {
 					t.Errorf("%s: %+v", x.id, x.run(id))
@@ -182,24 +182,24 @@
 		"all killed, one disk lost": func(w *world, leave func()) {
 			leave()
 			time.Sleep(noteEvery + 100*time.Millisecond)
-			w.loss(pick(w, disked(w.minds)).disk.wipe)
+			w.loss(pick(w, disked(w.controllers)).disk.wipe)
 		},
 		"power lost, one disk lost": func(w *world, leave func()) {
 			old := w.noted()
 			leave()
 			w.loss(func() {
 				lose(old)
-				pick(w, disked(w.minds)).disk.wipe()
+				pick(w, disked(w.controllers)).disk.wipe()
 			})
 		},
-		"power lost at one mind": func(w *world, leave func()) {
-			m := pick(w, disked(w.minds))
+		"power lost at one controller": func(w *world, leave func()) {
+			m := pick(w, disked(w.controllers))
 			old := m.disk.noted()
 			leave()
 			time.Sleep(2 * noteEvery)
 			m.kill()
 			lose(map[*disk][][]byte{m.disk: old})
-			x := pick(w, w.flows)
+			x := pick(w, w.gateways)
 			x.kill()
 			m.boot()
 			x.boot()
@@ -207,19 +207,19 @@
 	} {
 		t.Run(kind, func(t *testing.T) {
 			each(t, func(w *world) {
-				w.order(base(1), w.minds)
+				w.order(base(1), w.controllers)
 				h := w.herd(6)
 				h.live(5*time.Second, func() {})
 				f(w, func() {
 					h.away["i-0"], h.over["i-1"] = true, true
 					h.beat()
-					if err := pick(w, w.minds).control().Leave(w.ctx, "i-1"); err != nil {
+					if err := pick(w, w.controllers).control().Leave(w.ctx, "i-1"); err != nil {
 						t.Fatal(err)
 					}
 				})
 				// Never again, not even until the next beats: i-1 may serve on and say no more.
 				h.live(8*time.Second, func() {
-					for _, x := range w.flows {
+					for _, x := range w.gateways {
 						if x.serves("i-0") {
 							t.Errorf("%s: the run that drains is %+v", x.id, x.run("i-0"))
 						}
@@ -228,7 +228,7 @@
 						}
 					}
 				})
-				for _, x := range w.flows {
+				for _, x := range w.gateways {
 					for _, id := range h.runs[2:] {
 						if !x.serves(id) {
 							t.Errorf("%s: %+v", x.id, x.run(id))
@@ -240,17 +240,17 @@
 	}
 }
 
-// The others have even forgotten the run by the time at which a mind that remembers it
+// The others have even forgotten the run by the time at which a controller that remembers it
 // comes back.
-func TestARunThatEndedWhileAMindWasDownStaysAway(t *testing.T) {
+func TestARunThatEndedWhileAControllerWasDownStaysAway(t *testing.T) {
 	play(t, 6, small, func(w *world) {
-		w.order(base(1), w.minds)
+		w.order(base(1), w.controllers)
 		h := w.herd(4)
 		h.live(5*time.Second, func() {})
-		m := disked(w.minds)[1]
+		m := disked(w.controllers)[1]
 		m.kill()
 		h.over["i-0"], h.over["i-1"] = true, true
-		if err := w.minds[0].control().Leave(w.ctx, "i-0"); err != nil {
+		if err := w.controllers[0].control().Leave(w.ctx, "i-0"); err != nil {
 			t.Fatal(err)
 		}
 		h.live(5*time.Minute+30*time.Second, func() {})
@@ -261,7 +261,7 @@
 			})
 			return ok
 		}
-		others := lo.Without(w.minds, m)
+		others := lo.Without(w.controllers, m)
 		for _, o := range others {
 			if holds(o.control(), "i-0") || holds(o.control(), "i-1") {
 				t.Fatalf("%s has not forgotten what is over", o.id)
@@ -269,21 +269,21 @@
 		}
 		m.boot()
 		if !holds(m.control(), "i-0") {
-			t.Fatal("the mind does not remember the run: this test shows nothing")
+			t.Fatal("the controller does not remember the run: this test shows nothing")
 		}
-		// Flows that know nothing and have nobody else to ask: they follow it from the start.
+		// Gateways that know nothing and have nobody else to ask: they follow it from the start.
 		w.mu.Lock()
 		w.seeds = []string{m.addr}
 		w.mu.Unlock()
-		for _, x := range w.flows {
+		for _, x := range w.gateways {
 			x.kill()
 			x.boot()
 		}
-		w.await("first word at the flows", time.Second, func() bool {
-			return lo.EveryBy(w.flows, func(x *flowHost) bool { return x.subscriber().Synced() })
+		w.await("first word at the gateways", time.Second, func() bool {
+			return lo.EveryBy(w.gateways, func(x *gatewayHost) bool { return x.subscriber().Synced() })
 		})
 		h.live(15*time.Second, func() {
-			for _, x := range w.flows {
+			for _, x := range w.gateways {
 				if x.serves("i-0") || x.serves("i-1") {
 					t.Errorf("%s: %+v, %+v", x.id, x.run("i-0"), x.run("i-1"))
 				}
@@ -294,7 +294,7 @@
 				}
 			}
 		})
-		for _, x := range w.flows {
+		for _, x := range w.gateways {
 			if !x.serves("i-2") || !x.serves("i-3") {
 				t.Errorf("%s: %+v, %+v", x.id, x.run("i-2"), x.run("i-3"))
 			}
@@ -305,10 +305,10 @@
 // The journal grows with what changes, not with the beats, and is written anew before
 // it is much longer than the table.
 func TestNotesStaySmall(t *testing.T) {
-	play(t, 7, shape{zones: 1, disks: 1, flows: 1}, func(w *world) {
+	play(t, 7, shape{zones: 1, disks: 1, gateways: 1}, func(w *world) {
 		h := w.herd(10)
 		h.live(5*time.Second, func() {})
-		d := w.minds[0].disk
+		d := w.controllers[0].disk
 		n := len(d.noted())
 		if n < 10 || n > 40 {
 			t.Errorf("%d records of 10 runs", n)
@@ -318,7 +318,7 @@
 			t.Errorf("%d records after 70 s of beats, %d before", got, n)
 		}
 		for slots := range slackNotes + 50 {
-			w.minds[0].control().Board.Table(func(tb *target.Table, now time.Time) bool {
+			w.controllers[0].control().Board.Table(func(tb *target.Table, now time.Time) bool {
 				r, _ := tb.Get("i-0", now)
 				r.Seq, r.Slots = r.Seq+1, slots+1
 				return tb.Merge(r, now)
@@ -342,19 +342,19 @@
 	})
 }
 
-// A flow that starts may hear old memories of a mind that is cut off, before one that
+// A gateway that starts may hear old memories of a controller that is cut off, before one that
 // knows better.
-func TestAFlowDoubtsWhatAFirmMindDoesNotKnow(t *testing.T) {
+func TestAGatewayDoubtsWhatAFirmControllerDoesNotKnow(t *testing.T) {
 	play(t, 11, small, func(w *world) {
-		w.order(base(1), w.minds)
+		w.order(base(1), w.controllers)
 		h := w.herd(2)
 		h.live(5*time.Second, func() {})
-		m, x := disked(w.minds)[1], w.flows[0]
+		m, x := disked(w.controllers)[1], w.gateways[0]
 		m.kill()
 		x.kill()
 		old := target.Run{ID: "i-old", Service: "a", Addr: "10.0.0.99:80", Zone: "z0", Slots: 2, Seq: 3, State: target.Ready}
 		lose(map[*disk][][]byte{m.disk: append(m.disk.noted(), old.Record())})
-		others := lo.Without(w.minds, m)
+		others := lo.Without(w.controllers, m)
 		for _, o := range others {
 			w.net.cut(m.addr, o.addr, true)
 		}
@@ -366,16 +366,16 @@
 		x.boot()
 		time.Sleep(2 * time.Second)
 		if r := x.run("i-old"); r.State != target.Ready || r.Suspected() || x.subscriber().Synced() {
-			t.Fatalf("the flow did not hear of it from a mind that is not fresh: %+v", r)
+			t.Fatalf("the gateway did not hear of it from a controller that is not fresh: %+v", r)
 		}
 		x.subscriber().SetSeeds([]string{seeds[0]})
-		w.await("fresh mind", 2*time.Second, x.subscriber().Synced)
+		w.await("fresh controller", 2*time.Second, x.subscriber().Synced)
 		if r := x.run("i-old"); !r.Suspected() {
 			t.Errorf("%+v", r)
 		}
 		w.net.mend()
 		h.live(10*time.Second, func() {
-			for _, x := range w.flows {
+			for _, x := range w.gateways {
 				if x.serves("i-old") || !x.serves("i-0") || !x.serves("i-1") {
 					t.Errorf("%s: %+v, %+v, %+v", x.id, x.run("i-old"), x.run("i-0"), x.run("i-1"))
 				}
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -7,16 +7,16 @@
 	"walkrudder/internal/target"
 )
 
-// Report is what a mind tells people of itself in one log line.
+// Report is what a controller tells people of itself in one log line.
 type Report struct {
 	About
 	Epoch uint64 `json:"epoch"`
 	Seats int    `json:"seats"`
 	Votes uint64 `json:"votes"` // the epoch in which the own disk has a seat; 0 is none
-	// Minds are the other minds that answered lately, and Flows all flows known.
-	Minds int `json:"minds"`
-	Flows int `json:"flows"`
-	Items int `json:"items"` // dropped ones too
+	// Controllers are the other controllers that answered lately, and Gateways all gateways known.
+	Controllers int `json:"controllers"`
+	Gateways    int `json:"gateways"`
+	Items       int `json:"items"` // dropped ones too
 	// Runs are those known, by state; Suspected are counted besides.
 	Runs      map[string]int    `json:"runs"`
 	Suspected int               `json:"suspected"`
@@ -27,9 +27,9 @@
 // Report tells what this node sees.
 func (n *Node) Report() Report {
 	c := n.core()
-	r := Report{About: n.about(), Epoch: c.Epoch, Seats: len(c.Seats), Votes: n.votes(), Minds: len(n.Mesh.Others()), Runs: map[string]int{},
+	r := Report{About: n.about(), Epoch: c.Epoch, Seats: len(c.Seats), Votes: n.votes(), Controllers: len(n.Mesh.Others()), Runs: map[string]int{},
 		Files: n.diskRows(), Counters: map[string]uint64{}}
-	r.Flows, _ = n.teller.Flows()
+	r.Gateways, _ = n.teller.Gateways()
 	n.Board.Items(func(s *item.Set) { r.Items = s.Len() })
 	for from, more := uint64(0), true; more; {
 		var got []target.Run
--- a/internal/control/report_test.go
+++ b/internal/control/report_test.go
@@ -7,11 +7,11 @@
 	"walkrudder/internal/target"
 )
 
-func TestAMindReportsWhatItSees(t *testing.T) {
+func TestAControllerReportsWhatItSees(t *testing.T) {
 	play(t, 31, small, func(w *world) {
-		m := w.minds[0]
+		m := w.controllers[0]
 		time.Sleep(6 * time.Second)
-		w.order(base(1), []*mindHost{m})
+		w.order(base(1), []*controllerHost{m})
 		for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"} {
 			if err := w.beat(m, target.Beat{ID: id, Service: "a", Addr: "10.0.0." + id[2:] + ":80", Zone: "z0", Slots: 2, Seq: 1, Draining: id == "i-2"}); err != nil {
 				t.Fatal(err)
@@ -21,7 +21,7 @@
 			t.Fatal(err)
 		}
 		r := m.control().Report()
-		if r.Node != m.id || !r.Fresh || r.Epoch != 1 || r.Seats != 3 || r.Votes != 1 || r.Minds != 5 || r.Flows != 6 || r.Items != 4 || len(r.Files) != 2 || r.Counters["beats"] != 6 ||
+		if r.Node != m.id || !r.Fresh || r.Epoch != 1 || r.Seats != 3 || r.Votes != 1 || r.Controllers != 5 || r.Gateways != 6 || r.Items != 4 || len(r.Files) != 2 || r.Counters["beats"] != 6 ||
 			r.Runs["ended"] != 1 || r.Runs["draining"] != 1 || r.Runs["ready"] != 4 {
 			t.Errorf("%+v", r)
 		}
--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -5,44 +5,44 @@
 	"time"
 )
 
-// A mind that starts with an empty disk and other seeds than it had finds the core
+// A controller that starts with an empty disk and other seeds than it had finds the core
 // through whichever seed is up, though that one may have no disk and follow no seat but
 // by what others told it.
 func TestAnEmptyDiskFindsTheCoreByOneSeed(t *testing.T) {
-	for name, only := range map[string]int{"a mind without a disk": 6, "a voter": 2} {
+	for name, only := range map[string]int{"a controller without a disk": 6, "a voter": 2} {
 		t.Run(name, func(t *testing.T) {
 			play(t, 9, large, func(w *world) {
-				w.order(base(3), w.minds)
+				w.order(base(3), w.controllers)
 				time.Sleep(3 * time.Second)
-				lost, down, other := w.minds[0], w.minds[1], w.minds[5]
-				for _, m := range []*mindHost{lost, down, other} {
+				lost, down, other := w.controllers[0], w.controllers[1], w.controllers[5]
+				for _, m := range []*controllerHost{lost, down, other} {
 					m.kill()
 				}
 				lost.disk.wipe()
 				time.Sleep(12 * time.Second) // the others forget whom they do not need
 				w.mu.Lock()
-				w.seeds = []string{lost.addr, down.addr, other.addr, w.minds[only].addr}
+				w.seeds = []string{lost.addr, down.addr, other.addr, w.controllers[only].addr}
 				w.mu.Unlock()
 				lost.boot()
 				w.await("freshness", 3*time.Second, func() bool { return lost.control().Ready() })
 				w.await("vote", 15*time.Second, func() bool { return lost.control().votes() > 0 })
-				w.order(Change{Drops: []Drop{{Kind: base(1).Routes[0].Item().Kind, Name: "r0", Version: 2}}}, []*mindHost{lost})
-				w.readBack([]*mindHost{lost})
+				w.order(Change{Drops: []Drop{{Kind: base(1).Routes[0].Item().Kind, Name: "r0", Version: 2}}}, []*controllerHost{lost})
+				w.readBack([]*controllerHost{lost})
 			})
 		})
 	}
 }
 
-// Seeds that are exchanged while a mind runs are asked at once. Nobody else knows of
+// Seeds that are exchanged while a controller runs are asked at once. Nobody else knows of
 // this one, so that it must find the others itself.
 func TestNewSeedsAreAskedAtOnce(t *testing.T) {
 	play(t, 10, small, func(w *world) {
-		w.order(base(3), w.minds)
+		w.order(base(3), w.controllers)
 		seeds := w.seedList()
 		w.mu.Lock()
 		w.seeds = []string{"in-nobody", "in-noone"}
 		w.mu.Unlock()
-		m := w.addMind("m9", "z0", true)
+		m := w.addController("m9", "z0", true)
 		m.boot()
 		time.Sleep(3 * time.Second)
 		if m.control().Ready() {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -16,15 +16,15 @@
 	Me    watch.Member
 	Fresh bool
 	// Lag is how long ago everything acknowledged until then was known here.
-	Lag    time.Duration
-	Core   quorum.Core
-	Votes  uint64         // the epoch of the core in which the own disk votes; 0 is none
-	Minds  []watch.Member // that answer this node
-	Askers []watch.Member // that ask it
-	Flows  int
-	Zones  map[string]int // of flows
-	Items  int            // dropped ones too
-	Runs   []RunView
+	Lag         time.Duration
+	Core        quorum.Core
+	Votes       uint64         // the epoch of the core in which the own disk votes; 0 is none
+	Controllers []watch.Member // that answer this node
+	Askers      []watch.Member // that ask it
+	Gateways    int
+	Zones       map[string]int // of gateways
+	Items       int            // dropped ones too
+	Runs        []RunView
 }
 
 // RunView is a run as this node sees it.
@@ -37,9 +37,9 @@
 
 // View tells what this node sees.
 func (n *Node) View() View {
-	v := View{Me: n.me(), Core: n.core(), Votes: n.votes(), Minds: n.Mesh.Others(), Askers: n.teller.Askers()}
+	v := View{Me: n.me(), Core: n.core(), Votes: n.votes(), Controllers: n.Mesh.Others(), Askers: n.teller.Askers()}
 	v.Lag, v.Fresh = n.fresh()
-	v.Flows, v.Zones = n.teller.Flows()
+	v.Gateways, v.Zones = n.teller.Gateways()
 	n.Board.Items(func(s *item.Set) { v.Items = s.Len() })
 	n.Board.Table(func(t *target.Table, now time.Time) bool {
 		for r := range t.All(now) {
@@ -49,12 +49,12 @@
 		}
 		return false
 	})
-	slices.SortFunc(v.Minds, func(a, b watch.Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(v.Controllers, func(a, b watch.Member) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(v.Runs, func(a, b RunView) int { return cmp.Compare(a.ID, b.ID) })
 	return v
 }
 
-// Members are the nodes that this one hears: the minds that answer, and all that ask.
+// Members are the nodes that this one hears: the controllers that answer, and all that ask.
 func (n *Node) Members() []watch.Member {
 	out := n.Mesh.Near()
 	for _, a := range n.teller.Askers() {
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -25,11 +25,11 @@
 
 var seeds = flag.Int("control.seeds", defaultSeeds, "how many seeds the random runs of this package take")
 
-// bound is the time in which what is acknowledged must be known at every flow.
+// bound is the time in which what is acknowledged must be known at every gateway.
 const bound = 2 * time.Second
 
-// mindHost is a machine that runs a control node.
-type mindHost struct {
+// controllerHost is a machine that runs a control node.
+type controllerHost struct {
 	*host
 	w    *world
 	id   string
@@ -40,9 +40,9 @@
 	node *Node
 }
 
-// flowHost is a machine that runs a subscriber. It notes whatever goes back within one
+// gatewayHost is a machine that runs a subscriber. It notes whatever goes back within one
 // life.
-type flowHost struct {
+type gatewayHost struct {
 	*host
 	w    *world
 	id   string
@@ -57,14 +57,14 @@
 
 // world is a whole deployment on a virtual clock.
 type world struct {
-	t     *testing.T
-	ctx   context.Context
-	rnd   *rand.Rand
-	net   *network
-	minds []*mindHost
-	flows []*flowHost
-	bear  int
-	first bool
+	t           *testing.T
+	ctx         context.Context
+	rnd         *rand.Rand
+	net         *network
+	controllers []*controllerHost
+	gateways    []*gatewayHost
+	bear        int
+	first       bool
 
 	mu    sync.Mutex
 	seeds []string
@@ -73,22 +73,22 @@
 }
 
 // shape says how many of everything a world has.
-type shape struct{ zones, disks, others, flows, bear int }
+type shape struct{ zones, disks, others, gateways, bear int }
 
-var small = shape{zones: 3, disks: 3, others: 3, flows: 6, bear: 1}
-var large = shape{zones: 4, disks: 5, others: 3, flows: 8, bear: 2}
+var small = shape{zones: 3, disks: 3, others: 3, gateways: 6, bear: 1}
+var large = shape{zones: 4, disks: 5, others: 3, gateways: 8, bear: 2}
 
-// play runs f in a world in which a core is formed and every flow is synced.
+// play runs f in a world in which a core is formed and every gateway is synced.
 func play(t *testing.T, seed uint64, s shape, f func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
 		w := &world{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), bear: s.bear, first: true, acked: map[item.Key]item.Item{}}
 		w.net = newNetwork(seed)
 		defer func() {
-			for _, m := range w.minds {
+			for _, m := range w.controllers {
 				m.kill()
 			}
-			for _, x := range w.flows {
+			for _, x := range w.gateways {
 				x.kill()
 			}
 			end()
@@ -96,38 +96,38 @@
 			time.Sleep(10 * time.Second)
 		}()
 		for i := range s.disks + s.others {
-			m := w.addMind(fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%s.zones), i < s.disks)
+			m := w.addController(fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%s.zones), i < s.disks)
 			if i < 3 {
 				w.seeds = append(w.seeds, m.addr)
 			}
 		}
-		for i := range s.flows {
+		for i := range s.gateways {
 			id := fmt.Sprintf("f%d", i)
-			w.flows = append(w.flows, &flowHost{host: w.net.add(id, nil), w: w, id: id, zone: fmt.Sprintf("z%d", i%s.zones)})
+			w.gateways = append(w.gateways, &gatewayHost{host: w.net.add(id, nil), w: w, id: id, zone: fmt.Sprintf("z%d", i%s.zones)})
 		}
-		for _, m := range w.minds {
+		for _, m := range w.controllers {
 			m.boot()
 			time.Sleep(time.Duration(w.chance(50)) * time.Millisecond)
 		}
-		for _, x := range w.flows {
+		for _, x := range w.gateways {
 			x.boot()
 		}
 		w.first = false
 		w.await("a first core", 6*time.Second, func() bool {
-			return lo.EveryBy(w.flows, func(x *flowHost) bool { return x.subscriber().Synced() })
+			return lo.EveryBy(w.gateways, func(x *gatewayHost) bool { return x.subscriber().Synced() })
 		})
 		f(w)
 		w.wg.Wait()
 	})
 }
 
-func (w *world) addMind(id, zone string, disked bool) *mindHost {
+func (w *world) addController(id, zone string, disked bool) *controllerHost {
 	var d *disk
 	if disked {
 		d = newDisk(rand.New(rand.NewPCG(w.rnd.Uint64(), 3)))
 	}
-	m := &mindHost{host: w.net.add("in-"+id, d), w: w, id: id, zone: zone}
-	w.minds = append(w.minds, m)
+	m := &controllerHost{host: w.net.add("in-"+id, d), w: w, id: id, zone: zone}
+	w.controllers = append(w.controllers, m)
 	return m
 }
 
@@ -141,8 +141,8 @@
 	return log.NewWithOptions(io.Discard, log.Options{Level: log.FatalLevel})
 }
 
-// up starts the process of a mind.
-func (m *mindHost) boot() {
+// up starts the process of a controller.
+func (m *controllerHost) boot() {
 	proc := m.Start(m.w.ctx, "")
 	m.inc += 1 + uint64(m.w.chance(1000))
 	p := Parts{Settings: Settings{ID: m.id, Zone: m.zone, Inner: m.addr, Seeds: m.w.seedList(), FaultsTolerated: m.w.bear, First: m.w.first, BeatEvery: time.Second},
@@ -165,17 +165,17 @@
 	m.start(proc, n.Desk, n.Run)
 }
 
-func (m *mindHost) control() *Node {
+func (m *controllerHost) control() *Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.node
 }
 
-// up starts the process of a flow, which knows nothing of its life before.
-func (x *flowHost) boot() {
+// up starts the process of a gateway, which knows nothing of its life before.
+func (x *gatewayHost) boot() {
 	proc := x.Start(x.w.ctx, "")
 	x.inc++
-	s := &watch.Subscriber{Me: watch.Member{ID: x.id, Kind: watch.Flow, Zone: x.zone, Inc: x.inc}, Line: simnet.Line{P: proc}, Clock: simnet.Clock{P: proc}, Log: quietLog()}
+	s := &watch.Subscriber{Me: watch.Member{ID: x.id, Kind: watch.Gateway, Zone: x.zone, Inc: x.inc}, Line: simnet.Line{P: proc}, Clock: simnet.Clock{P: proc}, Log: quietLog()}
 	items, runs := map[item.Key]item.Item{}, map[string]target.Run{}
 	s.OnNews = func(t watch.WatchTold) {
 		x.mu.Lock()
@@ -200,19 +200,19 @@
 	x.start(proc, newDesk(), s.Run)
 }
 
-func (x *flowHost) subscriber() *watch.Subscriber {
+func (x *gatewayHost) subscriber() *watch.Subscriber {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.sub
 }
 
-func (x *flowHost) item(k item.Key) item.Item {
+func (x *gatewayHost) item(k item.Key) item.Item {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.items[k]
 }
 
-func (x *flowHost) run(id string) target.Run {
+func (x *gatewayHost) run(id string) target.Run {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.runs[id]
@@ -227,14 +227,14 @@
 	}
 }
 
-// alive are the minds whose process runs.
-func (w *world) alive() []*mindHost {
-	return lo.Filter(w.minds, func(m *mindHost, _ int) bool { return m.up() != nil })
+// alive are the controllers whose process runs.
+func (w *world) alive() []*controllerHost {
+	return lo.Filter(w.controllers, func(m *controllerHost, _ int) bool { return m.up() != nil })
 }
 
 // disked are those of ms that have a disk.
-func disked(ms []*mindHost) []*mindHost {
-	return lo.Filter(ms, func(m *mindHost, _ int) bool { return m.disk != nil })
+func disked(ms []*controllerHost) []*controllerHost {
+	return lo.Filter(ms, func(m *controllerHost, _ int) bool { return m.disk != nil })
 }
 
 // chance draws from the seed; targets draw side by side.
@@ -277,9 +277,9 @@
 	return is
 }
 
-// order sends a change as an operator does: to some mind of those named, again until
+// order sends a change as an operator does: to some controller of those named, again until
 // it is acknowledged. It tells how long that took.
-func (w *world) order(c Change, to []*mindHost) time.Duration {
+func (w *world) order(c Change, to []*controllerHost) time.Duration {
 	w.t.Helper()
 	begun := time.Now()
 	for try := 0; ; try++ {
@@ -299,9 +299,9 @@
 	}
 }
 
-// apply sends a change once, over the network as it were: a frozen or dead mind does
+// apply sends a change once, over the network as it were: a frozen or dead controller does
 // not answer.
-func (w *world) apply(m *mindHost, c Change) ([]route.Problem, error) {
+func (w *world) apply(m *controllerHost, c Change) ([]route.Problem, error) {
 	run := m.up()
 	if run == nil {
 		return nil, errRefused
@@ -329,12 +329,12 @@
 	}
 }
 
-// known checks, once bound has passed, that what was acknowledged now is at flows.
-func (w *world) known(is []item.Item, flows []*flowHost) {
+// known checks, once bound has passed, that what was acknowledged now is at gateways.
+func (w *world) known(is []item.Item, gateways []*gatewayHost) {
 	at := time.Now()
 	w.wg.Go(func() {
 		time.Sleep(bound)
-		for _, x := range flows {
+		for _, x := range gateways {
 			for _, i := range is {
 				if got := x.item(i.Key); got.Version < i.Version {
 					w.t.Errorf("%s has version %d of %v, %d acknowledged at %v (follows %s)", x.id, got.Version, i.Key, i.Version, at.Format("05.000"), x.subscriber().Following().ID)
@@ -344,11 +344,11 @@
 	})
 }
 
-func (w *world) drained(id string, s target.State, flows []*flowHost) {
+func (w *world) drained(id string, s target.State, gateways []*gatewayHost) {
 	at := time.Now()
 	w.wg.Go(func() {
 		time.Sleep(bound)
-		for _, x := range flows {
+		for _, x := range gateways {
 			if got := x.run(id); got.State < s {
 				w.t.Errorf("%s has run %s in state %d, %d acknowledged at %v (follows %s)", x.id, id, got.State, s, at.Format("05.000"), x.subscriber().Following().ID)
 			}
@@ -356,8 +356,8 @@
 	})
 }
 
-// readBack checks that everything acknowledged stands at some mind that answers.
-func (w *world) readBack(to []*mindHost) {
+// readBack checks that everything acknowledged stands at some controller that answers.
+func (w *world) readBack(to []*controllerHost) {
 	w.t.Helper()
 	var st State
 	var err error
--- a/internal/mind/mind.go
+++ b/internal/controller/controller.go
@@ -1,5 +1,5 @@
-// Package mind puts the control plane together (design 2.1).
-package mind
+// Package controller puts the control plane together (design 2.1).
+package controller
 
 import (
 	"cmp"
@@ -28,15 +28,15 @@
 	"walkrudder/internal/voice"
 )
 
-// Parts is what a mind stands on.
+// Parts is what a controller stands on.
 type Parts struct {
-	Startup startup.Mind
+	Startup startup.Controller
 	Inc     uint64
 	// Fresh is the incarnation that an empty disk takes.
 	Fresh  string
 	Line   link.Line
 	Clock  clock.Clock
-	Disk   storage.Disk // nil for a mind that does not vote
+	Disk   storage.Disk // nil for a controller that does not vote
 	Log    *log.Logger
 	Faults *fault.Set
 	// OnBad is told when the disk fails: the process is to end.
@@ -46,8 +46,8 @@
 	Keep time.Duration
 }
 
-// Mind is one control-plane node.
-type Mind struct {
+// Controller is one control-plane node.
+type Controller struct {
 	Parts
 	Desk    *link.Desk
 	Voter   *quorum.Voter
@@ -70,8 +70,8 @@
 	wg       sync.WaitGroup
 }
 
-// New puts a mind together; Run starts it.
-func New(p Parts) (*Mind, error) {
+// New puts a controller together; Run starts it.
+func New(p Parts) (*Controller, error) {
 	i := do.New()
 	me := quorum.Seat{ID: p.Startup.ID, Addr: p.Startup.Inner, Zone: p.Startup.Zone}
 	var v *quorum.Voter
@@ -95,7 +95,7 @@
 		return &membership.Tenant{Line: p.Line, Clock: p.Clock, Core: do.MustInvoke[*quorum.Proposer](i)}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*ledger.Book, error) {
-		return &ledger.Book{Prop: do.MustInvoke[*quorum.Proposer](i), Clock: p.Clock, Mind: p.Startup.ID, WallMS: p.WallMS}, nil
+		return &ledger.Book{Prop: do.MustInvoke[*quorum.Proposer](i), Clock: p.Clock, Controller: p.Startup.ID, WallMS: p.WallMS}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*roll.Roller, error) {
 		return &roll.Roller{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*membership.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
@@ -113,13 +113,13 @@
 			Drainer: do.MustInvoke[*commands.Drainer](i)}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*commands.Changer, error) {
-		return &commands.Changer{Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), Clock: p.Clock, Mind: p.Startup.ID}, nil
+		return &commands.Changer{Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), Clock: p.Clock, Controller: p.Startup.ID}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*commands.Warden, error) {
 		return &commands.Warden{House: do.MustInvoke[*registry.House](i), Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*membership.Tenant](i),
 			Drainer: do.MustInvoke[*commands.Drainer](i), Prop: do.MustInvoke[*quorum.Proposer](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
 	})
-	m := &Mind{Parts: p, Voter: v, Desk: do.MustInvoke[*link.Desk](i), Prop: do.MustInvoke[*quorum.Proposer](i), Tenant: do.MustInvoke[*membership.Tenant](i),
+	m := &Controller{Parts: p, Voter: v, Desk: do.MustInvoke[*link.Desk](i), Prop: do.MustInvoke[*quorum.Proposer](i), Tenant: do.MustInvoke[*membership.Tenant](i),
 		Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), House: do.MustInvoke[*registry.House](i),
 		Changer: do.MustInvoke[*commands.Changer](i), Beater: do.MustInvoke[*commands.Beater](i), Drainer: do.MustInvoke[*commands.Drainer](i),
 		Warden: do.MustInvoke[*commands.Warden](i)}
@@ -127,7 +127,7 @@
 		Asker: &queries.Asker{Book: m.Book, House: m.House, Tenant: m.Tenant, Prop: m.Prop, Line: p.Line}}
 	since := p.WallMS()
 	m.Tenant.Me = func() membership.Member {
-		x := membership.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "mind", Inner: p.Startup.Inner, Door: p.Startup.Door, Zone: p.Startup.Zone, Since: since, Rest: m.resting.Load()}
+		x := membership.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "controller", Inner: p.Startup.Inner, Door: p.Startup.Door, Zone: p.Startup.Zone, Since: since, Rest: m.resting.Load()}
 		if v != nil {
 			x.Disk = v.Seat()
 		}
@@ -141,7 +141,7 @@
 	m.Clerk.Serve(m.Desk)
 	m.trim = &commands.Trimmer{Book: m.Book, Prop: m.Prop, Tenant: m.Tenant, Line: p.Line, Drainer: m.Drainer, Keep: cmp.Or(p.Keep, keepDecisions)}
 	circle := &claim.Circle{Me: p.Startup.ID, Line: p.Line, Clock: p.Clock, Log: p.Log, Keep: m.Clerk, Held: m.Tenant.Held,
-		Alone: func() bool { return false }, Flows: func() ([]string, bool) { return nil, false },
+		Alone: func() bool { return false }, Gateways: func() ([]string, bool) { return nil, false },
 		Members: func() []string { return m.Tenant.Others(p.Startup.ID) }, Mates: func() []string { return m.Tenant.Others(p.Startup.ID) }}
 	circle.Init()
 	circle.Serve(m.Desk)
@@ -161,16 +161,16 @@
 }
 
 // Run works until ctx ends, then waits for its parts.
-func (m *Mind) Run(ctx context.Context) {
+func (m *Controller) Run(ctx context.Context) {
 	m.start(ctx)
 	m.wg.Wait()
 }
 
-// Ready is what the platform is told: this mind is a member.
-func (m *Mind) Ready() bool { return m.Tenant.Held() && !m.stopping.Load() && !m.resting.Load() }
+// Ready is what the platform is told: this controller is a member.
+func (m *Controller) Ready() bool { return m.Tenant.Held() && !m.stopping.Load() && !m.resting.Load() }
 
 // Stop makes the node tell the platform that it is not ready.
-func (m *Mind) Stop() { m.stopping.Store(true) }
+func (m *Controller) Stop() { m.stopping.Store(true) }
 
 // keepDecisions is how long decisions are kept, and trimEvery how often older ones
 // are looked for.
@@ -183,8 +183,8 @@
 const sweepEvery = 15 * time.Second
 
 // sweep reads every item now and then, which mends old copies (design 4.3). The
-// duty says which mind does it.
-func (m *Mind) sweep(ctx context.Context) {
+// duty says which controller does it.
+func (m *Controller) sweep(ctx context.Context) {
 	m.Tenant.Seek("sweep")
 	var trimmed time.Time
 	for m.Clock.Sleep(ctx, sweepEvery) == nil {
--- a/internal/mind/door.go
+++ b/internal/controller/door.go
@@ -1,4 +1,4 @@
-package mind
+package controller
 
 import (
 	"bytes"
@@ -22,12 +22,12 @@
 	maxBody = 2 << 20
 	// orderTime bounds the wait for a change to be in force.
 	orderTime = 10 * time.Second
-	// beatTime bounds the handling of a beat; a leaving one waits for flows.
+	// beatTime bounds the handling of a beat; a leaving one waits for gateways.
 	beatTime = 4 * time.Second
 )
 
 // Door makes the HTTP server for targets, operators and the platform.
-func (m *Mind) Door(metrics fiber.Handler) *fiber.App {
+func (m *Controller) Door(metrics fiber.Handler) *fiber.App {
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: maxBody, ReadTimeout: 15 * time.Second, IdleTimeout: time.Minute,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			code := 500
@@ -54,9 +54,9 @@
 }
 
 // say takes one saying as plain text.
-func (m *Mind) say(c *fiber.Ctx) error { return m.speak(c, string(c.Body())) }
+func (m *Controller) say(c *fiber.Ctx) error { return m.speak(c, string(c.Body())) }
 
-func (m *Mind) speak(c *fiber.Ctx, text string) error {
+func (m *Controller) speak(c *fiber.Ctx, text string) error {
 	ctx, end := context.WithTimeout(context.Background(), orderTime)
 	defer end()
 	r, err := m.Speaker.Say(ctx, text)
@@ -82,7 +82,7 @@
 	}{why})
 }
 
-func (m *Mind) beat(c *fiber.Ctx) error {
+func (m *Controller) beat(c *fiber.Ctx) error {
 	b, err := face.ReadBeat(c.Body())
 	if err != nil {
 		return refuse(c, 400, err.Error())
@@ -100,7 +100,7 @@
 // statusOf is the HTTP status of an order's outcome.
 var statusOf = map[string]int{commands.InForce: 200, commands.Valid: 200, commands.Invalid: 422, commands.Conflict: 409, commands.Unknown: 504, commands.NoCore: 503}
 
-func (m *Mind) change(c *fiber.Ctx) error {
+func (m *Controller) change(c *fiber.Ctx) error {
 	var o commands.Order
 	d := json.NewDecoder(bytes.NewReader(c.Body()))
 	d.DisallowUnknownFields()
--- a/internal/face/beat.go
+++ b/internal/face/beat.go
@@ -12,7 +12,7 @@
 )
 
 // Beat is what a target announces every few seconds, as JSON by POST to any
-// mind's BeatPath.
+// controller's BeatPath.
 type Beat struct {
 	ID       string `json:"id"`
 	Service  string `json:"service"`
@@ -28,7 +28,7 @@
 	EveryMS int `json:"heartbeat_ms"`
 }
 
-// The paths of the minds and flows.
+// The paths of the controllers and gateways.
 const (
 	BeatPath    = "/v1/beats"
 	ReadyPath   = "/_walkrudder/ready"
@@ -102,7 +102,7 @@
 // ProbeNumber is the number of a probe's sending.
 func ProbeNumber(n uint64) string { return "p" + strconv.FormatUint(n, 10) }
 
-// BeatAnswer is what a mind answers to a beat. Leaving repeats that no new work
+// BeatAnswer is what a controller answers to a beat. Leaving repeats that no new work
 // is sent any more; Gone tells a run that it was let go and must start anew.
 type BeatAnswer struct {
 	OK      bool   `json:"ok"`
--- a/internal/face/stamp.go
+++ b/internal/face/stamp.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// The header fields between flows and targets, and towards callers.
+// The header fields between gateways and targets, and towards callers.
 const (
 	// RequestField carries the number of this sending of the request; the target
 	// repeats it in its stamp.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -11,17 +11,17 @@
 	BeforeAccept    = 3  // voter: an accept is about to be synced
 	AfterAccept     = 4  // voter: an accept is on disk, not yet told
 	AfterDecided    = 5  // roll: the change is decided, nothing staged
-	AfterStaged     = 6  // roll: every leased flow has staged
-	AfterHeld       = 7  // roll: every leased flow holds
-	AfterFlipped    = 8  // roll: the flip is decided, no flow told
+	AfterStaged     = 6  // roll: every leased gateway has staged
+	AfterHeld       = 7  // roll: every leased gateway holds
+	AfterFlipped    = 8  // roll: the flip is decided, no gateway told
 	BeforeAck       = 9  // roll: in force everywhere, operator not told
-	AfterLeaveNoted = 10 // drain: the leaving is decided, no flow told
-	BeforeLeaveAck  = 11 // drain: flows hold it, target not told
+	AfterLeaveNoted = 10 // drain: the leaving is decided, no gateway told
+	BeforeLeaveAck  = 11 // drain: gateways hold it, target not told
 	BeforeSend      = 12 // passage: target elected, nothing written
 	AfterSend       = 13 // passage: request written, no answer read
 	AfterSeal       = 14 // swap: former voters sealed, nothing pulled
 	AfterPull       = 15 // swap: items pulled, not yet voting
-	AfterTold       = 16 // roll: flows know of the flip, none shows it
+	AfterTold       = 16 // roll: gateways know of the flip, none shows it
 )
 
 // Points is the number of fault points.
--- a/internal/flow/door.go
+++ b/internal/gateway/door.go
@@ -1,4 +1,4 @@
-package flow
+package gateway
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 type middleware func(fiber.Handler) fiber.Handler
 
 // Door makes the HTTP server for callers and the platform.
-func (f *Flow) Door(metrics fiber.Handler) *fiber.App {
+func (f *Gateway) Door(metrics fiber.Handler) *fiber.App {
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: maxBody, ReadTimeout: readTime, IdleTimeout: idleTime,
 		ReadBufferSize: 16 << 10, DisableDefaultContentType: true, UnescapePath: false, CaseSensitive: true, StrictRouting: true,
 		ErrorHandler: f.defect})
@@ -50,7 +50,7 @@
 }
 
 // parting tells callers' kept links to go elsewhere once this node is stopping.
-func (f *Flow) parting(next fiber.Handler) fiber.Handler {
+func (f *Gateway) parting(next fiber.Handler) fiber.Handler {
 	return func(c *fiber.Ctx) error {
 		err := next(c)
 		if f.Stopping() {
@@ -61,7 +61,7 @@
 }
 
 // defect answers what fiber itself refuses.
-func (f *Flow) defect(c *fiber.Ctx, err error) error {
+func (f *Gateway) defect(c *fiber.Ctx, err error) error {
 	code := 500
 	if e, ok := err.(*fiber.Error); ok {
 		code = e.Code
@@ -74,7 +74,7 @@
 }
 
 // call leads one call through the passage.
-func (f *Flow) call(c *fiber.Ctx) error {
+func (f *Gateway) call(c *fiber.Ctx) error {
 	r := copyRequest(c)
 	if r.URI == "" || r.URI[0] != '/' {
 		return f.verdict(c, face.Verdict{Status: 400, Code: face.Malformed}, "")
@@ -96,7 +96,7 @@
 	return c.Send(t.Answer.Body)
 }
 
-func (f *Flow) verdict(c *fiber.Ctx, v face.Verdict, call string) error {
+func (f *Gateway) verdict(c *fiber.Ctx, v face.Verdict, call string) error {
 	if v.Retry > 0 {
 		c.Set("Retry-After", v.RetryAfter())
 	}
@@ -111,7 +111,7 @@
 	return c.Status(v.Status).Send(v.Body(call))
 }
 
-func (f *Flow) count(code string) {
+func (f *Gateway) count(code string) {
 	if f.Count != nil {
 		f.Count(code, "")
 	}
--- a/internal/flow/door_test.go
+++ b/internal/gateway/door_test.go
@@ -1,4 +1,4 @@
-package flow
+package gateway
 
 import (
 	"bufio"
@@ -61,7 +61,7 @@
 		{Name: "again", Service: "svc", Methods: []string{"GET", "HEAD", "PUT"}, Path: "/again/*", ExpiryMS: 1500, Repeatable: true},
 	}}.Sorted())
 	ctx, end := context.WithCancel(context.Background())
-	r := &registry.Roster{Clock: clock.Wall{}, Pause: liveness.NewPauses(clock.Wall{}), Minds: nil, Every: time.Second}
+	r := &registry.Roster{Clock: clock.Wall{}, Pause: liveness.NewPauses(clock.Wall{}), Controllers: nil, Every: time.Second}
 	r.Init()
 	go r.Alone(ctx)
 	if err := r.Learn(ctx, "svc", []registry.Entry{{Beat: face.Beat{ID: "a", Service: "svc", Addr: addr, Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
@@ -69,11 +69,11 @@
 	}
 	// The test lasts longer than a proof does.
 	r.Proved(r.Of("svc")[0], time.Now().Add(time.Hour))
-	p := &passage.Passage{Clock: clock.Wall{}, Rack: open{tab}, Roster: r, Courier: passage.NewHTTP(""), ID: "f", Inc: 1, Flows: func() int { return 1 }}
+	p := &passage.Passage{Clock: clock.Wall{}, Rack: open{tab}, Roster: r, Courier: passage.NewHTTP(""), ID: "f", Inc: 1, Gateways: func() int { return 1 }}
 	p.Init()
 	done := make(chan struct{})
 	go func() { p.Run(ctx); close(done) }()
-	f := &Flow{Passage: p}
+	f := &Gateway{Passage: p}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/flow/flow.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,5 @@
-// Package flow puts the data plane together (design 2.1).
-package flow
+// Package gateway puts the data plane together (design 2.1).
+package gateway
 
 import (
 	"context"
@@ -34,10 +34,10 @@
 	probeTime = 600 * time.Millisecond
 )
 
-// Parts is what a flow stands on: the real things in a daemon, the simulator's in
+// Parts is what a gateway stands on: the real things in a daemon, the simulator's in
 // a simulated run.
 type Parts struct {
-	Startup startup.Flow
+	Startup startup.Gateway
 	Inc     uint64
 	Line    link.Line
 	Clock   clock.Clock
@@ -47,8 +47,8 @@
 	Count   func(what, service string)
 }
 
-// Flow is one data-plane node.
-type Flow struct {
+// Gateway is one data-plane node.
+type Gateway struct {
 	Parts
 	Desk    *link.Desk
 	Tenant  *membership.Tenant
@@ -66,8 +66,8 @@
 	wg       sync.WaitGroup
 }
 
-// New puts a flow together; Run starts it.
-func New(p Parts) *Flow {
+// New puts a gateway together; Run starts it.
+func New(p Parts) *Gateway {
 	i := do.New()
 	do.ProvideValue(i, p)
 	do.Provide(i, func(do.Injector) (*quorum.Proposer, error) {
@@ -85,11 +85,11 @@
 	do.Provide(i, newRack)
 	do.Provide(i, newCircle)
 	do.Provide(i, newPassage)
-	f := &Flow{Parts: p, born: p.Clock.Now(), Desk: link.NewDesk(), Tenant: do.MustInvoke[*membership.Tenant](i), Pauses: do.MustInvoke[*liveness.Pauses](i),
+	f := &Gateway{Parts: p, born: p.Clock.Now(), Desk: link.NewDesk(), Tenant: do.MustInvoke[*membership.Tenant](i), Pauses: do.MustInvoke[*liveness.Pauses](i),
 		Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*registry.Roster](i), Passage: do.MustInvoke[*passage.Passage](i)}
 	since := time.Now().UnixMilli()
 	f.Tenant.Me = func() membership.Member {
-		return membership.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "flow", Inner: p.Startup.Inner, Door: p.Startup.Door,
+		return membership.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "gateway", Inner: p.Startup.Inner, Door: p.Startup.Door,
 			Zone: p.Startup.Zone, Spec: f.Rack.N(), Since: since, Rest: f.resting.Load()}
 	}
 	f.Roster.OnStand = f.watch
@@ -115,7 +115,7 @@
 func newRoster(i do.Injector) (*registry.Roster, error) {
 	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i)
 	r := &registry.Roster{Line: p.Line, Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Me: p.Startup.ID, Zone: p.Startup.Zone,
-		Minds: func() []membership.Member { return t.Kind("mind") }, Every: probeEvery}
+		Controllers: func() []membership.Member { return t.Kind("controller") }, Every: probeEvery}
 	r.Init()
 	return r, nil
 }
@@ -123,7 +123,7 @@
 func newRack(i do.Injector) (*roll.Rack, error) {
 	p, t, r := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i), do.MustInvoke[*registry.Roster](i)
 	k := &roll.Rack{Tenant: t, Line: p.Line, Clock: p.Clock, ID: p.Startup.ID, Log: p.Log,
-		Minds: func() []string { return nearest(t.Kind("mind"), p.Startup) },
+		Controllers: func() []string { return nearest(t.Kind("controller"), p.Startup) },
 		Mates: func() []string {
 			return lo.Union(t.Others(p.Startup.ID), lo.Without(p.Startup.Seeds, p.Startup.Inner))
 		},
@@ -140,9 +140,9 @@
 	return k, nil
 }
 
-// nearest lists minds to ask: the own zone first, then the rest, each flow from
+// nearest lists controllers to ask: the own zone first, then the rest, each gateway from
 // another start; before any member is known, the seeds.
-func nearest(ms []membership.Member, s startup.Flow) []string {
+func nearest(ms []membership.Member, s startup.Gateway) []string {
 	if len(ms) == 0 {
 		return s.Seeds
 	}
@@ -165,9 +165,9 @@
 	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i)
 	g := &passage.Passage{Clock: p.Clock, Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*registry.Roster](i),
 		Courier: p.Courier, Zone: p.Startup.Zone, Chart: p.Startup.Chart, ID: p.Startup.ID, Inc: p.Inc, Faults: p.Faults, Log: p.Log, Count: p.Count,
-		Flows: func() int {
+		Gateways: func() int {
 			// Read at every choice: counted, not listed.
-			return lo.CountBy(t.Members(), func(m membership.Member) bool { return m.Kind == "flow" }) + 1
+			return lo.CountBy(t.Members(), func(m membership.Member) bool { return m.Kind == "gateway" }) + 1
 		},
 		Claims: do.MustInvoke[*claim.Circle](i)}
 	g.Init()
@@ -176,21 +176,21 @@
 
 func newCircle(i do.Injector) (*claim.Circle, error) {
 	p, t, k := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i), do.MustInvoke[*roll.Rack](i)
-	c := &claim.Circle{Me: p.Startup.ID, Line: p.Line, Clock: p.Clock, Log: p.Log, Mates: k.Mates, Held: t.Held, Alone: k.Stranded, Flows: k.Counts,
+	c := &claim.Circle{Me: p.Startup.ID, Line: p.Line, Clock: p.Clock, Log: p.Log, Mates: k.Mates, Held: t.Held, Alone: k.Stranded, Gateways: k.Counts,
 		Members: func() []string { return t.Others(p.Startup.ID) },
-		Keep:    &claims{line: p.Line, clock: p.Clock, minds: func() []string { return nearest(t.Kind("mind"), p.Startup) }}}
+		Keep:    &claims{line: p.Line, clock: p.Clock, controllers: func() []string { return nearest(t.Kind("controller"), p.Startup) }}}
 	c.Init()
 	return c, nil
 }
 
-// claims takes claims through whichever mind answers.
+// claims takes claims through whichever controller answers.
 type claims struct {
-	line  link.Line
-	clock clock.Clock
-	minds func() []string
+	line        link.Line
+	clock       clock.Clock
+	controllers func() []string
 }
 
-// claimTime bounds the wait for one mind.
+// claimTime bounds the wait for one controller.
 const claimTime = 700 * time.Millisecond
 
 func (c *claims) Take(ctx context.Context, a claim.TakeAsk) (claim.TakeTold, error) {
@@ -202,12 +202,12 @@
 	return err
 }
 
-// each asks one mind after the other until one answers or ctx ends; asks of both
+// each asks one controller after the other until one answers or ctx ends; asks of both
 // kinds may be repeated.
 func each[R any](ctx context.Context, c *claims, ask any) (r R, err error) {
-	err = errors.New("no mind known")
+	err = errors.New("no controller known")
 	for {
-		for _, a := range c.minds() {
+		for _, a := range c.controllers() {
 			cx, end := context.WithTimeout(ctx, claimTime)
 			r, err = link.Ask[R](cx, c.line, a, ask)
 			end()
@@ -225,29 +225,29 @@
 }
 
 // Run works until ctx ends, then waits for its parts.
-func (f *Flow) Run(ctx context.Context) {
+func (f *Gateway) Run(ctx context.Context) {
 	f.start(ctx)
 	f.wg.Wait()
 }
 
-// warmTime is how long after its start a flow may still be getting to know the
+// warmTime is how long after its start a gateway may still be getting to know the
 // targets; after that it is ready without.
 const warmTime = 4 * time.Second
 
 // closedTime is how long the gate may be closed before this node is not ready. A hold
-// in whose middle the core is lost closes it on all flows alike until their leases have
+// in whose middle the core is lost closes it on all gateways alike until their leases have
 // lapsed and they have found each other, or until the core is back and its courts have
-// waited a lease's length: calls wait at the gate, and with all flows not ready they
+// waited a lease's length: calls wait at the gate, and with all gateways not ready they
 // could not even do that. Who alone is cut off knows much sooner.
 const closedTime = 2*membership.Lease + 200*time.Millisecond
 
 // Ready is what the platform is told: this node serves, and is not stopping.
-func (f *Flow) Ready() bool {
+func (f *Gateway) Ready() bool {
 	now := f.Clock.Now()
 	if _, open := f.Rack.Gate(); open {
 		f.opened.Store(int64(now.Sub(f.born)) + 1)
 	}
-	// A hold closes the gate for a moment, on all flows at once: that alone must
+	// A hold closes the gate for a moment, on all gateways at once: that alone must
 	// not take them all out of the platform's choice.
 	// Who is cut off says so before its lease ends: the platform takes a second to
 	// notice.
@@ -268,13 +268,13 @@
 }
 
 // Stop makes the node tell the platform that it is not ready.
-func (f *Flow) Stop() { f.stopping.Store(true) }
+func (f *Gateway) Stop() { f.stopping.Store(true) }
 
 // Part takes leave of the others: this node serves no more, nobody need wait for
-// it, and it counts no longer among the flows.
-func (f *Flow) Part(ctx context.Context) {
+// it, and it counts no longer among the gateways.
+func (f *Gateway) Part(ctx context.Context) {
 	f.Tenant.Leave(ctx)
-	for _, a := range f.Rack.Minds() {
+	for _, a := range f.Rack.Controllers() {
 		if r, err := link.Ask[roll.PartTold](ctx, f.Line, a, roll.PartAsk{ID: f.Startup.ID}); err == nil && r.OK {
 			return
 		}
@@ -282,11 +282,11 @@
 }
 
 // Stopping tells whether a planned stop is under way.
-func (f *Flow) Stopping() bool { return f.stopping.Load() }
+func (f *Gateway) Stopping() bool { return f.stopping.Load() }
 
-// watch probes one target run until ctx ends. Probes carry this flow's own
+// watch probes one target run until ctx ends. Probes carry this gateway's own
 // numbers; an answer that names another run proves nothing (design 10.2).
-func (f *Flow) watch(ctx context.Context, s *registry.Stand) {
+func (f *Gateway) watch(ctx context.Context, s *registry.Stand) {
 	var seq uint64
 	first := true
 	for {
@@ -309,7 +309,7 @@
 	}
 }
 
-func (f *Flow) probe(ctx context.Context, s *registry.Stand, seq uint64) {
+func (f *Gateway) probe(ctx context.Context, s *registry.Stand, seq uint64) {
 	sent := f.Clock.Now()
 	cx, end := context.WithTimeout(ctx, probeTime)
 	defer end()
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -51,11 +51,11 @@
 // as many changes (design 6.4).
 const maxTokens = 20000
 
-// Book is one mind's view of the ledger.
+// Book is one controller's view of the ledger.
 type Book struct {
-	Prop  *quorum.Proposer
-	Clock clock.Clock
-	Mind  string
+	Prop       *quorum.Proposer
+	Clock      clock.Clock
+	Controller string
 	// WallMS is the wall clock for people, in milliseconds.
 	WallMS func() int64
 
@@ -169,18 +169,18 @@
 }
 
 // Force is what is in force: the version decided, the version that more than half
-// of the flows that count were told of and that may show, and the flows that count
+// of the gateways that count were told of and that may show, and the gateways that count
 // (design 8.4). Round numbers their list.
 type Force struct {
-	N     uint64   `json:"version"`
-	Open  uint64   `json:"open"`
-	Flows []string `json:"flows"`
-	Round uint64   `json:"round"`
+	N        uint64   `json:"version"`
+	Open     uint64   `json:"open"`
+	Gateways []string `json:"gateways"`
+	Round    uint64   `json:"round"`
 }
 
-// More tells whether ids hold more than half of the flows that count.
+// More tells whether ids hold more than half of the gateways that count.
 func (f Force) More(ids []string) bool {
-	return len(f.Flows) == 0 || 2*len(lo.Intersect(f.Flows, ids)) > len(f.Flows)
+	return len(f.Gateways) == 0 || 2*len(lo.Intersect(f.Gateways, ids)) > len(f.Gateways)
 }
 
 // Flipped tells what is in force, by a majority.
@@ -195,13 +195,13 @@
 	return Decode[Force](v)
 }
 
-// SetFlipped records that n comes into force; the version never goes back. Flows
+// SetFlipped records that n comes into force; the version never goes back. Gateways
 // are those that count where none did. It returns what then stands.
-func (b *Book) SetFlipped(ctx context.Context, n uint64, flows []string) (Force, error) {
+func (b *Book) SetFlipped(ctx context.Context, n uint64, gateways []string) (Force, error) {
 	return b.force(ctx, func(o Force) Force {
 		o.N = max(o.N, n)
-		if len(o.Flows) == 0 {
-			o.Flows, o.Round = flows, o.Round+1
+		if len(o.Gateways) == 0 {
+			o.Gateways, o.Round = gateways, o.Round+1
 		}
 		return o
 	})
@@ -216,21 +216,21 @@
 	return err
 }
 
-// Recount makes flows those that count, if the list is still that of round.
-func (b *Book) Recount(ctx context.Context, round uint64, flows []string) (Force, error) {
+// Recount makes gateways those that count, if the list is still that of round.
+func (b *Book) Recount(ctx context.Context, round uint64, gateways []string) (Force, error) {
 	return b.force(ctx, func(o Force) Force {
 		if o.Round == round {
-			o.Flows, o.Round = flows, round+1
+			o.Gateways, o.Round = gateways, round+1
 		}
 		return o
 	})
 }
 
-// Part takes a flow that stopped as planned off those that count.
+// Part takes a gateway that stopped as planned off those that count.
 func (b *Book) Part(ctx context.Context, id string) error {
 	_, err := b.force(ctx, func(o Force) Force {
-		if n := lo.Without(o.Flows, id); len(n) < len(o.Flows) {
-			o.Flows, o.Round = n, o.Round+1
+		if n := lo.Without(o.Gateways, id); len(n) < len(o.Gateways) {
+			o.Gateways, o.Round = n, o.Round+1
 		}
 		return o
 	})
@@ -254,7 +254,7 @@
 
 // Once writes an immutable item; an item already there stays, and counts.
 func (b *Book) Once(ctx context.Context, key string, n Note) (Note, error) {
-	n.Mind = b.Mind
+	n.Controller = b.Controller
 	if n.At == 0 {
 		n.At = b.WallMS()
 	}
@@ -274,7 +274,7 @@
 func (b *Book) Note(ctx context.Context, n Note) error {
 	at := b.WallMS()
 	n.At = at
-	key := fmt.Sprintf("%s%013d-%s-%d", NotePrefix, at, b.Mind, b.seq.Add(1))
+	key := fmt.Sprintf("%s%013d-%s-%d", NotePrefix, at, b.Controller, b.seq.Add(1))
 	_, err := b.Once(ctx, key, n)
 	return err
 }
--- a/internal/ledger/book_test.go
+++ b/internal/ledger/book_test.go
@@ -45,13 +45,13 @@
 }
 
 func TestForceNeedsMoreThanHalf(t *testing.T) {
-	f := Force{Flows: []string{"a", "b", "c", "d"}}
+	f := Force{Gateways: []string{"a", "b", "c", "d"}}
 	for want, ids := range map[bool][]string{false: {"a", "b", "x", "y"}, true: {"a", "b", "c"}} {
 		if f.More(ids) != want {
-			t.Errorf("%v of %v: %v", ids, f.Flows, !want)
+			t.Errorf("%v of %v: %v", ids, f.Gateways, !want)
 		}
 	}
 	if !(Force{}).More(nil) {
-		t.Error("with no flow that counts, none is needed")
+		t.Error("with no gateway that counts, none is needed")
 	}
 }
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -29,13 +29,13 @@
 // Change is a decided change of the route sheet. Its number is its place: the
 // item at the next free number is created by exactly one proposer.
 type Change struct {
-	N     uint64      `json:"version"`
-	Token string      `json:"token,omitempty"`
-	By    string      `json:"by,omitempty"` // the operator, as named by himself
-	Mind  string      `json:"mind"`
-	At    int64       `json:"at_ms"`
-	Edits []spec.Edit `json:"edits"`
-	Note  string      `json:"note,omitempty"`
+	N          uint64      `json:"version"`
+	Token      string      `json:"token,omitempty"`
+	By         string      `json:"by,omitempty"` // the operator, as named by himself
+	Controller string      `json:"controller"`
+	At         int64       `json:"at_ms"`
+	Edits      []spec.Edit `json:"edits"`
+	Note       string      `json:"note,omitempty"`
 	// Sheet is the whole sheet after this change, at every Whole-th change, so
 	// that a start need not fold from the first.
 	Sheet *spec.Sheet `json:"sheet,omitempty"`
@@ -63,14 +63,14 @@
 
 // Note is any other decision.
 type Note struct {
-	Kind   string  `json:"kind"`
-	At     int64   `json:"at_ms"`
-	Mind   string  `json:"mind"`
-	Target *Target `json:"target,omitempty"`
-	Seq    uint64  `json:"call_seq,omitempty"`
-	W      float64 `json:"suspicion,omitempty"`
-	N      uint64  `json:"version,omitempty"`
-	Why    string  `json:"why,omitempty"`
+	Kind       string  `json:"kind"`
+	At         int64   `json:"at_ms"`
+	Controller string  `json:"controller"`
+	Target     *Target `json:"target,omitempty"`
+	Seq        uint64  `json:"call_seq,omitempty"`
+	W          float64 `json:"suspicion,omitempty"`
+	N          uint64  `json:"version,omitempty"`
+	Why        string  `json:"why,omitempty"`
 }
 
 // ChangeKey is the key of change n.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,7 +13,7 @@
 // Who names the process at the other end of a link.
 type Who struct {
 	ID   string
-	Kind string // "flow", "mind" or "tool"
+	Kind string // "gateway", "controller" or "tool"
 }
 
 // Line asks one question of the process at an inner address.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -33,7 +33,7 @@
 		return echoTold{w.ID + ":" + a.Text}, nil
 	})
 	On(d, func(context.Context, Who, boomAsk) (echoTold, error) { panic("boom") })
-	s := NewTCP(Who{ID: "srv", Kind: "mind"}, "", log.New(io.Discard))
+	s := NewTCP(Who{ID: "srv", Kind: "controller"}, "", log.New(io.Discard))
 	go s.Serve(ln, d)
 	t.Cleanup(s.Close)
 	return s, ln.Addr().String()
--- a/internal/link/mute_test.go
+++ b/internal/link/mute_test.go
@@ -107,7 +107,7 @@
 		}
 		return echoTold(a), nil
 	})
-	s := NewTCP(Who{ID: "srv", Kind: "mind"}, "", log.New(io.Discard))
+	s := NewTCP(Who{ID: "srv", Kind: "controller"}, "", log.New(io.Discard))
 	go s.Serve(ln, d)
 	t.Cleanup(s.Close)
 	c := NewTCP(Who{ID: "cli", Kind: "tool"}, "", log.New(io.Discard))
--- a/internal/liveness/quality_test.go
+++ b/internal/liveness/quality_test.go
@@ -17,7 +17,7 @@
 	qualitySeeds = flag.Int("quality.seeds", 1, "how many traces of each kind")
 )
 
-// every is the interval of the replayed arrivals, that of a flow's probes.
+// every is the interval of the replayed arrivals, that of a gateway's probes.
 const every = 400 * time.Millisecond
 
 // arrival is one arrival of a trace, at a time since its start.
--- a/internal/membership/court.go
+++ b/internal/membership/court.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// Lease is how long a member counts after its last renewal. A flow that is cut off
+	// Lease is how long a member counts after its last renewal. A gateway that is cut off
 	// serves under it until the platform has noticed: that looks once a second, and the
-	// flow needs some 0.4 s to know (design 7.1).
+	// gateway needs some 0.4 s to know (design 7.1).
 	Lease = 1500 * time.Millisecond
 	// Renew is how often a member renews.
 	Renew = 250 * time.Millisecond
@@ -42,7 +42,7 @@
 type Member struct {
 	ID    string
 	Inc   uint64 // this run of the process
-	Kind  string // "flow" or "mind"
+	Kind  string // "gateway" or "controller"
 	Inner string
 	Door  string
 	Zone  string
@@ -174,11 +174,11 @@
 		c.version++
 	}
 	// During warm-up the table, which might lack some, is withheld, and so are duties:
-	// nothing can be brought into force. A flow that got a lease now could not be told
+	// nothing can be brought into force. A gateway that got a lease now could not be told
 	// what is in force, and would stop serving without one (design 8.4). A lease that
 	// stands goes on.
 	r.Warming = now.Before(c.shown)
-	if r.Warming && !a.Held && a.Member.Kind == "flow" {
+	if r.Warming && !a.Held && a.Member.Kind == "gateway" {
 		return r, nil
 	}
 	c.by[a.Member.ID] = grant{a.Member, now.Add(Lease)}
--- a/internal/membership/tenant_test.go
+++ b/internal/membership/tenant_test.go
@@ -90,7 +90,7 @@
 func (l *lab) tenant(id string, line link.Line) *Tenant {
 	p := quorum.NewProposer(id, line, clock.Wall{})
 	p.Learn(l.core)
-	return &Tenant{Line: line, Clock: clock.Wall{}, Core: p, Me: func() Member { return Member{ID: id, Inc: 1, Kind: "flow"} }}
+	return &Tenant{Line: line, Clock: clock.Wall{}, Core: p, Me: func() Member { return Member{ID: id, Inc: 1, Kind: "gateway"} }}
 }
 
 // A lease that moves from one majority of courts to another must be in every
@@ -116,7 +116,7 @@
 			})
 			ms, err := r.Table(ctx)
 			if err == nil && f.Held() && !has(ms, "f") {
-				t.Errorf("a's answer %s late: the table lacks a flow whose lease stands", late)
+				t.Errorf("a's answer %s late: the table lacks a gateway whose lease stands", late)
 			}
 			if late == 0 && (err != nil || !has(ms, "f")) {
 				t.Errorf("prompt answers: %v %v", ms, err)
--- a/internal/passage/budget.go
+++ b/internal/passage/budget.go
@@ -14,24 +14,24 @@
 	// ratio is the share of first sends that extra sends may reach, below the
 	// promised fifth.
 	ratio = 0.15
-	// common is what all flows share besides, below the promised seventy.
+	// common is what all gateways share besides, below the promised seventy.
 	common = 56.0
 )
 
-// Budget bounds the extra sends of one service at one flow. The promise is for
-// all flows together: each has its ratio of its own requests, and an equal part
+// Budget bounds the extra sends of one service at one gateway. The promise is for
+// all gateways together: each has its ratio of its own requests, and an equal part
 // of the common allowance. A fresh budget begins with no part of it for one
-// span: the run before it may have spent this flow's part (design 13.6).
+// span: the run before it may have spent this gateway's part (design 13.6).
 type Budget struct {
-	mu    sync.Mutex
-	born  time.Time
-	slot  [slots]struct{ at, first, extra int64 }
-	flows func() int
+	mu       sync.Mutex
+	born     time.Time
+	slot     [slots]struct{ at, first, extra int64 }
+	gateways func() int
 }
 
-// NewBudget makes a budget; flows tells how many flows share.
-func NewBudget(born time.Time, flows func() int) *Budget {
-	return &Budget{born: born, flows: flows}
+// NewBudget makes a budget; gateways tells how many gateways share.
+func NewBudget(born time.Time, gateways func() int) *Budget {
+	return &Budget{born: born, gateways: gateways}
 }
 
 func (b *Budget) cell(now time.Time) int {
@@ -68,7 +68,7 @@
 	f, x := b.sums(now)
 	can := ratio * float64(f)
 	if now.Sub(b.born) > span {
-		can += common / float64(max(1, b.flows()))
+		can += common / float64(max(1, b.gateways()))
 	}
 	if float64(x)+1 > can {
 		return false
--- a/internal/passage/budget_test.go
+++ b/internal/passage/budget_test.go
@@ -6,17 +6,17 @@
 	"time"
 )
 
-// However requests, resends, restarts and joins fall, all flows together stay
+// However requests, resends, restarts and joins fall, all gateways together stay
 // under a fifth plus seventy in every ten seconds.
 func TestBudgetsTogetherKeepThePromise(t *testing.T) {
 	for seed := range uint64(20) {
 		r := rand.New(rand.NewPCG(seed, 3))
 		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		n := 3 + r.IntN(6)
-		flows := func() int { return n + 1 }
+		gateways := func() int { return n + 1 }
 		var bs []*Budget
 		for range n {
-			bs = append(bs, NewBudget(now.Add(-time.Hour), flows))
+			bs = append(bs, NewBudget(now.Add(-time.Hour), gateways))
 		}
 		type mark struct {
 			at    time.Time
@@ -30,7 +30,7 @@
 			switch x := r.IntN(1000); {
 			case x == 0:
 				// A restart: its predecessor may have spent its part a moment ago.
-				bs[i] = NewBudget(now, flows)
+				bs[i] = NewBudget(now, gateways)
 			case x < 400:
 				bs[i].First(now)
 				all = append(all, mark{now, false})
--- a/internal/passage/claims.go
+++ b/internal/passage/claims.go
@@ -12,14 +12,14 @@
 	"walkrudder/internal/face"
 )
 
-// Claims takes and ends claims at the minds.
+// Claims takes and ends claims at the controllers.
 type Claims interface {
 	Take(ctx context.Context, a claim.TakeAsk) (claim.TakeTold, error)
 	End(ctx context.Context, a claim.EndAsk) error
 }
 
 const (
-	// claimWorkers bounds the claims under way at one flow.
+	// claimWorkers bounds the claims under way at one gateway.
 	claimWorkers = 64
 	// endTime is how long a claim's end is tried for.
 	endTime = 20 * time.Second
@@ -97,7 +97,7 @@
 	return face.Verdict{Status: 409, Code: face.Unknown, Why: "call " + s.Call + " under this key is under way, or its outcome is unknown", Retry: 2 * time.Second}
 }
 
-// closeClaim tells the minds how a claimed call ended: given back where nothing
+// closeClaim tells the controllers how a claimed call ended: given back where nothing
 // ran and nothing will, ended where it was answered; an unknown outcome keeps the
 // key for as long as keys are kept.
 func (p *Passage) closeClaim(t *Trip) {
--- a/internal/passage/courier.go
+++ b/internal/passage/courier.go
@@ -151,7 +151,7 @@
 	h.idle[target] = append(h.idle[target], w)
 }
 
-// Sweep closes links that lie idle; the flow calls it now and then.
+// Sweep closes links that lie idle; the gateway calls it now and then.
 func (h *HTTP) Sweep() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/passage/elect.go
+++ b/internal/passage/elect.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// Fresh and suspectAt are what all who read the flows' proofs go by.
+	// Fresh and suspectAt are what all who read the gateways' proofs go by.
 	Fresh     = registry.Fresh
 	suspectAt = registry.SuspectAt
 	// suspectCap is the share of a service's targets that may be passed over for
@@ -33,7 +33,7 @@
 // for every target at every choice. It tells also how much room the targets have in
 // all, and whether there was one but for its room.
 func (p *Passage) elect(service string, limit float64, tried []*registry.Stand, left time.Duration) (s *registry.Stand, rooms float64, full bool) {
-	now, flows := p.Clock.Now(), p.Flows()
+	now, gateways := p.Clock.Now(), p.Gateways()
 	all := p.Roster.Of(service)
 	var ok, bad []candidate
 	for _, s := range all {
@@ -58,7 +58,7 @@
 	}
 	free := ok[:0]
 	for _, c := range ok {
-		r := room(c.s, left, flows)
+		r := room(c.s, left, gateways)
 		rooms += r
 		if float64(c.s.Flying.Load()) < math.Max(1, r) {
 			free = append(free, c)
--- a/internal/passage/elect_test.go
+++ b/internal/passage/elect_test.go
@@ -29,7 +29,7 @@
 	if err := r.Learn(ctx, "s", es); err != nil {
 		t.Fatal(err)
 	}
-	p := &Passage{Clock: clock.Wall{}, Roster: r, Zone: "z1", Flows: func() int { return 1 }}
+	p := &Passage{Clock: clock.Wall{}, Roster: r, Zone: "z1", Gateways: func() int { return 1 }}
 	p.Init()
 	return p, r.Of("s")
 }
--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -24,10 +24,10 @@
 
 const (
 	// queueSize bounds each queue; together with sendWorkers it bounds the
-	// requests inside one flow.
+	// requests inside one gateway.
 	queueSize   = 512
 	sendWorkers = 256
-	// laneWide bounds the sendings of one service at a flow: a service whose targets
+	// laneWide bounds the sendings of one service at a gateway: a service whose targets
 	// all hang leaves the others a quarter of the workers (design 13.8).
 	laneWide = sendWorkers * 3 / 4
 	// maxTries bounds the targets tried for one request.
@@ -40,7 +40,7 @@
 	roomWaits = 15
 	// slack is kept free before the expiry, for the answer's way back.
 	slack = 20 * time.Millisecond
-	// clientRate and clientBurst limit a client that hammers, over all flows together;
+	// clientRate and clientBurst limit a client that hammers, over all gateways together;
 	// each has its equal part, and no less than partRate and partBurst. Proper ones stay
 	// far below.
 	clientRate  = 60
@@ -56,21 +56,21 @@
 	Wait(ctx context.Context) (*spec.Table, bool)
 }
 
-// Passage leads requests through a flow.
+// Passage leads requests through a gateway.
 type Passage struct {
-	Clock   clock.Clock
-	Rack    Gate
-	Roster  *registry.Roster
-	Courier Courier
-	Claims  Claims
-	Zone    string
-	Chart   *chart.Chart // nil where no map is given
-	ID      string
-	Inc     uint64
-	Flows   func() int
-	Faults  *fault.Set
-	Log     *log.Logger
-	Count   func(what, service string)
+	Clock    clock.Clock
+	Rack     Gate
+	Roster   *registry.Roster
+	Courier  Courier
+	Claims   Claims
+	Zone     string
+	Chart    *chart.Chart // nil where no map is given
+	ID       string
+	Inc      uint64
+	Gateways func() int
+	Faults   *fault.Set
+	Log      *log.Logger
+	Count    func(what, service string)
 
 	grant, claim, choose *Stage[*Trip]
 	send, check          *Stage[*Try]
@@ -402,7 +402,7 @@
 	defer p.mu.Unlock()
 	b := p.budgets[service]
 	if b == nil {
-		b = NewBudget(p.born, p.Flows)
+		b = NewBudget(p.born, p.Gateways)
 		p.budgets[service] = b
 	}
 	return b
@@ -610,7 +610,7 @@
 				return true
 			}
 		}
-		n := max(1, p.Flows())
+		n := max(1, p.Gateways())
 		x = &client{l: rate.NewLimiter(rate.Limit(max(partRate, clientRate/n)), max(partBurst, clientBurst/n))}
 		p.clients[c] = x
 	}
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -56,7 +56,7 @@
 			bs = append(bs, spec.Binding{Name: n, Service: n, Methods: []string{"POST"}, Path: "/" + n, ExpiryMS: 1200})
 		}
 		p.Rack = sheet{spec.NewTable(1, spec.Sheet{Services: []spec.Service{{Name: "s"}, {Name: "u"}}, Bindings: bs}.Sorted())}
-		p.Courier, p.Flows, p.ID = halves{"s"}, func() int { return 1 }, "f"
+		p.Courier, p.Gateways, p.ID = halves{"s"}, func() int { return 1 }, "f"
 		done := make(chan struct{})
 		go func() { p.Run(ctx); close(done) }()
 		var wg sync.WaitGroup
--- a/internal/passage/room.go
+++ b/internal/passage/room.go
@@ -28,20 +28,20 @@
 	mostRetry = 10 * time.Second
 )
 
-// room is how many sendings this flow may have under way at a target of which each is
+// room is how many sendings this gateway may have under way at a target of which each is
 // to be done within d: what the target's announced capacity finishes in that time, at
-// the pace seen, shared with all other flows alike. Of a target that never answered
+// the pace seen, shared with all other gateways alike. Of a target that never answered
 // not much is expected.
-func room(s *registry.Stand, d time.Duration, flows int) float64 {
+func room(s *registry.Stand, d time.Duration, gateways int) float64 {
 	may := useful * float64(d)
 	took := float64(s.Took())
 	if took <= 0 {
 		took = may / unmet
 	}
-	return float64(max(1, s.Capacity.Load())) * may / took / float64(max(1, flows))
+	return float64(max(1, s.Capacity.Load())) * may / took / float64(max(1, gateways))
 }
 
-// Lane counts one service's sendings, queued and under way, at this flow, and how many
+// Lane counts one service's sendings, queued and under way, at this gateway, and how many
 // calls it was asked to take.
 type Lane struct {
 	all   atomic.Int64
--- a/internal/passage/story.go
+++ b/internal/passage/story.go
@@ -37,7 +37,7 @@
 }
 
 type (
-	// StoryAsk asks a flow what became of a call.
+	// StoryAsk asks a gateway what became of a call.
 	StoryAsk struct{ Call string }
 	// StoryTold answers it.
 	StoryTold struct {
@@ -54,7 +54,7 @@
 	next  int
 }
 
-// stories is a flow's memory of calls (design 13.9).
+// stories is a gateway's memory of calls (design 13.9).
 type stories struct {
 	own        *owner.Owner
 	by         map[string]Story
--- a/internal/passage/trip.go
+++ b/internal/passage/trip.go
@@ -1,4 +1,4 @@
-// Package passage is a request's way through a flow: door, grant, elect, send,
+// Package passage is a request's way through a gateway: door, grant, elect, send,
 // check, return, joined by bounded queues (design 13).
 package passage
 
--- a/internal/passage/try_test.go
+++ b/internal/passage/try_test.go
@@ -66,7 +66,7 @@
 			bs = append(bs, spec.Binding{Name: m, Service: "s", Methods: []string{m}, Path: "/s", ExpiryMS: 4000, Repeatable: m == "GET"})
 		}
 		p.Rack = sheet{spec.NewTable(1, spec.Sheet{Services: []spec.Service{{Name: "s"}}, Bindings: bs}.Sorted())}
-		p.Courier, p.Flows, p.ID = d, func() int { return 1 }, "f"
+		p.Courier, p.Gateways, p.ID = d, func() int { return 1 }, "f"
 		p.born = time.Now().Add(-time.Minute)
 		if b := p.budget("s"); !spare {
 			b.mu.Lock()
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -22,7 +22,7 @@
 		route.Service{Name: "svc", Version: 1}.Item(),
 		route.Route{Name: "r", Version: 1, Host: "h", Prefix: "/a/", Repeat: route.Idempotent, Attempts: 2, AimMS: 400, Shares: []route.Share{{Service: "svc", Weight: 1}}}.Item(),
 	})
-	n.SetFlows(1, 1)
+	n.SetGateways(1, 1)
 	n.SetSynced(true)
 	to := loopback{}.listen()
 	defer to.Close()
--- a/internal/proxy/choice_test.go
+++ b/internal/proxy/choice_test.go
@@ -15,9 +15,9 @@
 
 // plan is a node without network, for choices alone.
 func plan(runs ...target.Run) (*Node, *service) {
-	n := New(Parts{Settings: Settings{ID: "flow1", Zone: "a", Zones: map[string]string{"a": "r", "b": "r", "c": "far"}, Dialect: dialect}, Clock: clock.Wall{}})
+	n := New(Parts{Settings: Settings{ID: "gateway1", Zone: "a", Zones: map[string]string{"a": "r", "b": "r", "c": "far"}, Dialect: dialect}, Clock: clock.Wall{}})
 	n.TakeItems([]item.Item{route.Service{Name: "svc", Version: 1, MaxConns: 100, Health: "/health"}.Item()})
-	n.SetFlows(1, 1)
+	n.SetGateways(1, 1)
 	n.TakeRuns(runs)
 	return n, n.services["svc"]
 }
@@ -63,11 +63,11 @@
 // TestConnectionsBound: a node keeps to its part of a target's connections.
 func TestConnectionsBound(t *testing.T) {
 	n, s := plan(at("a1", "a", 50))
-	for flows, want := range map[int]int{2: 40, 10: 8, 100: 2} {
-		n.SetFlows(flows, 1)
+	for gateways, want := range map[int]int{2: 40, 10: 8, 100: 2} {
+		n.SetGateways(gateways, 1)
 		got := fill(n, s, route.Idempotent)
 		if len(got) != want {
-			t.Errorf("%d flows: %d at once, want %d", flows, len(got), want)
+			t.Errorf("%d gateways: %d at once, want %d", gateways, len(got), want)
 		}
 		s.all["a1"].starts = nil
 	}
@@ -111,7 +111,7 @@
 func TestNodesBeginApart(t *testing.T) {
 	firsts := map[string]bool{}
 	for i := range 20 {
-		n := New(Parts{Settings: Settings{ID: fmt.Sprint("flow", i), Zone: "a", Dialect: dialect}, Clock: clock.Wall{}})
+		n := New(Parts{Settings: Settings{ID: fmt.Sprint("gateway", i), Zone: "a", Dialect: dialect}, Clock: clock.Wall{}})
 		for k := range 9 {
 			n.TakeRuns([]target.Run{at(fmt.Sprint("r", k), "a", 2)})
 		}
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -7,7 +7,7 @@
 	sub.OnNews = func(t watch.WatchTold) {
 		n.TakeItems(t.Items)
 		n.TakeRuns(t.Runs)
-		n.SetFlows(t.Flows, t.FlowsNear)
+		n.SetGateways(t.Gateways, t.GatewaysNear)
 		if sub.Synced() {
 			n.SetSynced(true)
 			n.SetAsOf(sub.AsOf())
--- a/internal/proxy/mix_test.go
+++ b/internal/proxy/mix_test.go
@@ -189,7 +189,7 @@
 		began := time.Now()
 		var sent []time.Time
 		for i := range 3000 {
-			// Requests ebb and flow.
+			// Requests ebb and gateway.
 			if i%500 == 499 {
 				time.Sleep(4 * time.Second)
 			}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -29,8 +29,8 @@
 	// any other.
 	farZone   = 3
 	farRegion = 9
-	// unknownFlows is how many nodes share the targets until that is told.
-	unknownFlows = 16
+	// unknownGateways is how many nodes share the targets until that is told.
+	unknownGateways = 16
 	// leastNews is an age that news may reach on a slow link without any trouble.
 	leastNews = time.Second
 	// pauseTick is how often the node looks whether it stood still itself.
@@ -61,16 +61,16 @@
 	out    bulk // and to callers
 	gate   chan struct{}
 
-	view       atomic.Pointer[view]
-	flows      atomic.Int64
-	flowsNear  atomic.Int64
-	synced     atomic.Bool
-	asOf       atomic.Pointer[time.Time] // until when all changes are known
-	stopping   atomic.Bool
-	leaving    atomic.Bool // idle callers are closed
-	ended      atomic.Bool // the listener is closed on purpose
-	warned     atomic.Int64
-	maxCallers int64
+	view         atomic.Pointer[view]
+	gateways     atomic.Int64
+	gatewaysNear atomic.Int64
+	synced       atomic.Bool
+	asOf         atomic.Pointer[time.Time] // until when all changes are known
+	stopping     atomic.Bool
+	leaving      atomic.Bool // idle callers are closed
+	ended        atomic.Bool // the listener is closed on purpose
+	warned       atomic.Int64
+	maxCallers   int64
 	// noStandIn and noFates leave an extension of the detector out, for measurement.
 	noStandIn, noFates bool
 
@@ -117,7 +117,7 @@
 	n.in, n.out, n.gate = newBulk(n, s.LinkMbps), newBulk(n, s.LinkMbps), newBulkGate(s.LinkMbps)
 	n.rhythm.base, n.rhythm.free = s.ProbeEvery, s.FreeProbes
 	n.rhythm.every.Store(int64(s.ProbeEvery))
-	n.flows.Store(unknownFlows)
+	n.gateways.Store(unknownGateways)
 	n.view.Store(&view{})
 	return n
 }
@@ -220,11 +220,11 @@
 	}
 }
 
-// SetFlows tells how many nodes such as this one there are, in all and in its zone. It
+// SetGateways tells how many nodes such as this one there are, in all and in its zone. It
 // is to be told again now and then, for the budget trusts an old number no longer.
-func (n *Node) SetFlows(all, near int) {
-	n.flows.Store(int64(max(1, all)))
-	n.flowsNear.Store(int64(max(1, near)))
+func (n *Node) SetGateways(all, near int) {
+	n.gateways.Store(int64(max(1, all)))
+	n.gatewaysNear.Store(int64(max(1, near)))
 	n.budget.SetNodes(all)
 }
 
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -13,13 +13,13 @@
 
 // Report is what a node tells people of itself in one log line.
 type Report struct {
-	Ready     bool  `json:"ready"`
-	Synced    bool  `json:"synced"`
-	Stopping  bool  `json:"stopping"`
-	Routes    int   `json:"routes"`
-	Services  int   `json:"services"`
-	Flows     int64 `json:"flows"`
-	FlowsNear int64 `json:"flows_near"`
+	Ready        bool  `json:"ready"`
+	Synced       bool  `json:"synced"`
+	Stopping     bool  `json:"stopping"`
+	Routes       int   `json:"routes"`
+	Services     int   `json:"services"`
+	Gateways     int64 `json:"gateways"`
+	GatewaysNear int64 `json:"gateways_near"`
 	// ProbeMS is the interval at which a run that is well is probed now.
 	ProbeMS int64 `json:"probe_ms"`
 	Runs    Runs  `json:"runs"`
@@ -92,7 +92,7 @@
 	now := n.clock.Now()
 	v := n.view.Load()
 	r := Report{Ready: n.Ready(), Synced: n.synced.Load(), Stopping: n.stopping.Load(), Routes: v.table.Len(), Services: len(v.services),
-		Flows: n.flows.Load(), FlowsNear: n.flowsNear.Load(), ProbeMS: n.rhythm.interval().Milliseconds(), Budget: []Left{}, Counters: n.Stats()}
+		Gateways: n.gateways.Load(), GatewaysNear: n.gatewaysNear.Load(), ProbeMS: n.rhythm.interval().Milliseconds(), Budget: []Left{}, Counters: n.Stats()}
 	for _, s := range n.all() {
 		if s.count(&r.Runs, now) {
 			r.Budget = append(r.Budget, Left{s.name, s.acct.Left()})
--- a/internal/proxy/report_test.go
+++ b/internal/proxy/report_test.go
@@ -82,7 +82,7 @@
 		if len(r.Budget) != fewServices || !reflect.DeepEqual(r.Budget, want) || want[0].Sends == 0 || want[0].Sends >= want[4].Sends {
 			t.Errorf("%+v, want %+v", r.Budget, want)
 		}
-		if r.Routes != 9 || r.Services != 10 || r.Ready || r.Flows != 1 {
+		if r.Routes != 9 || r.Services != 10 || r.Ready || r.Gateways != 1 {
 			t.Errorf("%+v", r)
 		}
 		n.SetSynced(true)
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -89,7 +89,7 @@
 	if s.def.MaxConns <= 0 {
 		return 1 << 16
 	}
-	return max(2, int(connShare*float64(s.def.MaxConns)/float64(max(1, s.n.flows.Load()))))
+	return max(2, int(connShare*float64(s.def.MaxConns)/float64(max(1, s.n.gateways.Load()))))
 }
 
 // define takes the operators' word.
@@ -182,7 +182,7 @@
 			slots += e.slots()
 		}
 	}
-	s.limit.share = float64(slots) / float64(max(1, s.n.flows.Load()))
+	s.limit.share = float64(slots) / float64(max(1, s.n.gateways.Load()))
 	want := min(mostRuns, max(fewRuns, int(runsEach*s.busy+1)))
 	if want > s.runs || want <= s.runs*3/4 || want == fewRuns && want < s.runs {
 		s.runs = want
@@ -385,7 +385,7 @@
 			slots += float64(e.slots())
 		}
 	}
-	should := slots / s.usual().Seconds() / float64(max(1, s.n.flowsNear.Load()))
+	should := slots / s.usual().Seconds() / float64(max(1, s.n.gatewaysNear.Load()))
 	rate := max(s.pace.rate(now), should, 1)
 	return time.Duration(float64(before+1) / rate * float64(time.Second))
 }
--- a/internal/proxy/stand_test.go
+++ b/internal/proxy/stand_test.go
@@ -141,7 +141,7 @@
 
 func newLab(t *testing.T, nw network, tune func(*Settings)) *lab {
 	l := &lab{t: t, net: nw, ran: map[string]int{}, conns: map[string]int{}, stands: map[string]*stand{}}
-	s := Settings{ID: "flow1", Zone: "a", Zones: map[string]string{"a": "r", "b": "r", "c": "far"}, Dialect: dialect,
+	s := Settings{ID: "gateway1", Zone: "a", Zones: map[string]string{"a": "r", "b": "r", "c": "far"}, Dialect: dialect,
 		BudgetRatio: 10, BudgetWindow: 10 * time.Second, BudgetSlack: 100, Grace: 6 * time.Second}
 	if tune != nil {
 		tune(&s)
@@ -165,7 +165,7 @@
 	l.end = end
 	l.wg.Go(func() { l.node.Run(cx) })
 	t.Cleanup(l.close)
-	l.node.SetFlows(1, 1)
+	l.node.SetGateways(1, 1)
 	return l
 }
 
--- a/internal/queries/queries.go
+++ b/internal/queries/queries.go
@@ -24,7 +24,7 @@
 	"walkrudder/internal/steperr"
 )
 
-// Asker answers queries at one mind.
+// Asker answers queries at one controller.
 type Asker struct {
 	Book   *ledger.Book
 	House  *registry.House
@@ -76,9 +76,9 @@
 	QuietMS   int64   `json:"quiet_ms"`
 	Alpha     float64 `json:"alpha_s"`
 	Beta      float64 `json:"beta"`
-	// Flows probe the target themselves; Trusting of them find it well.
-	Flows    int `json:"flows"`
-	Trusting int `json:"flows_trusting"`
+	// Gateways probe the target themselves; Trusting of them find it well.
+	Gateways int `json:"gateways"`
+	Trusting int `json:"gateways_trusting"`
 }
 
 // Targets lists the targets, of one service or of all.
@@ -99,7 +99,7 @@
 		}
 		return TargetRow{Service: s.Beat.Service, ID: s.Beat.ID, Zone: s.Beat.Zone, Addr: s.Beat.Addr, Inc: s.Beat.Inc, Capacity: s.Beat.Capacity, State: state,
 			Suspicion: s.W, QuietMS: s.Quiet.Milliseconds(), Alpha: s.Fit.Alpha, Beta: s.Fit.Beta,
-			Flows: v.Flows, Trusting: v.Trusting}, service == "" || s.Beat.Service == service
+			Gateways: v.Gateways, Trusting: v.Trusting}, service == "" || s.Beat.Service == service
 	}), nil
 }
 
@@ -153,12 +153,12 @@
 
 // Item is one decision, as people read it.
 type Item struct {
-	At    string `json:"at"`
-	Mind  string `json:"mind"`
-	Kind  string `json:"kind"`
-	About string `json:"about"`
-	Why   string `json:"why,omitempty"`
-	ms    int64
+	At         string `json:"at"`
+	Controller string `json:"controller"`
+	Kind       string `json:"kind"`
+	About      string `json:"about"`
+	Why        string `json:"why,omitempty"`
+	ms         int64
 }
 
 // notes lists the decisions of every kind but changes, oldest first.
@@ -182,7 +182,7 @@
 		return nil, err
 	}
 	for _, c := range cs {
-		out = append(out, Item{stamp(c.At), c.Mind, "change", fmt.Sprintf("version %d", c.N), fmt.Sprintf("by %q: %s %s", c.By, edits(c.Edits), c.Note), c.At})
+		out = append(out, Item{stamp(c.At), c.Controller, "change", fmt.Sprintf("version %d", c.N), fmt.Sprintf("by %q: %s %s", c.By, edits(c.Edits), c.Note), c.At})
 	}
 	ns, err := a.notes(ctx)
 	if err != nil {
@@ -193,7 +193,7 @@
 		if n.Target != nil {
 			about = fmt.Sprintf("%s/%s run %d", n.Target.Service, n.Target.ID, n.Target.Inc)
 		}
-		out = append(out, Item{stamp(n.At), n.Mind, n.Kind, about, n.Why, n.At})
+		out = append(out, Item{stamp(n.At), n.Controller, n.Kind, about, n.Why, n.At})
 	}
 	slices.SortStableFunc(out, func(a, b Item) int { return cmp.Compare(a.ms, b.ms) })
 	if last > 0 && len(out) > last {
@@ -250,27 +250,27 @@
 	}{seen, now, notes}, nil
 }
 
-// WhyCall asks the flow that a call came to what became of it.
+// WhyCall asks the gateway that a call came to what became of it.
 func (a *Asker) WhyCall(ctx context.Context, call string) (passage.Story, error) {
 	run := strings.LastIndexByte(call, '-')
 	id := strings.LastIndexByte(call[:max(run, 0)], '-')
 	if id <= 0 {
 		return passage.Story{}, steperr.New("find call", "", "%q is no call: FLOW-RUN-NUMBER", call)
 	}
-	flow, inc := call[:id], call[id+1:run]
-	m, ok := lo.Find(a.Tenant.Members(), func(m membership.Member) bool { return m.ID == flow })
+	gateway, inc := call[:id], call[id+1:run]
+	m, ok := lo.Find(a.Tenant.Members(), func(m membership.Member) bool { return m.ID == gateway })
 	if !ok {
-		return passage.Story{}, steperr.New("find call", flow, "that flow has no lease now; its log has what it gave up")
+		return passage.Story{}, steperr.New("find call", gateway, "that gateway has no lease now; its log has what it gave up")
 	}
 	if strconv.FormatUint(m.Inc, 36) != inc {
-		return passage.Story{}, steperr.New("find call", flow, "that run of the flow has ended; its log has what it gave up")
+		return passage.Story{}, steperr.New("find call", gateway, "that run of the gateway has ended; its log has what it gave up")
 	}
 	r, err := link.Ask[passage.StoryTold](ctx, a.Line, m.Inner, passage.StoryAsk{Call: call})
 	if err != nil {
-		return passage.Story{}, steperr.At("find call", flow, err)
+		return passage.Story{}, steperr.At("find call", gateway, err)
 	}
 	if !r.Known {
-		return passage.Story{}, steperr.New("find call", flow, "not among the calls remembered; its log has what it gave up")
+		return passage.Story{}, steperr.New("find call", gateway, "not among the calls remembered; its log has what it gave up")
 	}
 	return r.Story, nil
 }
@@ -353,18 +353,18 @@
 
 // Picture is everything, as it is read back at the end of the day.
 type Picture struct {
-	Mind      string          `json:"mind"`
-	Sheet     SheetNow        `json:"route_sheet"`
-	Core      quorum.Core     `json:"core"`
-	Nodes     []NodeRow       `json:"nodes"`
-	Targets   []TargetRow     `json:"targets"`
-	Changes   []ledger.Change `json:"changes"`
-	Decisions []ledger.Note   `json:"decisions"`
+	Controller string          `json:"controller"`
+	Sheet      SheetNow        `json:"route_sheet"`
+	Core       quorum.Core     `json:"core"`
+	Nodes      []NodeRow       `json:"nodes"`
+	Targets    []TargetRow     `json:"targets"`
+	Changes    []ledger.Change `json:"changes"`
+	Decisions  []ledger.Note   `json:"decisions"`
 }
 
 // Picture reads the whole.
 func (a *Asker) Picture(ctx context.Context) (p Picture, err error) {
-	p.Mind, p.Core = a.Book.Mind, a.Prop.Core()
+	p.Controller, p.Core = a.Book.Controller, a.Prop.Core()
 	if p.Sheet, err = a.Sheet(ctx, 0); err != nil {
 		return p, err
 	}
--- a/internal/quorum/bootstrapper_test.go
+++ b/internal/quorum/bootstrapper_test.go
@@ -119,7 +119,7 @@
 		"more seats than seeds":       {5, []string{"c", "d", "e"}, disks("a", "b", "c", "d", "e")},
 		"more disks than seats":       {3, []string{"f", "g", "m"}, append(disks("a", "b", "c", "d", "e", "f", "g", "h"), bare("m")...)},
 		"one voter":                   {1, []string{"b"}, disks("a", "b")},
-		"flows look on":               {3, []string{"a", "b"}, append(disks("a", "b", "c"), bare("f1", "f2", "f3")...)},
+		"gateways look on":            {3, []string{"a", "b"}, append(disks("a", "b", "c"), bare("f1", "f2", "f3")...)},
 		"seats, seeds, all different": {3, []string{"y", "z"}, append(disks("a", "b", "c"), disks("x", "y", "z")...)},
 	} {
 		for i := range 20 {
--- a/internal/quorum/city_test.go
+++ b/internal/quorum/city_test.go
@@ -41,7 +41,7 @@
 	d.over = true
 }
 
-// node is one disk mind of a city, in one life.
+// node is one disk controller of a city, in one life.
 type node struct {
 	c     *city
 	seat  Seat
@@ -61,7 +61,7 @@
 	thaw  time.Time
 }
 
-// city is a number of disk minds that hear each other, can be cut from each other,
+// city is a number of disk controllers that hear each other, can be cut from each other,
 // killed, frozen and started again.
 type city struct {
 	t     *testing.T
@@ -197,7 +197,7 @@
 	return n
 }
 
-// hear is what a mesh of minds would do: it hears of all that can be reached, and
+// hear is what a mesh of controllers would do: it hears of all that can be reached, and
 // learns their cores.
 func (n *node) hear() {
 	for (ice{n: n}).Sleep(n.ctx, 250*time.Millisecond) == nil {
--- a/internal/quorum/proposer.go
+++ b/internal/quorum/proposer.go
@@ -20,7 +20,7 @@
 	ErrNoCore = errors.New("no core known yet")
 )
 
-// Proposer changes and reads items through a majority of the voters. Any mind
+// Proposer changes and reads items through a majority of the voters. Any controller
 // has one (design 4.1).
 type Proposer struct {
 	By    string
--- a/internal/quorum/reconfigurer.go
+++ b/internal/quorum/reconfigurer.go
@@ -49,7 +49,7 @@
 
 // Reconfigurer keeps the seats of the core filled (design 4.4): a seat goes to its own
 // node's new disk at once, and to a disk that stands by once it was silent for long.
-// Every disk mind runs one. Who acts is told by rank among the disks heard, so that
+// Every disk controller runs one. Who acts is told by rank among the disks heard, so that
 // mostly one does; that two act does no harm, for a register of the old epoch
 // decides. In calm it sends nothing.
 type Reconfigurer struct {
--- a/internal/registry/house.go
+++ b/internal/registry/house.go
@@ -26,13 +26,13 @@
 	forget = 10 * time.Minute
 )
 
-// Homes lists the home minds of a service: one in each zone, by rendezvous over
+// Homes lists the home controllers of a service: one in each zone, by rendezvous over
 // the members (design 12.1).
 func Homes(service string, ms []membership.Member) []membership.Member {
 	best := map[string]membership.Member{}
 	top := map[string]uint64{}
 	for _, m := range ms {
-		if m.Kind != "mind" {
+		if m.Kind != "controller" {
 			continue
 		}
 		s := score(service, m.ID)
@@ -65,11 +65,11 @@
 	stood time.Duration
 }
 
-// House is a mind's table of targets. One owner works through its commands.
+// House is a controller's table of targets. One owner works through its commands.
 type House struct {
 	Clock clock.Clock
 	Pause *liveness.Pauses
-	Run   uint64 // this run of the mind
+	Run   uint64 // this run of the controller
 
 	own     *owner.Owner
 	rows    map[string]map[string]*row // by service, target
@@ -172,7 +172,7 @@
 	}
 }
 
-// Judge is this mind's own suspicion of a target run.
+// Judge is this controller's own suspicion of a target run.
 func (h *House) Judge(ctx context.Context, a JudgeAsk) (r JudgeTold, err error) {
 	return owner.Get(ctx, h.own, func() (r JudgeTold) {
 		x := h.rows[a.Service][a.ID]
@@ -190,7 +190,7 @@
 	return now.Sub(x.seen) - (h.Pause.At(now) - x.stood)
 }
 
-// Seen is one target as a mind sees it.
+// Seen is one target as a controller sees it.
 type Seen struct {
 	Entry
 	Quiet time.Duration
@@ -213,7 +213,7 @@
 	})
 }
 
-// Collect gathers what all minds hold, each target run by its newest beat and
+// Collect gathers what all controllers hold, each target run by its newest beat and
 // the least silence that any of them has met.
 func Collect(ctx context.Context, l link.Line, ms []membership.Member) []Seen {
 	var mu sync.Mutex
@@ -222,7 +222,7 @@
 	cx, end := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer end()
 	for _, m := range ms {
-		if m.Kind != "mind" {
+		if m.Kind != "controller" {
 			continue
 		}
 		wg.Go(func() {
--- a/internal/registry/near.go
+++ b/internal/registry/near.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// nearMost is how many targets of a service a flow keeps proved: each costs it
+	// nearMost is how many targets of a service a gateway keeps proved: each costs it
 	// probes, so that with all of them the probes would grow with the square of a
 	// deployment (design 12.4).
 	nearMost = 24
@@ -19,12 +19,12 @@
 	nearBad = SuspectAt
 )
 
-// Near tells whether this flow probes the target, and may choose it.
+// Near tells whether this gateway probes the target, and may choose it.
 func (s *Stand) Near() bool { return s.near.Load() }
 
-// nearest picks the stands of one service that this flow works with: all where they
+// nearest picks the stands of one service that this gateway works with: all where they
 // are few; else as many as nearMost that are well, up to half of them from the own
-// zone, in an order that differs from flow to flow and hardly changes when targets
+// zone, in an order that differs from gateway to gateway and hardly changes when targets
 // come and go. Those that are not well stay near besides, for they may come back.
 func (r *Roster) nearest(all []*Stand) []*Stand {
 	if len(all) <= nearMost {
--- a/internal/registry/near_test.go
+++ b/internal/registry/near_test.go
@@ -13,7 +13,7 @@
 	"walkrudder/internal/liveness"
 )
 
-// many is a flow's roster of n targets in three zones.
+// many is a gateway's roster of n targets in three zones.
 func many(ctx context.Context, t *testing.T, me string, n int) *Roster {
 	t.Helper()
 	pz := liveness.NewPauses(clock.Wall{})
@@ -31,14 +31,14 @@
 	return r
 }
 
-func TestFlowWorksWithSomeOfManyTargets(t *testing.T) {
+func TestGatewayWorksWithSomeOfManyTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
 		defer end()
 		if n := len(many(ctx, t, "f", nearMost).Of("s")); n != nearMost {
 			t.Errorf("of %d targets %d are near", nearMost, n)
 		}
-		// All targets are some flow's, and none is everybody's.
+		// All targets are some gateway's, and none is everybody's.
 		by := map[string]int{}
 		for i := range 32 {
 			r := many(ctx, t, fmt.Sprint("f", i), 64)
@@ -55,7 +55,7 @@
 		}
 		for i := range 64 {
 			if n := by[fmt.Sprint("t", i)]; n < 3 || n > 30 {
-				t.Errorf("t%d is near to %d of 32 flows", i, n)
+				t.Errorf("t%d is near to %d of 32 gateways", i, n)
 			}
 		}
 	})
--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -15,7 +15,7 @@
 	"walkrudder/internal/owner"
 )
 
-// Stand is one target run as a flow knows it. Its fields are set once; what
+// Stand is one target run as a gateway knows it. Its fields are set once; what
 // changes is atomic, for the request path.
 type Stand struct {
 	ID      string
@@ -65,15 +65,15 @@
 	}
 }
 
-// Roster is a flow's table of targets, by service. Its owner replaces the
+// Roster is a gateway's table of targets, by service. Its owner replaces the
 // snapshot that the request path reads.
 type Roster struct {
-	Line  link.Line
-	Clock clock.Clock
-	Pause *liveness.Pauses
-	Me    string
-	Zone  string
-	Minds func() []membership.Member
+	Line        link.Line
+	Clock       clock.Clock
+	Pause       *liveness.Pauses
+	Me          string
+	Zone        string
+	Controllers func() []membership.Member
 	// Every is the interval of probes.
 	Every time.Duration
 	// OnStand is told of each new stand, to start probing it; ctx ends with it.
@@ -100,7 +100,7 @@
 }
 
 const (
-	// maxStands bounds a flow's table.
+	// maxStands bounds a gateway's table.
 	maxStands = 8192
 	// unseen is how long a target that no home lists any more is kept while it
 	// proves no identity.
@@ -209,7 +209,7 @@
 	var run, seen uint64
 	at, fails := "", 0
 	for ctx.Err() == nil {
-		hs := Homes(service, r.Minds())
+		hs := Homes(service, r.Controllers())
 		for i, h := range hs {
 			if h.Zone == r.Zone {
 				hs[0], hs[i] = hs[i], hs[0]
--- a/internal/registry/roster_test.go
+++ b/internal/registry/roster_test.go
@@ -51,7 +51,7 @@
 	return face.Beat{ID: id, Service: "s", Addr: "127.0.0.1:" + id, Capacity: 1, Seq: seq, Inc: inc, EveryMS: 1000, Leaving: leaving}
 }
 
-func TestFlowKeepsItsTargetsWhileHomesChange(t *testing.T) {
+func TestGatewayKeepsItsTargetsWhileHomesChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
 		l := &lab{desks: map[string]*link.Desk{}, shut: map[string]bool{}}
@@ -76,8 +76,8 @@
 				}
 			}
 		}
-		r := &Roster{Line: l, Clock: clock.Wall{}, Pause: p, Zone: "z1", Every: time.Second, Minds: func() []membership.Member {
-			return []membership.Member{{ID: "m1", Kind: "mind", Inner: "m1", Zone: "z1"}, {ID: "m2", Kind: "mind", Inner: "m2", Zone: "z2"}}
+		r := &Roster{Line: l, Clock: clock.Wall{}, Pause: p, Zone: "z1", Every: time.Second, Controllers: func() []membership.Member {
+			return []membership.Member{{ID: "m1", Kind: "controller", Inner: "m1", Zone: "z1"}, {ID: "m2", Kind: "controller", Inner: "m2", Zone: "z2"}}
 		}}
 		r.Init()
 		r.Want([]string{"s"})
@@ -158,7 +158,7 @@
 func TestHomesAreOneAZoneAndMoveLittle(t *testing.T) {
 	var ms []membership.Member
 	for _, id := range []string{"m1", "m2", "m3", "m4", "m5", "m6"} {
-		ms = append(ms, membership.Member{ID: id, Kind: "mind", Zone: "z" + string('1'+(id[1]-'1')%3)})
+		ms = append(ms, membership.Member{ID: id, Kind: "controller", Zone: "z" + string('1'+(id[1]-'1')%3)})
 	}
 	moved, kept := 0, 0
 	for i := range 200 {
--- a/internal/registry/types.go
+++ b/internal/registry/types.go
@@ -1,5 +1,5 @@
-// Package registry keeps the tables of targets: at each service's home mind in every
-// zone, and at the flows that subscribe there (design 12).
+// Package registry keeps the tables of targets: at each service's home controller in every
+// zone, and at the gateways that subscribe there (design 12).
 package registry
 
 import "walkrudder/internal/face"
@@ -12,7 +12,7 @@
 	W       float64
 }
 
-// View is one target run as a flow's own probes show it.
+// View is one target run as a gateway's own probes show it.
 type View struct {
 	Service string
 	ID      string
@@ -52,7 +52,7 @@
 		Same    bool
 		Entries []Entry
 	}
-	// DrainAsk tells a flow that a target run is leaving, or was let go.
+	// DrainAsk tells a gateway that a target run is leaving, or was let go.
 	DrainAsk struct {
 		Service string
 		ID      string
@@ -61,7 +61,7 @@
 	}
 	// DrainTold answers it.
 	DrainTold struct{ OK bool }
-	// MarkAsk tells a mind what was decided of a target run.
+	// MarkAsk tells a controller what was decided of a target run.
 	MarkAsk struct {
 		Service string
 		ID      string
@@ -71,15 +71,15 @@
 	}
 	// MarkTold answers it.
 	MarkTold struct{ OK bool }
-	// SeenAsk asks a mind for all that its house holds.
+	// SeenAsk asks a controller for all that its house holds.
 	SeenAsk struct{ From string }
 	// SeenTold answers it.
 	SeenTold struct{ Seen []Seen }
-	// ViewAsk asks a flow how it sees the targets that it probes.
+	// ViewAsk asks a gateway how it sees the targets that it probes.
 	ViewAsk struct{ From string }
 	// ViewTold answers it.
 	ViewTold struct{ Views []View }
-	// JudgeAsk asks a mind for its own suspicion of a target run.
+	// JudgeAsk asks a controller for its own suspicion of a target run.
 	JudgeAsk struct {
 		Service string
 		ID      string
--- a/internal/registry/views.go
+++ b/internal/registry/views.go
@@ -12,25 +12,25 @@
 
 const (
 	// SuspectAt is the suspicion from which a target counts as suspected, unless its
-	// service says otherwise to the flows.
+	// service says otherwise to the gateways.
 	SuspectAt = 0.99
 	// Fresh is how old a proof of a target's identity may be when a request is
 	// written: addresses pass to another service after about 2 s.
 	Fresh = 1500 * time.Millisecond
-	// viewTime bounds the wait for the flows' views.
+	// viewTime bounds the wait for the gateways' views.
 	viewTime = 300 * time.Millisecond
 )
 
-// Watched is how the flows that answered see one target run.
+// Watched is how the gateways that answered see one target run.
 type Watched struct {
-	Flows    int // that probe it
+	Gateways int // that probe it
 	Trusting int // that it answers, unsuspected
 }
 
-// Vouched tells whether at least half of the flows that probe a target trust it.
-func (w Watched) Vouched() bool { return w.Flows > 0 && 2*w.Trusting >= w.Flows }
+// Vouched tells whether at least half of the gateways that probe a target trust it.
+func (w Watched) Vouched() bool { return w.Gateways > 0 && 2*w.Trusting >= w.Gateways }
 
-// Views gathers how the flows among ms see the targets (design 10.7).
+// Views gathers how the gateways among ms see the targets (design 10.7).
 func Views(ctx context.Context, l link.Line, ms []membership.Member) map[ledger.Target]Watched {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -38,7 +38,7 @@
 	cx, end := context.WithTimeout(ctx, viewTime)
 	defer end()
 	for _, m := range ms {
-		if m.Kind != "flow" {
+		if m.Kind != "gateway" {
 			continue
 		}
 		wg.Go(func() {
@@ -51,7 +51,7 @@
 			for _, v := range r.Views {
 				t := ledger.Target{ID: v.ID, Service: v.Service, Inc: v.Inc}
 				x := out[t]
-				if x.Flows++; v.Proved && v.W < SuspectAt {
+				if x.Gateways++; v.Proved && v.W < SuspectAt {
 					x.Trusting++
 				}
 				out[t] = x
@@ -62,7 +62,7 @@
 	return out
 }
 
-// Views tells how this flow sees the targets that it probes.
+// Views tells how this gateway sees the targets that it probes.
 func (r *Roster) Views() (out []View) {
 	now := r.Clock.Now()
 	for _, ss := range r.All() {
--- a/internal/roll/rack.go
+++ b/internal/roll/rack.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// confirmPause is how soon an unconfirmed flow asks again.
+	// confirmPause is how soon an unconfirmed gateway asks again.
 	confirmPause = 25 * time.Millisecond
-	// heldLong is how long a flow is held before it asks what became of the flip.
+	// heldLong is how long a gateway is held before it asks what became of the flip.
 	heldLong = 250 * time.Millisecond
 	// While no lease is held, this node looks every lookPause whom it reaches, and
 	// waits lookTime for the answers. looseRounds looks in a row must allow it
@@ -44,14 +44,14 @@
 	wake  chan struct{} // closed when the next state is in place
 }
 
-// Rack holds a flow's sheets: the one in force, and those staged.
+// Rack holds a gateway's sheets: the one in force, and those staged.
 type Rack struct {
 	Tenant *membership.Tenant
 	Line   link.Line
 	Clock  clock.Clock
 	ID     string
-	// Minds lists the inner addresses of minds to ask, nearest first.
-	Minds func() []string
+	// Controllers lists the inner addresses of controllers to ask, nearest first.
+	Controllers func() []string
 	// Mates lists the inner addresses of all other nodes known.
 	Mates func() []string
 	// OnLeaves takes what a confirmation says of leaving targets.
@@ -64,9 +64,9 @@
 	cur atomic.Pointer[state]
 
 	// lone says that this node cannot renew its lease, and others can, or it reaches too
-	// few of the flows that count: it is cut off, or will be when the lease ends.
+	// few of the gateways that count: it is cut off, or will be when the lease ends.
 	lone atomic.Bool
-	// counts is confirmed and flows, for others to read.
+	// counts is confirmed and gateways, for others to read.
 	counts atomic.Pointer[counts]
 
 	// Owned by own.
@@ -75,7 +75,7 @@
 	heldAt time.Time
 	// confirmed says that a majority has told this run what is in force.
 	confirmed bool
-	flows     []string // those that count, by the list of round
+	gateways  []string // those that count, by the list of round
 	round     uint64
 	sure      bool // the list is decided
 	// late is since when others renew their leases and this node does not.
@@ -85,26 +85,26 @@
 }
 
 type counts struct {
-	flows     []string
+	gateways  []string
 	confirmed bool
 }
 
-// Counts lists the flows that count, and tells whether a majority has told this
+// Counts lists the gateways that count, and tells whether a majority has told this
 // run what is in force.
 func (k *Rack) Counts() ([]string, bool) {
 	if c := k.counts.Load(); c != nil {
-		return c.flows, c.confirmed
+		return c.gateways, c.confirmed
 	}
 	return nil, false
 }
 
-// count takes over a list of flows that count, unless an older one; only own
+// count takes over a list of gateways that count, unless an older one; only own
 // calls it. Of two lists of one round the decided one stays.
-func (k *Rack) count(round uint64, flows []string, sure bool) {
+func (k *Rack) count(round uint64, gateways []string, sure bool) {
 	if round > k.round || round == k.round && (sure || !k.sure) {
-		k.flows, k.round, k.sure = flows, round, sure
+		k.gateways, k.round, k.sure = gateways, round, sure
 	}
-	k.counts.Store(&counts{k.flows, k.confirmed})
+	k.counts.Store(&counts{k.gateways, k.confirmed})
 }
 
 // isShut tells whether n is decided and not known here to be open; only own calls it.
@@ -184,17 +184,17 @@
 
 // Serve teaches d to answer for this rack.
 func (k *Rack) Serve(d *link.Desk) {
-	link.On(d, func(ctx context.Context, _ link.Who, a StageAsk) (r FlowTold, err error) {
-		return owner.Get(ctx, k.own, func() (r FlowTold) {
+	link.On(d, func(ctx context.Context, _ link.Who, a StageAsk) (r GatewayTold, err error) {
+		return owner.Get(ctx, k.own, func() (r GatewayTold) {
 			if a.N > k.N() && k.staged[a.N] == nil && len(k.staged) < 64 {
 				k.staged[a.N] = spec.NewTable(a.N, a.Sheet)
 			}
-			r = FlowTold{OK: a.N <= k.N() || k.staged[a.N] != nil, N: k.N()}
+			r = GatewayTold{OK: a.N <= k.N() || k.staged[a.N] != nil, N: k.N()}
 			return r
 		})
 	})
-	link.On(d, func(ctx context.Context, _ link.Who, a HoldAsk) (r FlowTold, err error) {
-		return owner.Get(ctx, k.own, func() (r FlowTold) {
+	link.On(d, func(ctx context.Context, _ link.Who, a HoldAsk) (r GatewayTold, err error) {
+		return owner.Get(ctx, k.own, func() (r GatewayTold) {
 			// A run that began after the staging holds too, and fetches the sheet with
 			// its confirmation.
 			if a.N > k.N() && k.held[a.By] < a.N {
@@ -203,45 +203,45 @@
 				// so; the next look decides (design 8.4).
 				k.set(func(s *state) { s.open, s.loose = false, time.Time{} })
 			}
-			r = FlowTold{OK: true, N: k.N()}
+			r = GatewayTold{OK: true, N: k.N()}
 			return r
 		})
 	})
-	link.On(d, func(ctx context.Context, _ link.Who, a FreeAsk) (r FlowTold, err error) {
-		return owner.Get(ctx, k.own, func() (r FlowTold) {
+	link.On(d, func(ctx context.Context, _ link.Who, a FreeAsk) (r GatewayTold, err error) {
+		return owner.Get(ctx, k.own, func() (r GatewayTold) {
 			if k.held[a.By] == a.N && a.N > k.N() {
 				delete(k.held, a.By)
 				k.set(func(s *state) { s.open = !s.since.IsZero() })
 			}
-			return FlowTold{OK: true, N: k.N()}
+			return GatewayTold{OK: true, N: k.N()}
 		})
 	})
-	link.On(d, func(ctx context.Context, _ link.Who, a FlipAsk) (r FlowTold, err error) {
-		return owner.Get(ctx, k.own, func() (r FlowTold) {
+	link.On(d, func(ctx context.Context, _ link.Who, a FlipAsk) (r GatewayTold, err error) {
+		return owner.Get(ctx, k.own, func() (r GatewayTold) {
 			if t := k.staged[a.N]; a.N > k.N() && t != nil {
 				k.confirmed, k.shut = true, a.N
 				k.set(func(s *state) { s.table, s.loose = t, time.Time{} })
 			}
 			if a.N <= k.N() {
-				k.count(a.Round, a.Flows, true)
+				k.count(a.Round, a.Gateways, true)
 			}
 			if a.Open && a.N == k.N() && a.N == k.shut {
 				k.shut = 0
 				k.set(func(s *state) { s.open = !s.since.IsZero() })
 			}
-			r = FlowTold{OK: a.N <= k.N(), N: k.N()}
+			r = GatewayTold{OK: a.N <= k.N(), N: k.N()}
 			return r
 		})
 	})
-	link.On(d, func(ctx context.Context, _ link.Who, a CountAsk) (r FlowTold, err error) {
-		return owner.Get(ctx, k.own, func() (r FlowTold) {
-			k.count(a.Round, a.Flows, a.Sure)
-			return FlowTold{OK: k.round == a.Round && slices.Equal(k.flows, a.Flows), N: k.N()}
+	link.On(d, func(ctx context.Context, _ link.Who, a CountAsk) (r GatewayTold, err error) {
+		return owner.Get(ctx, k.own, func() (r GatewayTold) {
+			k.count(a.Round, a.Gateways, a.Sure)
+			return GatewayTold{OK: k.round == a.Round && slices.Equal(k.gateways, a.Gateways), N: k.N()}
 		})
 	})
 	link.On(d, func(ctx context.Context, _ link.Who, a LastAsk) (r LastTold, err error) {
 		return owner.Get(ctx, k.own, func() (r LastTold) {
-			r = LastTold{ID: k.ID, Held: k.Tenant.Held(), Fresh: k.Tenant.Calm() && k.Tenant.Left() > membership.Doubt, Confirmed: k.confirmed, Shut: k.isShut(k.N()), N: k.N(), Round: k.round, Flows: k.flows}
+			r = LastTold{ID: k.ID, Held: k.Tenant.Held(), Fresh: k.Tenant.Calm() && k.Tenant.Left() > membership.Doubt, Confirmed: k.confirmed, Shut: k.isShut(k.N()), N: k.N(), Round: k.round, Gateways: k.gateways}
 			if s := k.cur.Load().table.Sheet; r.Confirmed && a.Have != r.N {
 				r.Sheet = &s
 			}
@@ -283,10 +283,10 @@
 	return d
 }
 
-// confirm asks a mind what is in force, after the lease was granted; what it
+// confirm asks a controller what is in force, after the lease was granted; what it
 // then learns holds until the lease breaks (design 8.3).
 func (k *Rack) confirm(ctx context.Context) {
-	for _, a := range k.Minds() {
+	for _, a := range k.Controllers() {
 		since, ok := k.Tenant.HeldSince()
 		if !ok {
 			return
@@ -312,7 +312,7 @@
 				t = spec.NewTable(r.N, *r.Sheet)
 			}
 			k.confirmed = true
-			k.count(r.Round, r.Flows, true)
+			k.count(r.Round, r.Gateways, true)
 			switch {
 			case r.Open && k.shut == r.N:
 				k.shut = 0
@@ -333,7 +333,7 @@
 }
 
 // outlook finds out, while no lease is held, whom this node reaches. Nobody, or
-// too few of the flows: it refuses. More than half of the flows that count, or just
+// too few of the gateways: it refuses. More than half of the gateways that count, or just
 // half where all others are known to be down, and nobody with a majority: it serves its
 // last sheet. No change can come into force meanwhile without one of them, for that
 // takes more than half too (design 8.4).
@@ -416,7 +416,7 @@
 			}
 			ids[r.ID] = true
 			if r.Round > k.round {
-				k.count(r.Round, r.Flows, false)
+				k.count(r.Round, r.Gateways, false)
 			}
 			if best == nil || r.N > best.N || r.N == best.N && !r.Shut {
 				best = r
@@ -433,12 +433,12 @@
 			}
 		}
 		n := 0
-		for _, id := range k.flows {
+		for _, id := range k.gateways {
 			if ids[id] {
 				n++
 			}
 		}
-		enough := 2*n > len(k.flows) || n > 0 && 2*n == len(k.flows) && silent == 0
+		enough := 2*n > len(k.gateways) || n > 0 && 2*n == len(k.gateways) && silent == 0
 		k.lone.Store(!enough || k.behind(fresh))
 		good = !held && enough
 		if good && allow || t != k.cur.Load().table {
--- a/internal/roll/register.go
+++ b/internal/roll/register.go
@@ -3,7 +3,7 @@
 import "walkrudder/internal/link"
 
 func init() {
-	link.Pair[StageAsk, FlowTold]()
+	link.Pair[StageAsk, GatewayTold]()
 	link.Register[HoldAsk]()
 	link.Register[FreeAsk]()
 	link.Register[FlipAsk]()
--- a/internal/roll/roller.go
+++ b/internal/roll/roller.go
@@ -24,13 +24,13 @@
 const (
 	askTime = 300 * time.Millisecond
 	retry   = 20 * time.Millisecond
-	// holdTime is how long a roll-out holds the flows before it lets them go on under
+	// holdTime is how long a roll-out holds the gateways before it lets them go on under
 	// the old sheet: calls wait meanwhile. Two rounds take some 10 ms; what takes
-	// longer is a flow that is gone, whose lease lapses no sooner for the wait.
+	// longer is a gateway that is gone, whose lease lapses no sooner for the wait.
 	holdTime = 250 * time.Millisecond
 )
 
-// Roller brings decided changes into force. Any mind may run one, and several
+// Roller brings decided changes into force. Any controller may run one, and several
 // at once do no harm: every step is safe to repeat (design 8.2).
 type Roller struct {
 	Book   *ledger.Book
@@ -43,7 +43,7 @@
 	mu   sync.Mutex
 	busy chan struct{} // closed when the drive under way ends
 	done uint64        // highest version known to be in force everywhere
-	// absent is since when a flow that counts has had no lease.
+	// absent is since when a gateway that counts has had no lease.
 	absent map[string]time.Time
 	told   uint64 // last list of those that was told to all; Watch's alone
 	holds  atomic.Uint64
@@ -116,11 +116,11 @@
 		r.Faults.At(fault.AfterFlipped)
 	}
 	if now.Open < f.N {
-		// Flows that are cut off with more than half of those that count may serve on
+		// Gateways that are cut off with more than half of those that count may serve on
 		// under the old sheet as long as none of them knows of the flip. So nobody
 		// shows the new one before more than half know; the others, held, are not
 		// waited for.
-		if _, err := r.most(ctx, "flip", now, FlipAsk{f.N, false, now.Round, now.Flows}, now.More); err != nil {
+		if _, err := r.most(ctx, "flip", now, FlipAsk{f.N, false, now.Round, now.Gateways}, now.More); err != nil {
 			return 0, err
 		}
 		r.Faults.At(fault.AfterTold)
@@ -129,7 +129,7 @@
 	// far.
 	note := make(chan error, 1)
 	go func() { note <- r.opened(ctx, now, f.N) }()
-	_, err = r.all(ctx, "open", FlipAsk{f.N, true, now.Round, now.Flows}, nil)
+	_, err = r.all(ctx, "open", FlipAsk{f.N, true, now.Round, now.Gateways}, nil)
 	if err = errors.Join(err, <-note); err != nil {
 		return 0, err
 	}
@@ -137,12 +137,12 @@
 	return f.N, nil
 }
 
-// held stages the sheet at every leased flow and then holds them all; it names them.
+// held stages the sheet at every leased gateway and then holds them all; it names them.
 // Whom the hold does not reach at once is gone or about to be: the others are let go
 // on until that one's lease has lapsed, and then held again.
 func (r *Roller) held(ctx context.Context, f *ledger.Fold, was ledger.Force) ([]string, error) {
 	for {
-		// More than half of the flows that count must take part: flows that are cut off
+		// More than half of the gateways that count must take part: gateways that are cut off
 		// with as many may go on under the old sheet (design 8.4).
 		if _, err := r.most(ctx, "stage", was, StageAsk{f.N, f.Sheet}, nil); err != nil {
 			return nil, err
@@ -150,7 +150,7 @@
 		r.Faults.At(fault.AfterStaged)
 		// A hold of its own each time: only who holds lets go, so that none of two
 		// roll-outs undoes the other's.
-		a := HoldAsk{N: f.N, By: fmt.Sprintf("%s-%d", r.Book.Mind, r.holds.Add(1))}
+		a := HoldAsk{N: f.N, By: fmt.Sprintf("%s-%d", r.Book.Controller, r.holds.Add(1))}
 		cx, end := context.WithTimeout(ctx, holdTime)
 		ids, err := r.most(cx, "hold", was, a, nil)
 		end()
@@ -180,11 +180,11 @@
 	return err
 }
 
-// forgetAfter is how long a flow that counts may be without a lease before it is
+// forgetAfter is how long a gateway that counts may be without a lease before it is
 // left out.
 const forgetAfter = time.Minute
 
-// wanted lists the flows that are to count: those that do, less those that have
+// wanted lists the gateways that are to count: those that do, less those that have
 // long had no lease, and those that have one.
 func (r *Roller) wanted(ctx context.Context, was []string) ([]string, error) {
 	ms, err := r.Tenant.Table(ctx)
@@ -197,16 +197,16 @@
 	out := lo.Union(lo.Filter(was, func(id string, _ int) bool {
 		t, ok := r.absent[id]
 		return !ok || now.Sub(t) < forgetAfter
-	}), lo.FilterMap(ms, func(m membership.Member, _ int) (string, bool) { return m.ID, m.Kind == "flow" }))
+	}), lo.FilterMap(ms, func(m membership.Member, _ int) (string, bool) { return m.ID, m.Kind == "gateway" }))
 	slices.Sort(out)
 	return out, nil
 }
 
-// note follows which flows that count hold no lease.
+// note follows which gateways that count hold no lease.
 func (r *Roller) note(count []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	here := lo.SliceToMap(r.Tenant.Kind("flow"), func(m membership.Member) (string, bool) { return m.ID, true })
+	here := lo.SliceToMap(r.Tenant.Kind("gateway"), func(m membership.Member) (string, bool) { return m.ID, true })
 	old := r.absent
 	r.absent = map[string]time.Time{}
 	for _, id := range count {
@@ -221,31 +221,31 @@
 	}
 }
 
-// recount brings the list of flows that count up to date. More than half of those
+// recount brings the list of gateways that count up to date. More than half of those
 // that count by the old list must know the new one before it is decided: so no
 // group that may serve without a lease can be without a member that knows it.
 func (r *Roller) recount(ctx context.Context, fo ledger.Force) {
 	if fo.N == 0 {
 		return
 	}
-	all, err := r.wanted(ctx, fo.Flows)
-	if err == nil && !slices.Equal(all, fo.Flows) {
+	all, err := r.wanted(ctx, fo.Gateways)
+	if err == nil && !slices.Equal(all, fo.Gateways) {
 		var ids []string
-		if ids, err = r.all(ctx, "count", CountAsk{Round: fo.Round + 1, Flows: all}, nil); err == nil && fo.More(ids) {
+		if ids, err = r.all(ctx, "count", CountAsk{Round: fo.Round + 1, Gateways: all}, nil); err == nil && fo.More(ids) {
 			fo, err = r.Book.Recount(ctx, fo.Round, all)
 		}
 	}
 	if err == nil && r.told != fo.Round {
-		if _, err = r.all(ctx, "count", CountAsk{Round: fo.Round, Flows: fo.Flows, Sure: true}, nil); err == nil {
+		if _, err = r.all(ctx, "count", CountAsk{Round: fo.Round, Gateways: fo.Gateways, Sure: true}, nil); err == nil {
 			r.told = fo.Round
 		}
 	}
 	if err != nil && ctx.Err() == nil && r.Log != nil {
-		r.Log.Warn("flows not counted anew", "step", "count", "err", err)
+		r.Log.Warn("gateways not counted anew", "step", "count", "err", err)
 	}
 }
 
-// most is all, repeated until more than half of the flows that count agreed.
+// most is all, repeated until more than half of the gateways that count agreed.
 func (r *Roller) most(ctx context.Context, step string, was ledger.Force, ask any, enough func([]string) bool) ([]string, error) {
 	for {
 		ids, err := r.all(ctx, step, ask, enough)
@@ -256,28 +256,28 @@
 			return ids, nil
 		}
 		if r.Clock.Sleep(ctx, 5*retry) != nil {
-			return nil, steperr.New(step, "", "%d of %d flows that count take part, more than half must", len(lo.Intersect(ids, was.Flows)), len(was.Flows))
+			return nil, steperr.New(step, "", "%d of %d gateways that count take part, more than half must", len(lo.Intersect(ids, was.Gateways)), len(was.Gateways))
 		}
 	}
 }
 
-// all asks every leased flow until each has agreed, or its lease has lapsed, or those
+// all asks every leased gateway until each has agreed, or its lease has lapsed, or those
 // that agreed are enough; it names them.
 func (r *Roller) all(ctx context.Context, step string, ask any, enough func([]string) bool) ([]string, error) {
 	var told sync.Map
 	ids, err := Everyone(ctx, r.Tenant, r.Clock, enough, func(cx context.Context, m membership.Member) bool {
-		t, err := link.Ask[FlowTold](cx, r.Line, m.Inner, ask)
+		t, err := link.Ask[GatewayTold](cx, r.Line, m.Inner, ask)
 		if _, again := told.LoadOrStore(m.ID, true); err != nil && !again && r.Log != nil {
-			r.Log.Warn("flow not reached, waiting for its lease to lapse", "step", step, "mate", m.ID, "err", err)
+			r.Log.Warn("gateway not reached, waiting for its lease to lapse", "step", step, "mate", m.ID, "err", err)
 		}
 		return err == nil && t.OK
 	})
 	return ids, steperr.At(step, "", err)
 }
 
-// Everyone runs f for every flow that holds a lease until f agreed for it, or its
+// Everyone runs f for every gateway that holds a lease until f agreed for it, or its
 // lease has lapsed, or those that agreed are enough, where enough is given. It names
-// them. A flow that takes a lease meanwhile is asked too, though a confirmation would
+// them. A gateway that takes a lease meanwhile is asked too, though a confirmation would
 // have told it.
 func Everyone(ctx context.Context, t *membership.Tenant, c clock.Clock, enough func([]string) bool, f func(context.Context, membership.Member) bool) ([]string, error) {
 	type run struct {
@@ -295,7 +295,7 @@
 			// Those that are known can be told meanwhile; who is missing is not known.
 			ms = t.Members()
 		}
-		todo := lo.Filter(ms, func(m membership.Member, _ int) bool { return m.Kind == "flow" && !ok[run{m.ID, m.Inc}] })
+		todo := lo.Filter(ms, func(m membership.Member, _ int) bool { return m.Kind == "gateway" && !ok[run{m.ID, m.Inc}] })
 		ch := make(chan *run, len(todo))
 		for _, m := range todo {
 			go func() {
@@ -347,7 +347,7 @@
 			return t, err
 		}
 		n := fo.N
-		t.Flows, t.Round = fo.Flows, fo.Round
+		t.Gateways, t.Round = fo.Gateways, fo.Round
 		if t.Leaves, err = leaves(ctx); err != nil {
 			return t, err
 		}
@@ -378,13 +378,13 @@
 		return PartTold{OK: err == nil}, err
 	})
 	link.On(d, func(context.Context, link.Who, LastAsk) (LastTold, error) {
-		// A mind's own memory of what is in force may be old; only its lease counts.
+		// A controller's own memory of what is in force may be old; only its lease counts.
 		return LastTold{Held: r.Tenant.Calm(), Fresh: r.Tenant.Calm() && r.Tenant.Left() > membership.Doubt}, nil
 	})
 }
 
-// Watch finishes what another mind left undone, until ctx ends: the duty "roll"
-// says which mind looks (design 8.2).
+// Watch finishes what another controller left undone, until ctx ends: the duty "roll"
+// says which controller looks (design 8.2).
 func (r *Roller) Watch(ctx context.Context) {
 	r.Tenant.Seek("roll")
 	for r.Clock.Sleep(ctx, 400*time.Millisecond) == nil {
@@ -395,7 +395,7 @@
 		f, err := r.Book.Refresh(cx)
 		if err == nil && f.N > 0 {
 			if fo, err := r.Book.Flipped(cx); err == nil {
-				r.note(fo.Flows)
+				r.note(fo.Gateways)
 				r.recount(cx, fo)
 			}
 			r.mu.Lock()
--- a/internal/shell/memory.go
+++ b/internal/shell/memory.go
@@ -13,7 +13,7 @@
 	// until it is collected again. A small one holds little and makes little garbage: at the
 	// usual percentage a third of its memory is garbage that nobody has got round to. A large
 	// one is large because much comes in, and collecting it as often takes the time that the
-	// work needs: seven minds before 680 flows did not get through their start so.
+	// work needs: seven controllers before 680 gateways did not get through their start so.
 	smallPercent, usualPercent = 40, 100
 	// smallBelow and largeFrom are when a heap begins to be small, and large.
 	smallBelow, largeFrom = 8 << 20, 16 << 20
--- a/internal/sim/chaos.go
+++ b/internal/sim/chaos.go
@@ -10,7 +10,7 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/commands"
-	"walkrudder/internal/mind"
+	"walkrudder/internal/controller"
 	"walkrudder/internal/queries"
 	"walkrudder/internal/quorum"
 	"walkrudder/internal/spec"
@@ -38,7 +38,7 @@
 func (w *World) acts() map[string]act {
 	return map[string]act{
 		"node killed": w.killOne, "node frozen": w.freezeOne, "node stopped as planned": w.retireOne, "all nodes restarted in turn": w.rolling,
-		"flows killed together": func() bool { return w.herd(w.Of("flow")) }, "core killed": w.coreOut,
+		"gateways killed together": func() bool { return w.herd(w.Of("gateway")) }, "core killed": w.coreOut,
 		"half of all killed": func() bool {
 			return w.herd(lo.Filter(w.In(), func(*Node, int) bool { return w.Rand(2) == 0 }))
 		},
@@ -62,7 +62,7 @@
 		}
 	}
 	add(d.Nodes || d.Day, "node killed", "node frozen", "node stopped as planned", "all nodes restarted in turn", "zone killed")
-	add(d.Nodes, "flows killed together", "core killed", "half of all killed")
+	add(d.Nodes, "gateways killed together", "core killed", "half of all killed")
 	add(d.Disks || d.Day, "disk lost", "sync failed", "disk slow", "control machine swapped")
 	add(d.Net || d.Day, "node cut off", "link cut", "core cut apart", "zone cut off")
 	add(d.Net, "halves", "messages lost")
@@ -208,7 +208,7 @@
 	return true
 }
 
-// lastLoss has a change and a leaving acknowledged, and empties the disk of the mind
+// lastLoss has a change and a leaving acknowledged, and empties the disk of the controller
 // that acknowledged, or of a voter, in the same instant.
 func (w *World) lastLoss() bool {
 	n := w.spareDisk()
@@ -265,7 +265,7 @@
 func (w *World) spareDisk() *Node {
 	ds := w.Disks()
 	for _, n := range ds {
-		m := n.Mind()
+		m := n.Controller()
 		if m == nil || n.Frozen() || time.Since(w.lost) < 12*time.Second {
 			return nil
 		}
@@ -275,7 +275,7 @@
 			if !ok {
 				return false
 			}
-			v := x.Mind()
+			v := x.Controller()
 			return v != nil && v.Voter.Seat().Disk == s.Disk && v.Voter.Voting()
 		}) {
 			return nil
@@ -289,7 +289,7 @@
 // an address and a name of its own, comes in.
 func (w *World) swapMachine() bool {
 	var in *Node
-	for _, n := range w.Nodes[w.Shape.Minds+w.Shape.Flows:] {
+	for _, n := range w.Nodes[w.Shape.Controllers+w.Shape.Gateways:] {
 		if n.out.Load() && !n.came {
 			in = n
 		}
@@ -441,7 +441,7 @@
 	return true
 }
 
-// storm brings many orders at once, to all minds, some of them for a version that
+// storm brings many orders at once, to all controllers, some of them for a version that
 // does not stand any more, some invalid.
 func (w *World) storm() bool {
 	n := 5 + w.Rand(20)
@@ -654,8 +654,8 @@
 			w.insist(w.ctx, "keeper", stand.Asked{Back: mine[w.Draw("keeper", len(mine))]}, nil)
 			continue
 		}
-		n := w.mindAny()
-		p, ok := speak(ctx, n, func(cx context.Context, m *mind.Mind) *queries.Picture {
+		n := w.controllerAny()
+		p, ok := speak(ctx, n, func(cx context.Context, m *controller.Controller) *queries.Picture {
 			p, err := m.Speaker.Asker.Picture(cx)
 			return lo.Ternary(err == nil, &p, nil)
 		})
@@ -675,14 +675,14 @@
 	}
 }
 
-func (w *World) mindAny() *Node {
-	ms := w.Of("mind")
+func (w *World) controllerAny() *Node {
+	ms := w.Of("controller")
 	return ms[w.Draw("keeper", len(ms))]
 }
 
-// Picture reads the whole picture through a mind and holds it against what was told.
+// Picture reads the whole picture through a controller and holds it against what was told.
 func (w *World) Picture(ctx context.Context, n *Node) []string {
-	m := n.Mind()
+	m := n.Controller()
 	if m == nil {
 		return []string{n.ID + " does not run"}
 	}
--- a/internal/sim/day/day_test.go
+++ b/internal/sim/day/day_test.go
@@ -69,7 +69,7 @@
 	play(t, 2, Narrow(), 25*time.Second, 0.95,
 		At(2*time.Second, Faulty("archive", .5, Fault{Garbles: .2, Garble: Short}, 4*time.Second)),
 		At(7*time.Second, Faulty("archive", .5, Fault{Resets: .2}, 4*time.Second)),
-		At(12*time.Second, Killed(1, Flow, time.Second)),
+		At(12*time.Second, Killed(1, Gateway, time.Second)),
 		At(16*time.Second, NodeCut(1, true, 3*time.Second)),
 		At(20*time.Second, Rolled(500*time.Millisecond)))
 }
