--- a/internal/sim/day/machine.go
+++ b/internal/sim/day/machine.go
@@ -17,16 +17,16 @@
 )
 
 const (
-	mindPart = "mind"
-	flowPart = "flow"
-	// goingTime is how long a mind that stops still answers.
+	controllerPart = "controller"
+	gatewayPart    = "gateway"
+	// goingTime is how long a controller that stops still answers.
 	goingTime = 300 * time.Millisecond
 	// readyEvery is how often a machine is asked whether it is ready; after two misses it
 	// gets no new callers.
 	readyEvery = time.Second
 )
 
-// Machine runs a flow, and where it serves a mind beside it.
+// Machine runs a gateway, and where it serves a controller beside it.
 type Machine struct {
 	w      *World
 	ID     string
@@ -37,17 +37,17 @@
 
 	booting sync.Mutex // held while a process is started, which takes no time
 
-	mu      sync.Mutex
-	mind    *control.Node
-	mindRun *life
-	flow    *proxy.Node
-	sub     *watch.Subscriber
-	flowRun *life
-	lives   int // of the flow
-	in      bool
-	misses  int
-	inc     uint64
-	ending  bool // a planned stop is under way
+	mu            sync.Mutex
+	controller    *control.Node
+	controllerRun *life
+	gateway       *proxy.Node
+	sub           *watch.Subscriber
+	gatewayRun    *life
+	lives         int // of the gateway
+	in            bool
+	misses        int
+	inc           uint64
+	ending        bool // a planned stop is under way
 }
 
 // life is one run of a process.
@@ -70,8 +70,8 @@
 	w.Machines = append(w.Machines, m)
 }
 
-func (m *Machine) innerAddr() string { return simnet.Addr(m.ID, mindPart) }
-func (m *Machine) frontAddr() string { return simnet.Addr(m.ID, flowPart) }
+func (m *Machine) innerAddr() string { return simnet.Addr(m.ID, controllerPart) }
+func (m *Machine) frontAddr() string { return simnet.Addr(m.ID, gatewayPart) }
 
 func (m *Machine) nextInc() uint64 {
 	m.mu.Lock()
@@ -80,20 +80,20 @@
 	return m.inc
 }
 
-// bootMind starts the mind, if the machine has one and it does not run.
-func (m *Machine) bootMind() {
+// bootController starts the controller, if the machine has one and it does not run.
+func (m *Machine) bootController() {
 	w := m.w
 	m.booting.Lock()
 	defer m.booting.Unlock()
-	if !m.serves || m.mindLife() != nil || w.over() {
+	if !m.serves || m.controllerLife() != nil || w.over() {
 		return
 	}
-	p := m.host.Start(w.ctx, mindPart)
+	p := m.host.Start(w.ctx, controllerPart)
 	inc := m.nextInc()
 	parts := control.Parts{Settings: control.Settings{ID: m.ID, Zone: m.Zone, Inner: m.innerAddr(), Door: m.innerAddr(), Seeds: w.seedList(), FaultsTolerated: w.Shape.Bear, First: w.first, BeatEvery: beatEvery},
 		Inc: inc, Fresh: fmt.Sprintf("%s-%d", m.ID, inc), Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog()}
 	l := &life{p: p, done: make(chan struct{})}
-	parts.OnBad = func(error) { go m.endMind(l) }
+	parts.OnBad = func(error) { go m.endController(l) }
 	var h *simnet.Handle
 	var notes *storage.FileJournal
 	if m.disk != nil {
@@ -111,7 +111,7 @@
 		h.Calm = false
 	}
 	m.mu.Lock()
-	m.mind, m.mindRun = n, l
+	m.controller, m.controllerRun = n, l
 	m.mu.Unlock()
 	p.Open(n.Desk)
 	w.procs.Go(func() {
@@ -123,15 +123,15 @@
 	})
 }
 
-// bootFlow starts the flow, if it does not run.
-func (m *Machine) bootFlow() {
+// bootGateway starts the gateway, if it does not run.
+func (m *Machine) bootGateway() {
 	w := m.w
 	m.booting.Lock()
 	defer m.booting.Unlock()
-	if m.flowLife() != nil || w.over() {
+	if m.gatewayLife() != nil || w.over() {
 		return
 	}
-	p := m.host.Start(w.ctx, flowPart)
+	p := m.host.Start(w.ctx, gatewayPart)
 	s := w.Shape
 	set := proxy.Settings{ID: m.ID, Zone: m.Zone, Zones: w.zones, Dialect: dialect, BudgetRatio: s.Bounds.BudgetRatio, BudgetWindow: s.Bounds.BudgetWindow, BudgetSlack: s.Bounds.BudgetSlack,
 		MemoryMB: 284, MaxFiles: 4100, LinkMbps: s.LinkMbps, Grace: s.Bounds.Grace, NewsWithin: s.Bounds.Apply, NewsLost: s.Bounds.Contact}
@@ -139,13 +139,13 @@
 		w.t.Fatal(err)
 	}
 	n := proxy.New(proxy.Parts{Settings: set, Clock: simnet.Clock{P: p}, Log: quietLog(), Dial: p.Dial})
-	sub := &watch.Subscriber{Me: watch.Member{ID: m.ID, Kind: watch.Flow, Zone: m.Zone, Inc: m.nextInc()}, Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog(), Within: s.Bounds.Apply}
+	sub := &watch.Subscriber{Me: watch.Member{ID: m.ID, Kind: watch.Gateway, Zone: m.Zone, Inc: m.nextInc()}, Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog(), Within: s.Bounds.Apply}
 	n.Follow(sub)
 	sub.Init(w.seedList())
 	l := &life{p: p, done: make(chan struct{})}
 	ln := p.Listen()
 	m.mu.Lock()
-	m.flow, m.sub, m.flowRun = n, sub, l
+	m.gateway, m.sub, m.gatewayRun = n, sub, l
 	m.lives++
 	m.mu.Unlock()
 	p.Open(link.NewDesk())
@@ -159,22 +159,22 @@
 	})
 }
 
-func (m *Machine) mindLife() *life {
+func (m *Machine) controllerLife() *life {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.mindRun
+	return m.controllerRun
 }
 
-func (m *Machine) flowLife() *life {
+func (m *Machine) gatewayLife() *life {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.flowRun
+	return m.gatewayRun
 }
 
 func (m *Machine) node() *control.Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.mind
+	return m.controller
 }
 
 // end kills one life, and has what was of it forgotten.
@@ -189,37 +189,37 @@
 	forget()
 }
 
-func (m *Machine) endMind(l *life) {
+func (m *Machine) endController(l *life) {
 	m.end(l, func() {
-		if m.mindRun == l {
-			m.mind, m.mindRun = nil, nil
+		if m.controllerRun == l {
+			m.controller, m.controllerRun = nil, nil
 		}
 	})
 }
 
-func (m *Machine) endFlow(l *life) {
+func (m *Machine) endGateway(l *life) {
 	m.end(l, func() {
-		if m.flowRun == l {
-			m.flow, m.sub, m.flowRun = nil, nil, nil
+		if m.gatewayRun == l {
+			m.gateway, m.sub, m.gatewayRun = nil, nil, nil
 		}
 	})
 }
 
-func (m *Machine) killMind() { m.endMind(m.mindLife()) }
-func (m *Machine) killFlow() { m.endFlow(m.flowLife()) }
+func (m *Machine) killController() { m.endController(m.controllerLife()) }
+func (m *Machine) killGateway()    { m.endGateway(m.gatewayLife()) }
 
 // killAll kills all processes of the machine at one moment.
 func (m *Machine) killAll() {
 	var wg sync.WaitGroup
-	wg.Go(m.killMind)
-	wg.Go(m.killFlow)
+	wg.Go(m.killController)
+	wg.Go(m.killGateway)
 	wg.Wait()
 }
 
 // bootAll starts what does not run.
 func (m *Machine) bootAll() {
-	m.bootMind()
-	m.bootFlow()
+	m.bootController()
+	m.bootGateway()
 }
 
 // powerLoss ends everything at one moment, with what the disk had not synced.
@@ -244,7 +244,7 @@
 		return // the one who began it ends it
 	}
 	m.ending = true
-	fl, n, ml, mind := m.flowRun, m.flow, m.mindRun, m.mind
+	fl, n, ml, controller := m.gatewayRun, m.gateway, m.controllerRun, m.controller
 	m.mu.Unlock()
 	defer func() {
 		m.mu.Lock()
@@ -257,14 +257,14 @@
 			cx, end := context.WithTimeout(fl.p.Context(), w.Shape.Bounds.Grace)
 			defer end()
 			_ = n.Stop(cx) // what it could not finish shows at the callers
-			m.endFlow(fl)
+			m.endGateway(fl)
 		})
 	}
 	if ml != nil {
 		wg.Go(func() {
-			mind.Stop()
+			controller.Stop()
 			time.Sleep(goingTime)
-			m.endMind(ml)
+			m.endController(ml)
 		})
 	}
 	wg.Wait()
@@ -278,7 +278,7 @@
 		cx, end := context.WithTimeout(m.w.ctx, readyEvery)
 		ok, err := simnet.Do(cx, me, m.frontAddr(), func(context.Context, *simnet.Proc) (bool, error) {
 			m.mu.Lock()
-			n := m.flow
+			n := m.gateway
 			m.mu.Unlock()
 			return n != nil && n.Ready(), nil
 		})
--- a/internal/sim/day/operator.go
+++ b/internal/sim/day/operator.go
@@ -32,11 +32,11 @@
 	return w.version
 }
 
-// send has a change acknowledged or refused: at one mind after the other, unchanged, until
+// send has a change acknowledged or refused: at one controller after the other, unchanged, until
 // one of them says a clear word or the day is over. It tells which did.
 func (o *operator) send(c control.Change, valid bool) (*Order, *Machine) {
 	order := o.begin(c, valid)
-	return order, o.press(order, c, o.w.minds(), 1<<62)
+	return order, o.press(order, c, o.w.controllers(), 1<<62)
 }
 
 // begin notes an order before its first call.
@@ -59,7 +59,7 @@
 // settled tells whether a clear word was said.
 func (o *Order) settled() bool { return o.Acknowledged || o.Refused }
 
-// press sends an order to some of the minds until one says a clear word, or until a
+// press sends an order to some of the controllers until one says a clear word, or until a
 // moment.
 func (o *operator) press(order *Order, c control.Change, to []*Machine, until time.Duration) *Machine {
 	w := o.w
@@ -202,13 +202,13 @@
 	})
 }
 
-// readBack reads what stands, from one mind after the other until one answers; who is
+// readBack reads what stands, from one controller after the other until one answers; who is
 // silent is left after a second.
 func (w *World) readBack() {
 	o := w.operator("reader")
 	defer o.p.Kill()
 	w.note(func(r *Record) { r.ReadAt = w.now() })
-	turn := some(w, w.minds(), len(w.minds()))
+	turn := some(w, w.controllers(), len(w.controllers()))
 	for n, until := 0, w.now()+3*w.Shape.Bounds.Contact; w.now() < until; n++ {
 		m := turn[n%len(turn)]
 		got, err := o.current(m)
--- a/internal/sim/day/record.go
+++ b/internal/sim/day/record.go
@@ -1,5 +1,5 @@
 // Package day plays whole days of the system on the users' side of it (design 15): zones of
-// machines with a flow and some with a mind, targets, callers and operators over a
+// machines with a gateway and some with a controller, targets, callers and operators over a
 // simulated network, with troubles drawn from a seed. What callers, targets and operators
 // saw is recorded, and checkers judge the record by the rules.
 package day
@@ -37,7 +37,7 @@
 	Once                         bool
 	Zone                         string
 	Machine                      string // that took the connection
-	Life                         int    // of its flow
+	Life                         int    // of its gateway
 	Sent, Done, Deadline         time.Duration
 	Whole                        bool // it left whole, and the machine's system took it
 	// Probe says that it shows the configuration and earns nothing.
@@ -133,7 +133,7 @@
 	From, To time.Duration // To is the day's length while it lasts
 }
 
-// Stop is a SIGTERM of a machine's flow.
+// Stop is a SIGTERM of a machine's gateway.
 type Stop struct {
 	Machine string
 	At      time.Duration
--- a/internal/sim/day/target.go
+++ b/internal/sim/day/target.go
@@ -159,7 +159,7 @@
 	}
 }
 
-// tell makes one call, to the mind that was named or to others in turn, and tells whether
+// tell makes one call, to the controller that was named or to others in turn, and tells whether
 // it was acknowledged.
 func (t *Target) tell(end bool) bool {
 	w := t.w
@@ -176,13 +176,13 @@
 			said.State = target.Ended
 		}
 	}
-	minds := some(w, w.minds(), 3)
+	controllers := some(w, w.controllers(), 3)
 	if home != "" {
 		if m := w.machine(home); m != nil {
-			minds = append([]*Machine{m}, minds...)
+			controllers = append([]*Machine{m}, controllers...)
 		}
 	}
-	for _, m := range minds {
+	for _, m := range controllers {
 		cx, stop := context.WithTimeout(t.p.Context(), time.Second)
 		next, err := simnet.Do(cx, t.p, m.innerAddr(), func(cx context.Context, _ *simnet.Proc) (string, error) {
 			n := m.node()
--- a/internal/sim/day/trouble_machines.go
+++ b/internal/sim/day/trouble_machines.go
@@ -11,18 +11,18 @@
 
 // Parts.
 const (
-	Flow Part = 1 << iota
-	Mind
-	Both = Flow | Mind
+	Gateway Part = 1 << iota
+	Controller
+	Both = Gateway | Controller
 )
 
 func (m *Machine) kill(p Part) {
 	var wg sync.WaitGroup
-	if p&Flow != 0 {
-		wg.Go(m.killFlow)
+	if p&Gateway != 0 {
+		wg.Go(m.killGateway)
 	}
-	if p&Mind != 0 {
-		wg.Go(m.killMind)
+	if p&Controller != 0 {
+		wg.Go(m.killController)
 	}
 	wg.Wait()
 }
@@ -46,11 +46,11 @@
 	return out
 }
 
-// MindsFroze freezes n machines that serve the control plane, and thaws them.
-func MindsFroze(n int, d time.Duration) Trouble {
+// ControllersFroze freezes n machines that serve the control plane, and thaws them.
+func ControllersFroze(n int, d time.Duration) Trouble {
 	return For(d, func(w *World) func() {
 		var ends []func()
-		for _, m := range w.among(n, w.minds()) {
+		for _, m := range w.among(n, w.controllers()) {
 			over := w.trouble(m, Frozen)
 			m.host.Freeze()
 			ends = append(ends, func() { m.host.Thaw(); over() })
@@ -63,8 +63,8 @@
 func Killed(n int, p Part, d time.Duration) Trouble {
 	return func(w *World) {
 		of := w.Machines
-		if p == Mind {
-			of = w.minds()
+		if p == Controller {
+			of = w.controllers()
 		}
 		each(w.among(n, of), func(m *Machine) {
 			over := w.trouble(m, Down)
@@ -159,7 +159,7 @@
 		over := w.trouble(m, Down)
 		o.watch(name)
 		if !order.settled() {
-			o.press(order, c, w.minds(), 1<<62)
+			o.press(order, c, w.controllers(), 1<<62)
 		}
 		time.Sleep(d)
 		m.host.Dark(false)
@@ -208,7 +208,7 @@
 	})
 }
 
-// DiskRefuses has a disk refuse its syncs; the mind on it ends, and comes back.
+// DiskRefuses has a disk refuse its syncs; the controller on it ends, and comes back.
 func DiskRefuses(d time.Duration) Trouble {
 	return func(w *World) {
 		m := pick(w, w.core())
@@ -216,7 +216,7 @@
 		m.disk.Refuse(true)
 		time.Sleep(d)
 		m.disk.Refuse(false)
-		m.killMind()
+		m.killController()
 		m.bootAll()
 		over()
 	}
@@ -331,7 +331,7 @@
 // SeedTurnover exchanges the seeds for other machines that serve the control plane.
 func SeedTurnover(w *World) {
 	var seeds []string
-	for _, m := range some(w, w.minds(), 3) {
+	for _, m := range some(w, w.controllers(), 3) {
 		seeds = append(seeds, m.innerAddr())
 	}
 	w.mu.Lock()
@@ -339,7 +339,7 @@
 	w.mu.Unlock()
 	for _, m := range w.Machines {
 		m.mu.Lock()
-		n, s := m.mind, m.sub
+		n, s := m.controller, m.sub
 		m.mu.Unlock()
 		if n != nil {
 			n.SetSeeds(seeds)
--- a/internal/sim/day/trouble_operators.go
+++ b/internal/sim/day/trouble_operators.go
@@ -58,7 +58,7 @@
 				c := control.Change{Routes: []route.Route{x}}
 				order := o.begin(c, true)
 				w.note(func(*Record) { order.Contested = true })
-				wg.Go(func() { o.press(order, c, w.minds(), 1<<62) })
+				wg.Go(func() { o.press(order, c, w.controllers(), 1<<62) })
 			}
 			wg.Wait()
 			time.Sleep(w.within(time.Second))
@@ -92,7 +92,7 @@
 	return func(w *World) {
 		o := w.operator(w.id("asker"))
 		for range n {
-			o.ask(pick(w, w.minds()))
+			o.ask(pick(w, w.controllers()))
 			time.Sleep(pause/2 + w.within(pause))
 		}
 	}
--- a/internal/sim/day/world.go
+++ b/internal/sim/day/world.go
@@ -52,7 +52,7 @@
 	Slots, Queue, MaxConns       int
 	Streams                      []Stream
 	Bounds                       Bounds
-	// LinkMbps is the width of each machine's link, as its flow is told it; 0 is wide.
+	// LinkMbps is the width of each machine's link, as its gateway is told it; 0 is wide.
 	LinkMbps float64
 }
 
@@ -142,8 +142,8 @@
 		}
 	}
 	for _, m := range w.Machines {
-		m.bootMind()
-		m.bootFlow()
+		m.bootController()
+		m.bootGateway()
 	}
 	w.first = false
 	w.herd = newHerd(w)
@@ -273,8 +273,8 @@
 	return log.NewWithOptions(io.Discard, log.Options{Level: log.FatalLevel})
 }
 
-// minds are the machines that serve the control plane.
-func (w *World) minds() (out []*Machine) {
+// controllers are the machines that serve the control plane.
+func (w *World) controllers() (out []*Machine) {
 	for _, m := range w.Machines {
 		if m.serves {
 			out = append(out, m)
--- a/internal/sim/flip_test.go
+++ b/internal/sim/flip_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestCoreLostInRollOut takes the whole core away for 5 s at each point of a
-// roll-out: the flows serve on, under one sheet or the other, and the change comes
+// roll-out: the gateways serve on, under one sheet or the other, and the change comes
 // into force when the core is back.
 func TestCoreLostInRollOut(t *testing.T) {
 	t.Parallel()
@@ -36,14 +36,14 @@
 	w.Go(w.Platform)
 	time.Sleep(time.Second)
 	hit := make(chan time.Time, 1)
-	for _, x := range w.Of("mind") {
+	for _, x := range w.Of("controller") {
 		x.Faults.Arm(n, func() {
 			select {
 			case hit <- time.Now():
 			default:
 				return
 			}
-			for _, m := range w.Of("mind") {
+			for _, m := range w.Of("controller") {
 				if how == "kill" {
 					go m.Kill()
 					w.later(5*time.Second, m.Start)
--- a/internal/sim/history_test.go
+++ b/internal/sim/history_test.go
@@ -65,7 +65,7 @@
 
 var errOther = errors.New("another value")
 
-// history runs operations on a few items through all minds while voters fail,
+// history runs operations on a few items through all controllers while voters fail,
 // and returns what each saw.
 func history(w *World, d Defects, span time.Duration) []porcupine.Operation {
 	var mu sync.Mutex
@@ -79,8 +79,8 @@
 		wg.Go(func() {
 			seen := map[string]string{}
 			for i := 0; ctx.Err() == nil; i++ {
-				n := w.Of("mind")[rnd.IntN(w.Shape.Minds)]
-				m, up := n.Mind(), n.Host.up()
+				n := w.Of("controller")[rnd.IntN(w.Shape.Controllers)]
+				m, up := n.Controller(), n.Host.up()
 				if m == nil || up == nil {
 					time.Sleep(20 * time.Millisecond)
 					continue
@@ -174,7 +174,7 @@
 	var h []porcupine.Operation
 	synctest.Test(t, func(t *testing.T) {
 		s := shape()
-		s.Flows, s.Targets = 0, nil
+		s.Gateways, s.Targets = 0, nil
 		if seed%2 == 0 {
 			s.Disks, s.Zones = 4, 4 // a disk that stands by
 		}
--- a/internal/sim/keys_test.go
+++ b/internal/sim/keys_test.go
@@ -9,16 +9,16 @@
 	"walkrudder/tools/stand"
 )
 
-// through makes one order under a key through the flow that is meant.
-func (w *World) through(flow, order string) stand.Outcome {
-	for _, n := range w.Of("flow") {
-		n.looked.Store(n.ID == flow)
+// through makes one order under a key through the gateway that is meant.
+func (w *World) through(gateway, order string) stand.Outcome {
+	for _, n := range w.Of("gateway") {
+		n.looked.Store(n.ID == gateway)
 	}
 	return w.call(kinds[0], order, "")
 }
 
 // An order that ran and whose answer was lost stays claimed: with the core there,
-// while it is away, when it comes back, and when the flow that sent it is killed.
+// while it is away, when it comes back, and when the gateway that sent it is killed.
 func TestKeysOutliveTheCore(t *testing.T) {
 	t.Parallel()
 	raised(t, func(ctx context.Context, w *World) {
@@ -45,9 +45,9 @@
 			t.Fatal("no answer was lost")
 			return ""
 		}
-		again := func(when, order string, flows ...string) {
+		again := func(when, order string, gateways ...string) {
 			t.Helper()
-			for _, f := range flows {
+			for _, f := range gateways {
 				if r := w.through(f, order); r.Status != 409 {
 					t.Errorf("%s: %s again through %s: %d %q %q", when, order, f, r.Status, r.Code, r.Why)
 				}
@@ -63,19 +63,19 @@
 			t.Errorf("a fresh order without the core: %d %q %q", r.Status, r.Code, r.Why)
 		}
 		w.Node("f1").Kill()
-		again("the core is away, its flow killed", away, "f2")
-		again("the core is away, its flow killed", before, "f4")
+		again("the core is away, its gateway killed", away, "f2")
+		again("the core is away, its gateway killed", before, "f4")
 		all((*Node).Start)
 		for range 100 {
 			time.Sleep(20 * time.Millisecond)
-			if f := w.Node("f2").Flow(); f.Tenant.Held() && f.Ready() {
+			if f := w.Node("f2").Gateway(); f.Tenant.Held() && f.Ready() {
 				break
 			}
 		}
 		again("the core is just back", away, "f2", "f4")
 		time.Sleep(8 * time.Second)
-		// Now the disks have it: every flow's memory may go.
-		for _, n := range w.Of("flow") {
+		// Now the disks have it: every gateway's memory may go.
+		for _, n := range w.Of("gateway") {
 			n.Kill()
 		}
 		w.Node("m4").Kill()
--- a/internal/sim/model/network.go
+++ b/internal/sim/model/network.go
@@ -60,7 +60,7 @@
 		}
 		ask = changed
 	}
-	answer, err := p.control.Desk.Answer(byActor(p.ctx, actor), link.Who{ID: from, Kind: "mind"}, ask)
+	answer, err := p.control.Desk.Answer(byActor(p.ctx, actor), link.Who{ID: from, Kind: "controller"}, ask)
 	if p.ctx.Err() != nil {
 		tell(result{err: errLost})
 		return
--- a/internal/sim/model/planted_test.go
+++ b/internal/sim/model/planted_test.go
@@ -106,7 +106,7 @@
 					if !ok || from != "n1" || to != "n2" {
 						return ask, nil, false
 					}
-					me := watch.Member{ID: to, Kind: watch.Mind, Inner: to, Seat: seatOf(w, to)}
+					me := watch.Member{ID: to, Kind: watch.Controller, Inner: to, Seat: seatOf(w, to)}
 					return ask, watch.WatchTold{Inc: 1, Seen: a.Seen, Votes: w.core().Epoch, Disk: me.Seat.Disk, Me: me}, true
 				}
 			}, "reads r"},
--- a/internal/sim/orders_test.go
+++ b/internal/sim/orders_test.go
@@ -47,7 +47,7 @@
 	raised(t, func(ctx context.Context, w *World) {
 		m1, m2, m4 := w.Node("m1"), w.Node("m2"), w.Node("m4")
 		one := uint64(1)
-		// Both saw version 1; they order at once through different minds.
+		// Both saw version 1; they order at once through different controllers.
 		back := make(chan commands.Result, 2)
 		for i, m := range []*Node{m1, m2} {
 			go func() {
@@ -72,7 +72,7 @@
 		if x, y = <-back, <-back; x.Outcome != commands.InForce || y.Outcome != commands.InForce || x.Version+y.Version != 7 {
 			t.Errorf("%+v %+v", x, y)
 		}
-		// The same order again, through a mind that never saw it.
+		// The same order again, through a controller that never saw it.
 		o := commands.Order{Token: "again", Edits: service("u")}
 		first, _ := w.Order(ctx, m1, o)
 		again, _ := w.Order(ctx, m4, o)
@@ -85,7 +85,7 @@
 		if bad.Outcome != commands.Invalid || len(bad.Problems) != 1 || dry.Outcome != commands.Valid {
 			t.Errorf("%+v %+v", bad, dry)
 		}
-		f, err := m4.Mind().Book.Refresh(ctx)
+		f, err := m4.Controller().Book.Refresh(ctx)
 		if err != nil || f.N != 5 {
 			t.Errorf("version %d, %v", f.N, err)
 		}
@@ -94,25 +94,25 @@
 				t.Error("a part of an invalid change, or a dry one, took effect")
 			}
 		}
-		for _, n := range w.Of("flow") {
-			if n.Flow().Rack.N() != 5 {
-				t.Errorf("%s serves version %d", n.ID, n.Flow().Rack.N())
+		for _, n := range w.Of("gateway") {
+			if n.Gateway().Rack.N() != 5 {
+				t.Errorf("%s serves version %d", n.ID, n.Gateway().Rack.N())
 			}
 		}
 	})
 }
 
-// A change that waits tells for whom: the flow that holds a lease and does not answer.
+// A change that waits tells for whom: the gateway that holds a lease and does not answer.
 func TestWaitTellsForWhom(t *testing.T) {
 	t.Parallel()
 	raised(t, func(ctx context.Context, w *World) {
 		// Its asks pass, so that its lease is renewed; what it answers others does not.
-		for _, n := range w.Of("mind") {
+		for _, n := range w.Of("controller") {
 			if n.Disk == nil {
 				w.Net.Cut(n.ID, "f2")
 			}
 		}
-		m4 := w.Node("m4").Mind()
+		m4 := w.Node("m4").Controller()
 		cx, end := context.WithTimeout(ctx, 4*time.Second)
 		defer end()
 		if r := m4.Changer.Change(cx, commands.Order{Edits: service("s")}); r.Outcome != commands.Unknown || !strings.Contains(r.Why, "waiting for f2") {
@@ -126,8 +126,8 @@
 	})
 }
 
-// A flow that starts late, and one that restarts, come up with what is in force.
-func TestLateAndRestartedFlows(t *testing.T) {
+// A gateway that starts late, and one that restarts, come up with what is in force.
+func TestLateAndRestartedGateways(t *testing.T) {
 	t.Parallel()
 	raised(t, func(ctx context.Context, w *World) {
 		f := w.Node("f2")
@@ -138,46 +138,46 @@
 		f.Start()
 		for range 200 {
 			time.Sleep(10 * time.Millisecond)
-			if _, open := f.Flow().Rack.Gate(); open {
+			if _, open := f.Gateway().Rack.Gate(); open {
 				break
 			}
 		}
-		if tab, open := f.Flow().Rack.Gate(); !open || tab.N != 2 {
+		if tab, open := f.Gateway().Rack.Gate(); !open || tab.N != 2 {
 			t.Errorf("two seconds after its restart: version %d, open %v", tab.N, open)
 		}
 		time.Sleep(2 * time.Second) // it gets to know its targets
-		// With the core gone all flows serve on; a flow alone does not.
-		for _, n := range w.Of("mind") {
+		// With the core gone all gateways serve on; a gateway alone does not.
+		for _, n := range w.Of("controller") {
 			n.Kill()
 		}
 		time.Sleep(3 * time.Second)
-		for _, n := range w.Of("flow") {
-			if !n.Flow().Ready() || !n.Flow().Rack.Stranded() {
-				t.Errorf("%s: ready %v, stranded %v without the core", n.ID, n.Flow().Ready(), n.Flow().Rack.Stranded())
+		for _, n := range w.Of("gateway") {
+			if !n.Gateway().Ready() || !n.Gateway().Rack.Stranded() {
+				t.Errorf("%s: ready %v, stranded %v without the core", n.ID, n.Gateway().Ready(), n.Gateway().Rack.Stranded())
 			}
 		}
-		for _, n := range w.Of("flow") {
+		for _, n := range w.Of("gateway") {
 			if n.ID != "f1" {
 				n.Kill()
 			}
 		}
 		time.Sleep(3 * time.Second)
-		if w.Node("f1").Flow().Ready() {
-			t.Error("a flow that reaches nobody says that it is ready")
+		if w.Node("f1").Gateway().Ready() {
+			t.Error("a gateway that reaches nobody says that it is ready")
 		}
 	})
 }
 
-// With the core down and half of the flows down with it, the other half serves reads:
+// With the core down and half of the gateways down with it, the other half serves reads:
 // who refuses links is not up. Where the others are silent they may be up, and have the
 // core.
-func TestHalfOfTheFlowsServes(t *testing.T) {
+func TestHalfOfTheGatewaysServes(t *testing.T) {
 	t.Parallel()
 	for how, ready := range map[string]bool{"killed": true, "silent": false} {
 		t.Run(how, func(t *testing.T) {
 			raised(t, func(ctx context.Context, w *World) {
 				time.Sleep(2 * time.Second)
-				left := w.Of("flow")[:2]
+				left := w.Of("gateway")[:2]
 				for _, n := range w.In() {
 					switch {
 					case n == left[0] || n == left[1]:
@@ -189,7 +189,7 @@
 				}
 				time.Sleep(2500 * time.Millisecond)
 				for _, n := range left {
-					if got := n.Flow().Ready(); got != ready {
+					if got := n.Gateway().Ready(); got != ready {
 						t.Errorf("%s: ready %v", n.ID, got)
 					}
 				}
@@ -202,7 +202,7 @@
 	}
 }
 
-// What became of a call is told by any mind, from the flow that it came to.
+// What became of a call is told by any controller, from the gateway that it came to.
 func TestWhyOfACall(t *testing.T) {
 	t.Parallel()
 	raised(t, func(ctx context.Context, w *World) {
@@ -214,7 +214,7 @@
 			o = w.through("f3", fmt.Sprint("lost", i))
 		}
 		say := func(s string) string {
-			r, err := w.Node("m4").Mind().Speaker.Say(ctx, s)
+			r, err := w.Node("m4").Controller().Speaker.Say(ctx, s)
 			b, _ := json.Marshal(r)
 			return fmt.Sprint(string(b), err)
 		}
@@ -234,13 +234,13 @@
 // A seat is given to the disk that stands by, and a node is drained, by hand.
 func TestSwapAndDrainByHand(t *testing.T) {
 	t.Parallel()
-	raisedAs(t, Shape{Zones: 4, Disks: 4, Minds: 4, Flows: 3, Targets: map[string]int{"orders": 2, "records": 2}}, func(ctx context.Context, w *World) {
+	raisedAs(t, Shape{Zones: 4, Disks: 4, Controllers: 4, Gateways: 3, Targets: map[string]int{"orders": 2, "records": 2}}, func(ctx context.Context, w *World) {
 		say := func(s string) error {
-			_, err := w.Node("m2").Mind().Speaker.Say(ctx, s)
+			_, err := w.Node("m2").Controller().Speaker.Say(ctx, s)
 			return err
 		}
 		seat := func(id string) bool {
-			_, ok := w.Node("m2").Mind().Prop.Core().Seat(id)
+			_, ok := w.Node("m2").Controller().Prop.Core().Seat(id)
 			return ok
 		}
 		var out, in string
@@ -264,7 +264,7 @@
 		}
 		time.Sleep(8 * time.Second)
 		if seat(out) || !seat(in) {
-			t.Errorf("%s still has its seat, or %s has none: %+v", out, in, w.Node("m2").Mind().Prop.Core())
+			t.Errorf("%s still has its seat, or %s has none: %+v", out, in, w.Node("m2").Controller().Prop.Core())
 		}
 		w.Node(out).Kill()
 		if r, _ := w.Order(ctx, w.Node("m2"), commands.Order{Edits: service("after")}); r.Outcome != commands.InForce {
@@ -274,9 +274,9 @@
 		w.Node(out).Start()
 		time.Sleep(5 * time.Second)
 		if seat(out) || !seat(in) {
-			t.Errorf("the seat went back: %+v", w.Node("m2").Mind().Prop.Core())
+			t.Errorf("the seat went back: %+v", w.Node("m2").Controller().Prop.Core())
 		}
-		f := w.Node("f2").Flow()
+		f := w.Node("f2").Gateway()
 		if err := say("drain node f2"); err != nil || f.Ready() {
 			t.Errorf("drained: ready %v, %v", f.Ready(), err)
 		}
@@ -286,7 +286,7 @@
 	})
 }
 
-// What is older than decisions are kept goes; what stands stays, also for minds that
+// What is older than decisions are kept goes; what stands stays, also for controllers that
 // fold it anew.
 func TestOldDecisionsGo(t *testing.T) {
 	t.Parallel()
@@ -306,21 +306,21 @@
 		time.Sleep(30 * time.Second)
 		order(20)
 		time.Sleep(30 * time.Second)
-		cs, err := w.Node("m2").Mind().Book.Changes(ctx)
+		cs, err := w.Node("m2").Controller().Book.Changes(ctx)
 		if err != nil || len(cs) == 0 || cs[0].N != 128 || cs[len(cs)-1].N != n {
 			t.Fatalf("%d changes, first %+v, %v", len(cs), cs[0].N, err)
 		}
-		ns, err := w.Node("m2").Mind().Book.Notes(ctx, ledger.FlipPrefix)
+		ns, err := w.Node("m2").Controller().Book.Notes(ctx, ledger.FlipPrefix)
 		if err != nil || len(ns) == 0 || ns[0].N < 128 {
 			t.Errorf("%d notes of versions in force, %v", len(ns), err)
 		}
-		for _, m := range w.Of("mind") {
+		for _, m := range w.Of("controller") {
 			m.Kill()
 			m.Start()
 		}
 		time.Sleep(3 * time.Second)
 		order(3)
-		f, err := w.Node("m3").Mind().Book.Refresh(ctx)
+		f, err := w.Node("m3").Controller().Book.Refresh(ctx)
 		if err != nil || f.N != n || len(f.Sheet.Services) != 7 || len(f.Sheet.Bindings) != len(kinds) {
 			t.Errorf("folded anew: version %d with %d services, %v", f.N, len(f.Sheet.Services), err)
 		}
--- a/internal/sim/points_test.go
+++ b/internal/sim/points_test.go
@@ -99,7 +99,7 @@
 	}
 	ctx, end := context.WithTimeout(w.ctx, 5*time.Second)
 	defer end()
-	for _, n := range w.Of("mind") {
+	for _, n := range w.Of("controller") {
 		for _, b := range w.Picture(ctx, n) {
 			t.Error(b)
 		}
--- a/internal/sim/stop_test.go
+++ b/internal/sim/stop_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Every flow is stopped as planned in turn, with targets that take their time:
+// Every gateway is stopped as planned in turn, with targets that take their time:
 // nothing is cut off, and nobody is refused.
 func TestPlannedStopsCutNothingOff(t *testing.T) {
 	t.Parallel()
@@ -19,7 +19,7 @@
 		done := make(chan struct{})
 		go func() { w.Callers(cx, 8); close(done) }()
 		time.Sleep(2 * time.Second)
-		for _, n := range append(w.Of("flow"), w.Of("mind")...) {
+		for _, n := range append(w.Of("gateway"), w.Of("controller")...) {
 			n.Retire()
 			time.Sleep(500 * time.Millisecond)
 			n.Start()
@@ -27,7 +27,7 @@
 		}
 		end()
 		<-done
-		if v := w.Rec.Check(); len(v.Broken) > 0 || len(w.Rec.Failed(time.Time{})) > 0 || v.Successes == 0 || len(w.Rec.Stops) != len(w.Of("flow")) {
+		if v := w.Rec.Check(); len(v.Broken) > 0 || len(w.Rec.Failed(time.Time{})) > 0 || v.Successes == 0 || len(w.Rec.Stops) != len(w.Of("gateway")) {
 			t.Errorf("%d stops, %d of %d calls served, %v %v %v", len(w.Rec.Stops), v.Successes, v.Calls, v.Whys, v.Classes, v.Broken)
 		}
 	})
--- a/internal/sim/suspect_test.go
+++ b/internal/sim/suspect_test.go
@@ -24,8 +24,8 @@
 // noted counts the ledger's notes of a kind, about one target or, for nil, about all.
 func (w *World) noted(ctx context.Context, t *testing.T, kind string, x *Target) int {
 	t.Helper()
-	for _, n := range w.Of("mind") {
-		if m := n.Mind(); m != nil && !n.Frozen() {
+	for _, n := range w.Of("controller") {
+		if m := n.Controller(); m != nil && !n.Frozen() {
 			p, err := m.Speaker.Asker.Picture(ctx)
 			if err != nil {
 				continue
@@ -39,10 +39,10 @@
 	return 0
 }
 
-// warden is the mind that holds the duty.
+// warden is the controller that holds the duty.
 func (w *World) warden() *Node {
-	for _, n := range w.Of("mind") {
-		if m := n.Mind(); m != nil && m.Tenant.Holds(commands.Duty) {
+	for _, n := range w.Of("controller") {
+		if m := n.Controller(); m != nil && m.Tenant.Holds(commands.Duty) {
 			return n
 		}
 	}
@@ -83,17 +83,17 @@
 	})
 }
 
-// A target that reaches only one mind, and a home that hears of nobody, make no
-// suspicion: the least silence that any mind has met counts, and nobody is let go.
+// A target that reaches only one controller, and a home that hears of nobody, make no
+// suspicion: the least silence that any controller has met counts, and nobody is let go.
 func TestBeatsThatReachOnlySome(t *testing.T) {
 	t.Parallel()
 	raised(t, func(ctx context.Context, w *World) {
 		time.Sleep(12 * time.Second)
-		ms := lo.Map(w.Of("mind"), func(n *Node, _ int) membership.Member {
-			return membership.Member{ID: n.ID, Kind: "mind", Zone: n.Zone}
+		ms := lo.Map(w.Of("controller"), func(n *Node, _ int) membership.Member {
+			return membership.Member{ID: n.ID, Kind: "controller", Zone: n.Zone}
 		})
 		deaf := registry.Homes("orders", ms)[0].ID
-		for _, n := range w.Of("mind") {
+		for _, n := range w.Of("controller") {
 			if n.ID != deaf {
 				w.Net.Cut(n.ID, deaf)
 			}
@@ -102,8 +102,8 @@
 			w.mute(x, w.Node(deaf))
 		}
 		// A beat that reaches nobody is the target's to repeat; this one's goes to one
-		// mind of two that hear.
-		others := lo.Filter(w.Of("mind"), func(n *Node, _ int) bool { return n.ID != deaf })
+		// controller of two that hear.
+		others := lo.Filter(w.Of("controller"), func(n *Node, _ int) bool { return n.ID != deaf })
 		w.mute(w.Targets[0], others[1:]...)
 		time.Sleep(60 * time.Second)
 		if n := w.noted(ctx, t, ledger.NoteSuspect, nil); n > 1 {
@@ -116,19 +116,19 @@
 }
 
 // Where the fault is ours nobody is let go, and hardly anybody suspected: a frozen
-// mind, a frozen flow, all minds frozen at once, a zone cut off.
+// controller, a frozen gateway, all controllers frozen at once, a zone cut off.
 func TestOwnFaultsMakeNoSuspicion(t *testing.T) {
 	t.Parallel()
 	all := func(w *World, do func(*Node)) {
-		for _, n := range w.Of("mind") {
+		for _, n := range w.Of("controller") {
 			do(n)
 		}
 	}
 	for name, x := range map[string]struct{ begin, end func(*World) }{
-		"frozen warden": {func(w *World) { w.warden().Freeze() }, func(w *World) { all(w, (*Node).Thaw) }},
-		"frozen flow":   {func(w *World) { w.Node("f1").Freeze() }, func(w *World) { w.Node("f1").Thaw() }},
-		"frozen minds":  {func(w *World) { all(w, (*Node).Freeze) }, func(w *World) { all(w, (*Node).Thaw) }},
-		"zone cut off":  {func(w *World) { w.part("z1", 8*time.Second, func(n *Node) bool { return n.Zone == "z1" }) }, func(*World) {}},
+		"frozen warden":      {func(w *World) { w.warden().Freeze() }, func(w *World) { all(w, (*Node).Thaw) }},
+		"frozen gateway":     {func(w *World) { w.Node("f1").Freeze() }, func(w *World) { w.Node("f1").Thaw() }},
+		"frozen controllers": {func(w *World) { all(w, (*Node).Freeze) }, func(w *World) { all(w, (*Node).Thaw) }},
+		"zone cut off":       {func(w *World) { w.part("z1", 8*time.Second, func(n *Node) bool { return n.Zone == "z1" }) }, func(*World) {}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -157,7 +157,7 @@
 	}
 }
 
-// What left as announced, and what is lost for good and let go, is forgotten by flows,
+// What left as announced, and what is lost for good and let go, is forgotten by gateways,
 // and the picture keeps why.
 func TestRemovedAndLostForGood(t *testing.T) {
 	t.Parallel()
@@ -175,8 +175,8 @@
 		if n := w.noted(ctx, t, ledger.NoteGone, lost); n != 1 {
 			t.Errorf("lost for good, and let go %d times", n)
 		}
-		for _, n := range w.Of("flow") {
-			for _, s := range append(n.Flow().Roster.Of("orders"), n.Flow().Roster.Of("records")...) {
+		for _, n := range w.Of("gateway") {
+			for _, s := range append(n.Gateway().Roster.Of("orders"), n.Gateway().Roster.Of("records")...) {
 				if s.ID == lost.ID {
 					t.Errorf("%s still knows %s", n.ID, s.ID)
 				}
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -117,13 +117,13 @@
 }
 
 // beatTime is how long a target waits for the answer to a beat before it tries another
-// mind; a leaving one waits for flows.
+// controller; a leaving one waits for gateways.
 const (
 	beatTime  = 800 * time.Millisecond
 	leaveTime = 4500 * time.Millisecond
 )
 
-// Beat sends one beat, to a mind drawn at random and, where no answer comes, to one
+// Beat sends one beat, to a controller drawn at random and, where no answer comes, to one
 // more.
 func (t *Target) Beat(ctx context.Context) (r registry.BeatTold, leaving, ok bool) {
 	t.mu.Lock()
@@ -139,9 +139,9 @@
 }
 
 func (t *Target) beat(ctx context.Context, b face.Beat) (r registry.BeatTold, ok bool) {
-	ms := t.w.Of("mind")
+	ms := t.w.Of("controller")
 	n := ms[t.w.Draw("beat "+t.ID, len(ms))]
-	m, up := n.Mind(), n.Host.up()
+	m, up := n.Controller(), n.Host.up()
 	if m == nil || up == nil {
 		return r, false
 	}
@@ -339,7 +339,7 @@
 	a := &passage.Answer{Status: 200, Body: []byte(body), Whole: true, Stamp: st.String()}
 	switch mode {
 	case stand.Silent:
-		// Until the flow's expiry has passed, and its link is closed.
+		// Until the gateway's expiry has passed, and its link is closed.
 		select {
 		case <-run.Done():
 		case <-time.After(4 * time.Second):
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -16,10 +16,10 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/commands"
+	"walkrudder/internal/controller"
 	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
-	"walkrudder/internal/flow"
-	"walkrudder/internal/mind"
+	"walkrudder/internal/gateway"
 	"walkrudder/internal/passage"
 	"walkrudder/internal/shell"
 	"walkrudder/internal/spec"
@@ -29,34 +29,34 @@
 
 // Shape is the size of a world.
 type Shape struct {
-	Zones, Disks, Minds, Flows int
-	Targets                    map[string]int
+	Zones, Disks, Controllers, Gateways int
+	Targets                             map[string]int
 	// Spares is how many control machines stand by to be swapped in; the n-th of
-	// them may take the place of the n-th mind.
+	// them may take the place of the n-th controller.
 	Spares int
-	// Keep is how long minds keep decisions; 0 for as long as they do by default.
+	// Keep is how long controllers keep decisions; 0 for as long as they do by default.
 	Keep time.Duration
 	Log  io.Writer
 }
 
 // Small is a world that a run in CI can afford.
 func Small() Shape {
-	return Shape{Zones: 3, Disks: 3, Minds: 4, Flows: 4, Targets: map[string]int{"orders": 5, "records": 5}, Spares: 1}
+	return Shape{Zones: 3, Disks: 3, Controllers: 4, Gateways: 4, Targets: map[string]int{"orders": 5, "records": 5}, Spares: 1}
 }
 
 // Tiny is a world for tests that need few of everything.
 func Tiny() Shape {
-	return Shape{Zones: 3, Disks: 3, Minds: 3, Flows: 3, Targets: map[string]int{"orders": 3, "records": 3}}
+	return Shape{Zones: 3, Disks: 3, Controllers: 3, Gateways: 3, Targets: map[string]int{"orders": 3, "records": 3}}
 }
 
 // Alcazar and Grachtwerk are the deployments of today.
 func Alcazar() Shape {
-	return Shape{Zones: 3, Disks: 3, Minds: 5, Flows: 8, Targets: map[string]int{"orders": 14, "records": 16}, Spares: 1}
+	return Shape{Zones: 3, Disks: 3, Controllers: 5, Gateways: 8, Targets: map[string]int{"orders": 14, "records": 16}, Spares: 1}
 }
 
 // Grachtwerk has a fourth disk that stands by.
 func Grachtwerk() Shape {
-	return Shape{Zones: 4, Disks: 4, Minds: 6, Flows: 8, Targets: map[string]int{"orders": 20, "records": 20}, Spares: 2}
+	return Shape{Zones: 4, Disks: 4, Controllers: 6, Gateways: 8, Targets: map[string]int{"orders": 20, "records": 20}, Spares: 2}
 }
 
 // Node is one node of the world.
@@ -67,13 +67,13 @@
 	Faults *fault.Set
 	w      *World
 
-	mu     sync.Mutex
-	mind   *mind.Mind
-	flow   *flow.Flow
-	end    context.CancelFunc
-	done   chan struct{}
-	inc    uint64
-	struck stand.Struck // guarded by mu
+	mu         sync.Mutex
+	controller *controller.Controller
+	gateway    *gateway.Gateway
+	end        context.CancelFunc
+	done       chan struct{}
+	inc        uint64
+	struck     stand.Struck // guarded by mu
 	// looked is what the platform last saw: ready or not.
 	looked atomic.Bool
 	// out says that the machine is not part of the deployment: not yet, or no more.
@@ -119,16 +119,16 @@
 	}
 	w.log = log.NewWithOptions(s.Log, log.Options{Formatter: log.JSONFormatter, Level: log.DebugLevel, ReportTimestamp: true, TimeFormat: "15:04:05.000"})
 	w.ctx, w.stop = context.WithCancel(context.Background())
-	for i := range s.Minds + s.Flows {
+	for i := range s.Controllers + s.Gateways {
 		n := &Node{w: w, Faults: &fault.Set{}, Host: &Host{net: w.Net, Addr: fmt.Sprintf("10.0.0.%d:7000", i+1)}}
-		if i < s.Minds {
-			n.ID, n.Kind, n.Zone = fmt.Sprintf("m%d", i+1), "mind", fmt.Sprintf("z%d", i%s.Zones+1)
+		if i < s.Controllers {
+			n.ID, n.Kind, n.Zone = fmt.Sprintf("m%d", i+1), "controller", fmt.Sprintf("z%d", i%s.Zones+1)
 			if i < s.Disks {
 				n.Disk = newDisk(sub())
 			}
 		} else {
-			k := i - s.Minds
-			n.ID, n.Kind, n.Zone = fmt.Sprintf("f%d", k+1), "flow", fmt.Sprintf("z%d", k%s.Zones+1)
+			k := i - s.Controllers
+			n.ID, n.Kind, n.Zone = fmt.Sprintf("f%d", k+1), "gateway", fmt.Sprintf("z%d", k%s.Zones+1)
 		}
 		w.Net.at[n.Addr] = n.Host
 		w.Nodes = append(w.Nodes, n)
@@ -138,7 +138,7 @@
 	}
 	for i := range s.Spares {
 		old := w.Nodes[i]
-		n := &Node{w: w, Kind: "mind", Faults: &fault.Set{}, Disk: newDisk(sub()),
+		n := &Node{w: w, Kind: "controller", Faults: &fault.Set{}, Disk: newDisk(sub()),
 			Host: &Host{net: w.Net, ID: old.ID + "b", Zone: old.Zone, Addr: fmt.Sprintf("10.0.2.%d:7000", i+1)}}
 		n.out.Store(true)
 		w.Net.at[n.Addr] = n.Host
@@ -264,8 +264,8 @@
 	s := startup.Node{ID: n.ID, Zone: n.Zone, Inner: n.Addr, Door: n.Addr + "d", Seeds: n.w.seeds}
 	lg := n.w.log.With("node", n.ID)
 	var run func(context.Context)
-	if n.Kind == "mind" {
-		p := mind.Parts{Startup: startup.Mind{Node: s, Core: min(3, n.w.Shape.Disks)}, Inc: n.inc, Fresh: fmt.Sprintf("%s-%d", n.ID, n.inc),
+	if n.Kind == "controller" {
+		p := controller.Parts{Startup: startup.Controller{Node: s, Core: min(3, n.w.Shape.Disks)}, Inc: n.inc, Fresh: fmt.Sprintf("%s-%d", n.ID, n.inc),
 			Keep: n.w.Shape.Keep, Line: l, Clock: clock{n.Host}, Log: lg, Faults: n.Faults, WallMS: func() int64 { return time.Now().UnixMilli() },
 			OnBad: func(error) {
 				if ctx.Err() != nil {
@@ -279,19 +279,19 @@
 		if n.Disk != nil {
 			p.Disk = d
 		}
-		m, err := mind.New(p)
+		m, err := controller.New(p)
 		if err != nil {
 			panic(err)
 		}
 		d.calm = false
-		n.mind, run = m, m.Run
+		n.controller, run = m, m.Run
 		n.Host.mu.Lock()
 		n.desk = m.Desk
 		n.Host.mu.Unlock()
 	} else {
-		f := flow.New(flow.Parts{Startup: startup.Flow{Node: s}, Inc: n.inc, Line: l, Clock: clock{n.Host}, Log: lg, Faults: n.Faults,
+		f := gateway.New(gateway.Parts{Startup: startup.Gateway{Node: s}, Inc: n.inc, Line: l, Clock: clock{n.Host}, Log: lg, Faults: n.Faults,
 			Courier: &courier{w: n.w, h: n.Host, run: ctx}})
-		n.flow, run = f, f.Run
+		n.gateway, run = f, f.Run
 		n.Host.mu.Lock()
 		n.desk = f.Desk
 		n.Host.mu.Unlock()
@@ -354,7 +354,7 @@
 // Retire stops the process as planned; the platform kills it 6 s after its
 // warning. What was cut off by it is for the checker to find.
 func (n *Node) Retire() {
-	f, m, up := n.Flow(), n.Mind(), n.Host.up()
+	f, m, up := n.Gateway(), n.Controller(), n.Host.up()
 	if up == nil || n.Frozen() {
 		return
 	}
@@ -379,7 +379,7 @@
 	n.awake()
 	// Another failure may have come first.
 	if up.Err() == nil && n.colds() == cold && f != nil {
-		n.w.Rec.Stop(stand.Stop{Flow: n.ID, From: from, End: time.Now()})
+		n.w.Rec.Stop(stand.Stop{Gateway: n.ID, From: from, End: time.Now()})
 	}
 	if up.Err() == nil {
 		n.mu.Lock()
@@ -391,24 +391,24 @@
 // Up tells whether the process runs.
 func (n *Node) Up() bool { return n.Host.up() != nil }
 
-// Mind is the running mind, nil when none runs.
-func (n *Node) Mind() *mind.Mind {
+// Controller is the running controller, nil when none runs.
+func (n *Node) Controller() *controller.Controller {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.end == nil {
 		return nil
 	}
-	return n.mind
+	return n.controller
 }
 
-// Flow is the running flow, nil when none runs.
-func (n *Node) Flow() *flow.Flow {
+// Gateway is the running gateway, nil when none runs.
+func (n *Node) Gateway() *gateway.Gateway {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.end == nil {
 		return nil
 	}
-	return n.flow
+	return n.gateway
 }
 
 // Frozen tells whether the host stands still.
@@ -418,25 +418,25 @@
 	return n.ice != nil
 }
 
-// Order sends an order to a mind, as an operator would over HTTP; ok is false
+// Order sends an order to a controller, as an operator would over HTTP; ok is false
 // when no answer came.
 func (w *World) Order(ctx context.Context, n *Node, o commands.Order) (commands.Result, bool) {
-	return speak(ctx, n, func(cx context.Context, m *mind.Mind) commands.Result { return m.Changer.Change(cx, o) })
+	return speak(ctx, n, func(cx context.Context, m *controller.Controller) commands.Result { return m.Changer.Change(cx, o) })
 }
 
-// insist sends an order to any mind until it has a final result, and notes it.
+// insist sends an order to any controller until it has a final result, and notes it.
 func (w *World) insist(ctx context.Context, who string, a stand.Asked, base *uint64) (commands.Result, bool) {
 	w.rmu.Lock()
 	w.told++
 	a.Token, a.At = fmt.Sprintf("%s-%d", who, w.told), time.Now()
 	w.rmu.Unlock()
 	send := func() (commands.Result, bool) {
-		ms := w.Of("mind")
+		ms := w.Of("controller")
 		n := ms[w.Draw(who, len(ms))]
 		if a.Back == 0 {
 			return w.Order(ctx, n, commands.Order{Token: a.Token, Base: base, Edits: a.Edits})
 		}
-		return speak(ctx, n, func(cx context.Context, m *mind.Mind) commands.Result {
+		return speak(ctx, n, func(cx context.Context, m *controller.Controller) commands.Result {
 			x, err := m.Speaker.Say(cx, fmt.Sprintf("roll back to %d token %s", a.Back, a.Token))
 			if err != nil {
 				return commands.Result{Outcome: commands.NoCore, Why: err.Error()}
@@ -458,10 +458,10 @@
 	return r, ok
 }
 
-// speak has a mind do something for an operator; ok is false when no answer came.
-func speak[R any](ctx context.Context, n *Node, do func(context.Context, *mind.Mind) R) (r R, ok bool) {
+// speak has a controller do something for an operator; ok is false when no answer came.
+func speak[R any](ctx context.Context, n *Node, do func(context.Context, *controller.Controller) R) (r R, ok bool) {
 	w := n.w
-	m, up := n.Mind(), n.Host.up()
+	m, up := n.Controller(), n.Host.up()
 	if m == nil || up == nil {
 		return r, false
 	}
@@ -508,7 +508,7 @@
 	return spec.Binding{Name: k.Path[1:], Service: service, Methods: []string{k.Method}, Path: k.Path, ExpiryMS: 3000, Repeatable: k.Repeatable}
 }
 
-// Form waits until the first sheet is in force and every flow is ready.
+// Form waits until the first sheet is in force and every gateway is ready.
 func (w *World) Form(within time.Duration) error {
 	ctx, end := context.WithTimeout(w.ctx, within)
 	defer end()
@@ -516,18 +516,18 @@
 	if r, ok := w.insist(ctx, "form", stand.Asked{Edits: []spec.Edit{{Op: spec.Replace, Sheet: &s}}}, nil); !ok {
 		return fmt.Errorf("no first sheet: %+v", r)
 	}
-	for !lo.EveryBy(w.Of("flow"), func(n *Node) bool { f := n.Flow(); return f != nil && f.Ready() }) {
+	for !lo.EveryBy(w.Of("gateway"), func(n *Node) bool { f := n.Gateway(); return f != nil && f.Ready() }) {
 		if ctx.Err() != nil {
-			return fmt.Errorf("flows not ready")
+			return fmt.Errorf("gateways not ready")
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	return nil
 }
 
-// Call makes one call at a flow, chosen among the ready ones as the platform
+// Call makes one call at a gateway, chosen among the ready ones as the platform
 // does, and notes the outcome.
-// An order goes out under a key, and is sent again under it, through any flow,
+// An order goes out under a key, and is sent again under it, through any gateway,
 // while its caller does not know that it ran.
 func (w *World) Call(k stand.Kind) {
 	w.rmu.Lock()
@@ -546,7 +546,7 @@
 // call sends one call once. One that names its client hammers, and is not proper.
 func (w *World) call(k stand.Kind, order, client string) (o stand.Outcome) {
 	var ready []*Node
-	for _, n := range w.Of("flow") {
+	for _, n := range w.Of("gateway") {
 		if n.looked.Load() {
 			ready = append(ready, n)
 		}
@@ -558,8 +558,8 @@
 		return o
 	}
 	n := ready[w.Draw("calls", len(ready))]
-	o.Flow = n.ID
-	f, up := n.Flow(), n.Host.up()
+	o.Gateway = n.ID
+	f, up := n.Gateway(), n.Host.up()
 	if f == nil || up == nil {
 		o.Err = "connection refused"
 		return o
@@ -628,11 +628,11 @@
 	}
 }
 
-// Platform asks every flow once a second whether it is ready.
+// Platform asks every gateway once a second whether it is ready.
 func (w *World) Platform(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, n := range w.Of("flow") {
-			f := n.Flow()
+		for _, n := range w.Of("gateway") {
+			f := n.Gateway()
 			n.looked.Store(f != nil && !n.Frozen() && f.Ready())
 		}
 		time.Sleep(time.Second)
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -113,14 +113,14 @@
 	w.Rec.Act("disk lost at the last moment")
 	ctx, end := context.WithTimeout(w.ctx, 8*time.Second)
 	defer end()
-	for _, n := range w.Of("mind") {
+	for _, n := range w.Of("controller") {
 		if n.Up() {
 			for _, b := range w.Picture(ctx, n) {
 				t.Error("right after the last loss:", b)
 			}
 		}
 	}
-	for _, n := range w.Of("mind") {
+	for _, n := range w.Of("controller") {
 		n.Start()
 	}
 	time.Sleep(5 * time.Second)
@@ -208,9 +208,9 @@
 		seed uint64
 		d    Defects
 	}{
-		"a restarted flow trusted an old word":            {3023, Defects{Nodes: true, Span: 20 * time.Second}},
+		"a restarted gateway trusted an old word":         {3023, Defects{Nodes: true, Span: 20 * time.Second}},
 		"a lease table read across a freeze":              {3028, Defects{Nodes: true, Span: 20 * time.Second}},
-		"a core lost in a hold stopped every flow":        {105, Defects{Day: true, Span: 45 * time.Second}},
+		"a core lost in a hold stopped every gateway":     {105, Defects{Day: true, Span: 45 * time.Second}},
 		"an address passed on while all was being healed": {302, Defects{Nodes: true, Disks: true, Net: true, Targets: true, Crowds: true, Span: 20 * time.Second}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -31,7 +31,7 @@
 	Zone    string   `arg:"--zone" yaml:"zone" validate:"required,max=64,name" help:"the zone it stands in"`
 	Inner   string   `arg:"--inner" yaml:"inner" validate:"required,ipport" help:"IP:port for the other nodes"`
 	Bind    string   `arg:"--bind" yaml:"bind" validate:"omitempty,ipport" help:"IP:port to listen at for the other nodes, and IP to call from, where that is not the inner address, as behind an address translation"`
-	Door    string   `arg:"--door" yaml:"door" validate:"required,ipport" help:"IP:port for HTTP: callers (flow), targets and operators (mind), the platform"`
+	Door    string   `arg:"--door" yaml:"door" validate:"required,ipport" help:"IP:port for HTTP: callers (gateway), targets and operators (controller), the platform"`
 	Seeds   []string `arg:"--seed,separate" yaml:"seeds" validate:"required,min=1,max=9,unique,dive,ipport" help:"inner address of a seed; give it once for each"`
 	Level   string   `arg:"--level" yaml:"level" validate:"omitempty,oneof=debug info warn error" help:"least level logged [default: info]"`
 }
@@ -44,8 +44,8 @@
 	return n.Inner
 }
 
-// Flow is what the data plane is told.
-type Flow struct {
+// Gateway is what the data plane is told.
+type Gateway struct {
 	Node `yaml:",inline"`
 	Map  string `arg:"--map" yaml:"map" help:"GraphViz or GeoJSON file that tells how far zones are apart"`
 	// Chart is what the map says.
@@ -53,24 +53,26 @@
 }
 
 // Version tells the version for --version.
-func (Flow) Version() string { return "flow " + Version }
+func (Gateway) Version() string { return "gateway " + Version }
 
 // Description heads the help.
-func (Flow) Description() string { return "flow takes callers' requests and passes them to targets." }
+func (Gateway) Description() string {
+	return "gateway takes callers' requests and passes them to targets."
+}
 
-// Mind is what the control plane is told.
-type Mind struct {
+// Controller is what the control plane is told.
+type Controller struct {
 	Node `yaml:",inline"`
-	Data string `arg:"--data" yaml:"data" help:"folder on a disk that lasts; without it this mind does not vote"`
-	Core int    `arg:"--core" yaml:"core" validate:"omitempty,oneof=1 3 5" help:"voters of a first core, the same on every mind [default: 3]"`
+	Data string `arg:"--data" yaml:"data" help:"folder on a disk that lasts; without it this controller does not vote"`
+	Core int    `arg:"--core" yaml:"core" validate:"omitempty,oneof=1 3 5" help:"voters of a first core, the same on every controller [default: 3]"`
 }
 
 // Version tells the version for --version.
-func (Mind) Version() string { return "mind " + Version }
+func (Controller) Version() string { return "controller " + Version }
 
 // Description heads the help.
-func (Mind) Description() string {
-	return "mind keeps the shared state, watches targets and brings changes into force."
+func (Controller) Description() string {
+	return "controller keeps the shared state, watches targets and brings changes into force."
 }
 
 var check = newCheck()
@@ -105,7 +107,7 @@
 // ErrShown says that help or version was printed and nothing is to be run.
 var ErrShown = errors.New("shown")
 
-// Read fills dest, a pointer to Flow or Mind, from args and the settings file
+// Read fills dest, a pointer to Gateway or Controller, from args and the settings file
 // they name. What is wrong is told with the field's name.
 func Read(dest any, name string, args []string, out io.Writer) error {
 	p, err := arg.NewParser(arg.Config{Program: name}, dest)
@@ -136,7 +138,7 @@
 	if n.Level == "" {
 		n.Level = "info"
 	}
-	if m, ok := dest.(*Mind); ok && m.Core == 0 {
+	if m, ok := dest.(*Controller); ok && m.Core == 0 {
 		m.Core = 3
 	}
 	return verify(dest)
@@ -160,9 +162,9 @@
 // NodeOf is the part of dest that both programs have.
 func NodeOf(dest any) *Node {
 	switch d := dest.(type) {
-	case *Flow:
+	case *Gateway:
 		return &d.Node
-	case *Mind:
+	case *Controller:
 		return &d.Node
 	}
 	panic("startup of an unknown program")
@@ -194,14 +196,14 @@
 	if n.Inner == n.Door || n.Bind == n.Door {
 		return fmt.Errorf("door: %s is also the inner address", n.Door)
 	}
-	if f, ok := dest.(*Flow); ok && f.Map != "" {
+	if f, ok := dest.(*Gateway); ok && f.Map != "" {
 		c, err := chart.Read(f.Map)
 		if err != nil {
 			return fmt.Errorf("map: %w", err)
 		}
 		f.Chart = c
 	}
-	if m, ok := dest.(*Mind); ok && m.Data != "" {
+	if m, ok := dest.(*Controller); ok && m.Data != "" {
 		i, err := os.Stat(m.Data)
 		if err != nil {
 			return fmt.Errorf("data: %w", err)
--- a/internal/startup/startup_test.go
+++ b/internal/startup/startup_test.go
@@ -36,26 +36,26 @@
 		"bind: \"here\" is not IP:port":    append(fine[:10:10], "--bind", "here"),
 		"door: 127.0.0.1:1 is also":        append(fine[:6:6], "--door", "127.0.0.1:1", "--seed", "127.0.0.1:1"),
 	} {
-		var m Mind
-		err := Read(&m, "mind", args, &bytes.Buffer{})
+		var m Controller
+		err := Read(&m, "controller", args, &bytes.Buffer{})
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%v: %v, want %q named", args, err, want)
 		}
 	}
 }
 
-func TestFlowReadsItsMap(t *testing.T) {
+func TestGatewayReadsItsMap(t *testing.T) {
 	args := []string{"--id", "f", "--zone", "z1", "--inner", "127.0.0.1:1", "--door", "127.0.0.1:2", "--seed", "127.0.0.1:3", "--map"}
 	p := filepath.Join(t.TempDir(), "zones.dot")
 	if err := os.WriteFile(p, []byte("graph { z1 -- z2 [ms=1]; z1 -- z3 [ms=3] }"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	var f Flow
-	if err := Read(&f, "flow", append(args, p), &bytes.Buffer{}); err != nil || f.Chart.Far("z1", "z3") != 3 {
+	var f Gateway
+	if err := Read(&f, "gateway", append(args, p), &bytes.Buffer{}); err != nil || f.Chart.Far("z1", "z3") != 3 {
 		t.Errorf("%v %v", err, f.Chart)
 	}
 	for _, bad := range []string{"/nowhere.dot", write(t, "x: 1\n")} {
-		if err := Read(&Flow{}, "flow", append(args, bad), &bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), "map: ") {
+		if err := Read(&Gateway{}, "gateway", append(args, bad), &bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), "map: ") {
 			t.Errorf("%s: %v", bad, err)
 		}
 	}
@@ -63,15 +63,15 @@
 
 func TestFlagsGoBeforeTheFile(t *testing.T) {
 	p := write(t, "id: m1\nzone: z1\ninner: 127.0.0.1:1\ndoor: 127.0.0.1:2\nseeds: [\"127.0.0.1:1\", \"127.0.0.1:3\"]\nlevel: warn\n")
-	var m Mind
-	if err := Read(&m, "mind", []string{"--startup", p, "--zone", "z9"}, &bytes.Buffer{}); err != nil {
+	var m Controller
+	if err := Read(&m, "controller", []string{"--startup", p, "--zone", "z9"}, &bytes.Buffer{}); err != nil {
 		t.Fatal(err)
 	}
 	if m.Zone != "z9" || m.Level != "warn" || len(m.Seeds) != 2 || m.Core != 3 {
 		t.Errorf("%+v", m)
 	}
-	m = Mind{}
-	if err := Read(&m, "mind", []string{"--startup", p, "--seed", "127.0.0.9:9"}, &bytes.Buffer{}); err != nil || len(m.Seeds) != 1 || m.Seeds[0] != "127.0.0.9:9" {
+	m = Controller{}
+	if err := Read(&m, "controller", []string{"--startup", p, "--seed", "127.0.0.9:9"}, &bytes.Buffer{}); err != nil || len(m.Seeds) != 1 || m.Seeds[0] != "127.0.0.9:9" {
 		t.Errorf("%v %v", err, m.Seeds)
 	}
 }
@@ -79,7 +79,7 @@
 func TestHelpAndVersionRunNothing(t *testing.T) {
 	for _, a := range []string{"--help", "--version"} {
 		var out bytes.Buffer
-		if err := Read(&Flow{}, "flow", []string{a}, &out); !errors.Is(err, ErrShown) || !strings.Contains(out.String(), "flow") {
+		if err := Read(&Gateway{}, "gateway", []string{a}, &out); !errors.Is(err, ErrShown) || !strings.Contains(out.String(), "gateway") {
 			t.Errorf("%s: %v %q", a, err, out.String())
 		}
 	}
--- a/internal/target/record.go
+++ b/internal/target/record.go
@@ -9,7 +9,7 @@
 // recordForm is the first byte of a record: a later form is not taken for this one.
 const recordForm = 1
 
-// Record is a run in the form in which a mind notes it for its next life. How much
+// Record is a run in the form in which a controller notes it for its next life. How much
 // longer it is slow is left out: nobody knows how long that life is off.
 func (r Run) Record() []byte {
 	b := []byte{recordForm, byte(r.State)}
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -42,7 +42,7 @@
 	Silent uint64
 	// Cold is how much longer the run is slow, as of when it was told.
 	Cold time.Duration
-	// Recalled says that the run is only known from what a mind noted in an earlier life:
+	// Recalled says that the run is only known from what a controller noted in an earlier life:
 	// none has heard a beat of it since. One copy that is not recalled ends that for all.
 	Recalled bool
 }
--- a/internal/voice/grammar.go
+++ b/internal/voice/grammar.go
@@ -1,5 +1,5 @@
 // Package voice is the small language of queries and commands, spoken over HTTP
-// or with `mind say` (design 16).
+// or with `controller say` (design 16).
 package voice
 
 import (
@@ -21,7 +21,7 @@
 	Drain   *Drain  `parser:"| 'drain' @@"`
 	Resume  *string `parser:"| 'resume' 'node' @(Word|String)"`
 	Swap    *Swap   `parser:"| 'swap' 'disk' @@"`
-	Forget  *string `parser:"| 'forget' 'flow' @(Word|String)"`
+	Forget  *string `parser:"| 'forget' 'gateway' @(Word|String)"`
 	Help    bool    `parser:"| @'help'"`
 }
 
@@ -214,5 +214,5 @@
   drain target SERVICE/ID
   drain node ID | resume node ID
   swap disk ID for ID
-  forget flow ID
+  forget gateway ID
 `
--- a/internal/voice/speaker.go
+++ b/internal/voice/speaker.go
@@ -18,7 +18,7 @@
 	"walkrudder/internal/spec"
 )
 
-// Speaker answers sayings at one mind.
+// Speaker answers sayings at one controller.
 type Speaker struct {
 	Asker   *queries.Asker
 	Changer *commands.Changer
@@ -167,7 +167,7 @@
 	return Reply{lo.Ternary(on, "drained", "resumed"), id}, nil
 }
 
-// drain stops new work to the run of a target that this mind knows.
+// drain stops new work to the run of a target that this controller knows.
 func (s *Speaker) drain(ctx context.Context, x *Target) (Reply, error) {
 	svc, id, err := x.split()
 	if err != nil {
--- a/internal/watch/follow.go
+++ b/internal/watch/follow.go
@@ -11,17 +11,17 @@
 	"walkrudder/internal/target"
 )
 
-// place is how far a follower has heard one mind out. Its owner alone uses it; a copy
+// place is how far a follower has heard one controller out. Its owner alone uses it; a copy
 // may be polled from beside it, for what is heard twice merges to the same.
 type place struct {
-	addr string
-	inc  uint64
-	seen Cursor
-	sums []uint64 // while not all was told yet
-	mind Member   // as it introduced itself
+	addr       string
+	inc        uint64
+	seen       Cursor
+	sums       []uint64 // while not all was told yet
+	controller Member   // as it introduced itself
 }
 
-// poller asks minds for news and merges them.
+// poller asks controllers for news and merges them.
 type poller struct {
 	me    func() Member
 	line  link.Line
@@ -64,7 +64,7 @@
 		}
 		items, runs = p.board.MergeItems(t.Items), p.board.MergeRuns(t.Runs)
 		if t.Me.ID != "" {
-			at.mind = t.Me
+			at.controller = t.Me
 		}
 		at.inc, at.seen = t.Inc, t.Seen
 		if !t.More {
--- a/internal/watch/follower.go
+++ b/internal/watch/follower.go
@@ -12,8 +12,8 @@
 	Seen Cursor
 }
 
-// Gone tells whether a flow no longer counts as attached.
-func (f Follower) Gone() bool { return f.Age >= flowGone }
+// Gone tells whether a gateway no longer counts as attached.
+func (f Follower) Gone() bool { return f.Age >= gatewayGone }
 
 // Followers are the nodes that asked here lately, by ID.
 func (t *Teller) Followers() []Follower {
--- a/internal/watch/follower_test.go
+++ b/internal/watch/follower_test.go
@@ -27,7 +27,7 @@
 		if f := b.Followers(); f[0].Seen.Items != 0 {
 			t.Errorf("%+v", f)
 		}
-		time.Sleep(flowGone)
+		time.Sleep(gatewayGone)
 		if f := b.Followers(); !f[0].Gone() || b.Asks() != 3 {
 			t.Errorf("%+v after %d asks", f, b.Asks())
 		}
--- a/internal/watch/mesh.go
+++ b/internal/watch/mesh.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// seatWait and otherWait are how long asks of minds wait for news: those of
+	// seatWait and otherWait are how long asks of controllers wait for news: those of
 	// voters prove that nothing is missed, and are sought more often.
 	seatWait  = 500 * time.Millisecond
 	otherWait = time.Second
@@ -25,22 +25,22 @@
 	answerTime = 500 * time.Millisecond
 	// freshFor is how old the proof may be that nothing acknowledged is missed.
 	freshFor = 1200 * time.Millisecond
-	// forgetAfter is how long a mind that is neither seed nor seat is sought in vain.
+	// forgetAfter is how long a controller that is neither seed nor seat is sought in vain.
 	forgetAfter = 10 * time.Second
-	// peerAge is how lately a mind must have been heard to be told of.
+	// peerAge is how lately a controller must have been heard to be told of.
 	peerAge = 5 * time.Second
-	// heardAge is how lately a mind must have been heard to be given work.
+	// heardAge is how lately a controller must have been heard to be given work.
 	heardAge = 1700 * time.Millisecond
 	// leastPause and mostPause bound the pause after an ask that failed.
 	leastPause = 50 * time.Millisecond
 	mostPause  = 500 * time.Millisecond
-	// maxMinds bounds the minds followed.
-	maxMinds = 64
-	// tendEvery is how often the list of minds is looked over.
+	// maxControllers bounds the controllers followed.
+	maxControllers = 64
+	// tendEvery is how often the list of controllers is looked over.
 	tendEvery = time.Second
 )
 
-// Mesh is a mind's view of all the others: it follows each by long polls and merges
+// Mesh is a controller's view of all the others: it follows each by long polls and merges
 // what it learns into the board.
 type Mesh struct {
 	Me    func() Member
@@ -63,19 +63,19 @@
 	proved chan struct{}
 }
 
-// peer is one other mind.
+// peer is one other controller.
 type peer struct {
 	place // owned by its follower; copied under the mesh's lock
 	end   context.CancelFunc
 	since time.Time // when it was first sought
 	heard time.Time // when it answered last
 	// proof is when all that it held was known here, while its disk has a seat.
-	proof time.Time
-	votes uint64
-	disk  string
-	flows map[string]string // zones of the flows that follow it, by ID
-	going bool              // it is about to stop
-	kick  chan struct{}
+	proof    time.Time
+	votes    uint64
+	disk     string
+	gateways map[string]string // zones of the gateways that follow it, by ID
+	going    bool              // it is about to stop
+	kick     chan struct{}
 }
 
 func (m *Mesh) poller() *poller {
@@ -120,7 +120,7 @@
 	}
 }
 
-// prune lets minds go that were not heard for long; under the lock.
+// prune lets controllers go that were not heard for long; under the lock.
 func (m *Mesh) prune() {
 	now := m.Clock.Now()
 	seats := m.Core().Seats
@@ -140,9 +140,9 @@
 	return b
 }
 
-// follow starts to follow the mind at addr, where it isn't yet; under the lock.
+// follow starts to follow the controller at addr, where it isn't yet; under the lock.
 func (m *Mesh) follow(addr string) {
-	if m.ctx == nil || m.ctx.Err() != nil || addr == "" || addr == m.Me().Inner || m.peers[addr] != nil || len(m.peers) >= maxMinds {
+	if m.ctx == nil || m.ctx.Err() != nil || addr == "" || addr == m.Me().Inner || m.peers[addr] != nil || len(m.peers) >= maxControllers {
 		return
 	}
 	if m.peers == nil {
@@ -154,12 +154,12 @@
 	m.wg.Go(func() { m.track(ctx, p) })
 }
 
-// Met is told of a mind that asks this one.
+// Met is told of a controller that asks this one.
 func (m *Mesh) Met(x Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.follow(x.Inner)
-	if p := m.peers[x.Inner]; p != nil && p.mind.Inc != x.Inc {
+	if p := m.peers[x.Inner]; p != nil && p.controller.Inc != x.Inc {
 		// It is up: whoever pauses after a failure need not wait any longer.
 		select {
 		case p.kick <- struct{}{}:
@@ -168,7 +168,7 @@
 	}
 }
 
-// track follows one mind until ctx ends.
+// track follows one controller until ctx ends.
 func (m *Mesh) track(ctx context.Context, p *peer) {
 	q := m.poller()
 	at := p.place
@@ -208,7 +208,7 @@
 		m.Learn(t.Core)
 	}
 	if t.Firm && !t.More {
-		// Before this answer counts as a proof: what others are told by a fresh mind must
+		// Before this answer counts as a proof: what others are told by a fresh controller must
 		// not be what it already has reason to doubt.
 		m.Board.Settle()
 	}
@@ -221,12 +221,12 @@
 		p.proof = begun.Add(t.Waited)
 	}
 	if t.Attached != nil {
-		p.flows = t.Attached
+		p.gateways = t.Attached
 	} else if len(t.Peers) > 0 {
-		p.flows = nil
+		p.gateways = nil
 	}
 	for _, x := range t.Peers {
-		if x.Kind == Mind && x.Age < peerAge {
+		if x.Kind == Controller && x.Age < peerAge {
 			m.follow(x.Inner)
 		}
 	}
@@ -252,7 +252,7 @@
 	return ok && disk != "" && s.Disk == disk && votes > 0 && votes+1 >= c.Epoch
 }
 
-// lag is how long ago this mind held everything that was acknowledged until then: the
+// lag is how long ago this controller held everything that was acknowledged until then: the
 // age of the proofs of so many voters that every majority has one of them. ok is
 // false where there are not so many proofs at all. Under the lock.
 //
@@ -272,7 +272,7 @@
 		ages = append(ages, 0)
 	}
 	for _, p := range m.peers {
-		if Counts(c, p.mind.ID, p.disk, p.votes) && !p.proof.IsZero() {
+		if Counts(c, p.controller.ID, p.disk, p.votes) && !p.proof.IsZero() {
 			ages = append(ages, now.Sub(p.proof))
 		}
 	}
@@ -289,7 +289,7 @@
 	return Counts(c, me.ID, me.Seat.Disk, m.Votes())
 }
 
-// Fresh tells whether this mind misses nothing that was acknowledged up to lag ago,
+// Fresh tells whether this controller misses nothing that was acknowledged up to lag ago,
 // which is lately.
 func (m *Mesh) Fresh() (lag time.Duration, fresh bool) {
 	m.mu.Lock()
@@ -298,7 +298,7 @@
 	return lag, ok && lag <= freshFor
 }
 
-// Synced tells whether this mind was fresh at some time of its life.
+// Synced tells whether this controller was fresh at some time of its life.
 func (m *Mesh) Synced() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -405,12 +405,12 @@
 			m.Learn(t.Core)
 		}
 		if !t.More {
-			return at.mind.ID == s.ID && Counts(core, s.ID, t.Disk, t.Votes)
+			return at.controller.ID == s.ID && Counts(core, s.ID, t.Disk, t.Votes)
 		}
 	}
 }
 
-// Others are the other minds that answered lately, with how long ago that was.
+// Others are the other controllers that answered lately, with how long ago that was.
 func (m *Mesh) Others() []Member {
 	return m.others(func(*peer) bool { return true })
 }
@@ -421,7 +421,7 @@
 	defer m.mu.Unlock()
 	var out []Member
 	for _, p := range m.peers {
-		if x := p.mind; x.ID != "" && now.Sub(p.heard) < peerAge && which(p) {
+		if x := p.controller; x.ID != "" && now.Sub(p.heard) < peerAge && which(p) {
 			x.Age = now.Sub(p.heard)
 			out = append(out, x)
 		}
@@ -429,29 +429,29 @@
 	return out
 }
 
-// Near are the minds that may be given work: those that answered just now and are not
+// Near are the controllers that may be given work: those that answered just now and are not
 // about to stop, and this.
 func (m *Mesh) Near() []Member {
 	out := lo.Filter(m.others(func(p *peer) bool { return !p.going }), func(x Member, _ int) bool { return x.Age < heardAge })
 	return append(out, m.Me())
 }
 
-// Flows are the zones of the flows that follow the other minds, by ID. Those of a mind
+// Gateways are the zones of the gateways that follow the other controllers, by ID. Those of a controller
 // that is no longer heard count until it is forgotten: they may go on without it.
-func (m *Mesh) Flows() map[string]string {
+func (m *Mesh) Gateways() map[string]string {
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := map[string]string{}
 	for _, p := range m.peers {
 		if now.Sub(p.heard) < forgetAfter {
-			maps.Copy(out, p.flows)
+			maps.Copy(out, p.gateways)
 		}
 	}
 	return out
 }
 
-// Heard are the disks of the minds that answered, with how long ago, and the own one.
+// Heard are the disks of the controllers that answered, with how long ago, and the own one.
 func (m *Mesh) Heard() []quorum.Heard {
 	now := m.Clock.Now()
 	m.mu.Lock()
@@ -461,8 +461,8 @@
 		out = append(out, quorum.Heard{Seat: s})
 	}
 	for _, p := range m.peers {
-		if p.mind.Seat.ID != "" && !p.heard.IsZero() {
-			out = append(out, quorum.Heard{Seat: p.mind.Seat, Ago: now.Sub(p.heard)})
+		if p.controller.Seat.ID != "" && !p.heard.IsZero() {
+			out = append(out, quorum.Heard{Seat: p.controller.Seat, Ago: now.Sub(p.heard)})
 		}
 	}
 	return out
--- a/internal/watch/report.go
+++ b/internal/watch/report.go
@@ -2,7 +2,7 @@
 
 import "walkrudder/internal/item"
 
-// Report is what a flow tells people of the minds it follows and of what they told.
+// Report is what a gateway tells people of the controllers it follows and of what they told.
 type Report struct {
 	Synced bool `json:"synced"`
 	// BehindMS is how long ago everything acknowledged until then was known here; -1 is
@@ -18,19 +18,19 @@
 	Runs    uint64 `json:"run_changes"`
 }
 
-// Followed is one mind that is followed now.
+// Followed is one controller that is followed now.
 type Followed struct {
-	Mind    string `json:"mind"` // "" before its first answer
-	Inner   string `json:"inner"`
-	Zone    string `json:"zone"`
-	SinceMS int64  `json:"since_ms"`
-	Fresh   bool   `json:"fresh"`
-	// Items and Runs are how far this mind was heard out, by its own counting.
+	Controller string `json:"controller"` // "" before its first answer
+	Inner      string `json:"inner"`
+	Zone       string `json:"zone"`
+	SinceMS    int64  `json:"since_ms"`
+	Fresh      bool   `json:"fresh"`
+	// Items and Runs are how far this controller was heard out, by its own counting.
 	Items uint64 `json:"items"`
 	Runs  uint64 `json:"runs"`
 }
 
-// Report tells of the minds followed.
+// Report tells of the controllers followed.
 func (s *Subscriber) Report() Report {
 	now := s.Clock.Now()
 	r := Report{BehindMS: -1, Follows: []Followed{}}
@@ -42,7 +42,7 @@
 	for i, a := range s.at {
 		if a != "" {
 			p := s.places[a]
-			r.Follows = append(r.Follows, Followed{Mind: p.mind.ID, Inner: a, Zone: p.mind.Zone, SinceMS: now.Sub(s.since[i]).Milliseconds(),
+			r.Follows = append(r.Follows, Followed{Controller: p.controller.ID, Inner: a, Zone: p.controller.Zone, SinceMS: now.Sub(s.since[i]).Milliseconds(),
 				Fresh: s.told[i].Fresh, Items: p.seen.Items, Runs: p.seen.Runs})
 		}
 	}
--- a/internal/watch/report_test.go
+++ b/internal/watch/report_test.go
@@ -13,19 +13,19 @@
 	"walkrudder/internal/quorum"
 )
 
-func TestAFlowReportsWhomItFollowsAndSinceWhen(t *testing.T) {
+func TestAGatewayReportsWhomItFollowsAndSinceWhen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &far{way: 10 * time.Millisecond, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
+		f := &far{way: 10 * time.Millisecond, controllers: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
 		var all []Member
 		for _, id := range []string{"a", "b", "c"} {
 			b := newBench()
-			me := Member{ID: id, Kind: Mind, Inner: "in-" + id, Zone: "z" + id, Inc: 7, Seat: quorum.Seat{ID: id, Disk: "d" + id}}
+			me := Member{ID: id, Kind: Controller, Inner: "in-" + id, Zone: "z" + id, Inc: 7, Seat: quorum.Seat{ID: id, Disk: "d" + id}}
 			b.Me = func() Member { return me }
 			b.Others = func() []Member { return all }
 			all = append(all, me)
-			f.minds["in-"+id] = b
+			f.controllers["in-"+id] = b
 		}
-		s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
+		s := &Subscriber{Me: Member{ID: "f", Kind: Gateway, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
 		s.Init([]string{"in-a", "in-b", "in-c"})
 		if r := s.Report(); r.Synced || r.BehindMS != -1 || len(r.Follows) > 0 || r.Newest != "" {
 			t.Errorf("before its first ask: %+v", r)
@@ -34,7 +34,7 @@
 		done := make(chan struct{})
 		go func() { s.Run(ctx); close(done) }()
 		time.Sleep(10 * time.Second)
-		for _, b := range f.minds {
+		for _, b := range f.controllers {
 			b.Board.MergeItems([]item.Item{thing("x", 3), {Key: thing("y", 4).Key, Version: 4, Gone: true}})
 		}
 		time.Sleep(time.Second)
@@ -43,17 +43,17 @@
 			t.Fatalf("%+v", r)
 		}
 		own, other := r.Follows[0], r.Follows[1]
-		if own.Mind != "a" || own.Inner != "in-a" || own.Zone != "za" || !own.Fresh || own.Items != 2 || other.Mind == "a" || own.SinceMS < 5000 {
+		if own.Controller != "a" || own.Inner != "in-a" || own.Zone != "za" || !own.Fresh || own.Items != 2 || other.Controller == "a" || own.SinceMS < 5000 {
 			t.Errorf("%+v", r.Follows)
 		}
-		// The mind of its zone falls silent: it follows another one, since just now, and
+		// The controller of its zone falls silent: it follows another one, since just now, and
 		// the second slot stays where it was.
 		f.mu.Lock()
 		f.mute["in-a"] = true
 		f.mu.Unlock()
 		time.Sleep(1900 * time.Millisecond)
 		q := s.Report().Follows
-		if q[0].Mind == "a" || q[0].SinceMS >= 1900 || q[1].Mind != other.Mind || q[1].SinceMS != other.SinceMS+1900 {
+		if q[0].Controller == "a" || q[0].SinceMS >= 1900 || q[1].Controller != other.Controller || q[1].SinceMS != other.SinceMS+1900 {
 			t.Errorf("before %+v, now %+v", r.Follows, q)
 		}
 		end()
@@ -61,23 +61,23 @@
 	})
 }
 
-// Who asks the same mind again after a look around has followed it all the time.
-func TestAFlowThatStaysHasFollowedSinceItCame(t *testing.T) {
+// Who asks the same controller again after a look around has followed it all the time.
+func TestAGatewayThatStaysHasFollowedSinceItCame(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &far{way: 10 * time.Millisecond, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
+		f := &far{way: 10 * time.Millisecond, controllers: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
 		for _, id := range []string{"a", "b"} {
 			b := newBench()
-			b.Me = func() Member { return Member{ID: id, Kind: Mind, Inner: "in-" + id, Zone: "z" + id, Inc: 7} }
-			f.minds["in-"+id] = b
+			b.Me = func() Member { return Member{ID: id, Kind: Controller, Inner: "in-" + id, Zone: "z" + id, Inc: 7} }
+			f.controllers["in-"+id] = b
 		}
-		s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
+		s := &Subscriber{Me: Member{ID: "f", Kind: Gateway, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
 		s.Init([]string{"in-a", "in-b"})
 		ctx, end := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { s.Run(ctx); close(done) }()
 		time.Sleep(5 * time.Second)
 		before := s.Report().Follows
-		for _, b := range f.minds {
+		for _, b := range f.controllers {
 			b.fresh.Store(false)
 			b.Board.Wake()
 		}
--- a/internal/watch/subscriber.go
+++ b/internal/watch/subscriber.go
@@ -17,45 +17,45 @@
 )
 
 const (
-	// flowWait is how long a flow's ask waits for news at most, and flowAnswer how long
+	// gatewayWait is how long a gateway's ask waits for news at most, and gatewayAnswer how long
 	// it may take in all.
-	flowWait   = time.Second
-	flowAnswer = 1700 * time.Millisecond
-	// flowBehind is how old what a flow knows may grow before it looks for another mind.
-	flowBehind = 1900 * time.Millisecond
+	gatewayWait   = time.Second
+	gatewayAnswer = 1700 * time.Millisecond
+	// gatewayBehind is how old what a gateway knows may grow before it looks for another controller.
+	gatewayBehind = 1900 * time.Millisecond
 	// leastAnswer is what an ask is given at least, and answerSlack what it is given on
 	// top of its wait.
 	leastAnswer = 800 * time.Millisecond
 	answerSlack = 600 * time.Millisecond
-	// firstAnswer is what the first ask of a mind is given, doubled with each failure in
-	// a row: a flow that lost its mind must not wait long for a second dead one.
+	// firstAnswer is what the first ask of a controller is given, doubled with each failure in
+	// a row: a gateway that lost its controller must not wait long for a second dead one.
 	firstAnswer = 500 * time.Millisecond
-	// shunTime is how long a mind is passed over after a failure, doubled with each in a
+	// shunTime is how long a controller is passed over after a failure, doubled with each in a
 	// row up to mostShun; one that answers but is not fresh for staleShun.
 	shunTime  = 300 * time.Millisecond
 	mostShun  = time.Second
 	staleShun = 400 * time.Millisecond
-	// staleWait is how long an ask waits at a mind that is not fresh, where none is.
+	// staleWait is how long an ask waits at a controller that is not fresh, where none is.
 	staleWait = 400 * time.Millisecond
-	// homeEvery is how often a flow that follows a mind of another zone tries its own.
+	// homeEvery is how often a gateway that follows a controller of another zone tries its own.
 	homeEvery = 2 * time.Second
-	// waitTick is how long a flow that starts waits for the first word of one mind before it
+	// waitTick is how long a gateway that starts waits for the first word of one controller before it
 	// asks a second, and waitMost for each further word.
 	waitTick, waitMost = 100 * time.Millisecond, time.Second
 	// tableEvery is how often runs that are over are forgotten.
 	tableEvery = time.Minute
-	// usualWithin is the time for a change that flowWait and flowBehind are made for, and
+	// usualWithin is the time for a change that gatewayWait and gatewayBehind are made for, and
 	// leastWithin the shortest that asks are made more often for.
 	usualWithin, leastWithin = 2 * time.Second, time.Second
 )
 
-// followed is how many minds a flow follows at once. With one alone, what it missed while
-// it looked for the next could be older than may be: a mind that is cut off from the
+// followed is how many controllers a gateway follows at once. With one alone, what it missed while
+// it looked for the next could be older than may be: a controller that is cut off from the
 // others takes over a second to notice, and on a narrow link the first answer of another
 // one three round trips.
 const followed = 2
 
-// Subscriber is a flow's view of the control plane: it follows a mind of its own zone
+// Subscriber is a gateway's view of the control plane: it follows a controller of its own zone
 // where it can, and one of another zone beside it, and goes to the next when one is
 // silent, fails, or may miss something acknowledged.
 type Subscriber struct {
@@ -63,19 +63,19 @@
 	Line  link.Line
 	Clock clock.Clock
 	Log   *log.Logger
-	// Within is in what time a change has to be in force; 0 is usual. In less a flow asks
+	// Within is in what time a change has to be in force; 0 is usual. In less a gateway asks
 	// more often, so that it never knows what is older.
 	Within time.Duration
 	// OnNews is told, in order and one call at a time, of what was news here: Items and
-	// Runs hold what changed, as it stands now. Flows counts come with each answer.
+	// Runs hold what changed, as it stands now. Gateways counts come with each answer.
 	OnNews func(WatchTold)
 
 	board   *Board
 	telling sync.Mutex // held from the merging of an answer until OnNews has run
 
 	mu     sync.Mutex
-	places map[string]place    // how far each mind was heard out, by inner address
-	at     [followed]string    // the minds followed now
+	places map[string]place    // how far each controller was heard out, by inner address
+	at     [followed]string    // the controllers followed now
 	since  [followed]time.Time // from when on
 	seeds  []string
 	peers  map[string]Member // by inner address
@@ -87,7 +87,7 @@
 	moved  chan struct{} // the seeds changed
 }
 
-// shun is a mind passed over for now.
+// shun is a controller passed over for now.
 type shun struct {
 	until time.Time
 	fails int
@@ -123,18 +123,18 @@
 	return d * max(s.Within, leastWithin) / usualWithin
 }
 
-// Synced tells whether a fresh mind has told everything once in this life.
+// Synced tells whether a fresh controller has told everything once in this life.
 func (s *Subscriber) Synced() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.synced
 }
 
-// Fresh tells whether the mind followed is fresh and was heard lately.
+// Fresh tells whether the controller followed is fresh and was heard lately.
 func (s *Subscriber) Fresh() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.best().Fresh && s.Clock.Now().Sub(s.asOf) <= s.within(flowBehind)+leastAnswer
+	return s.best().Fresh && s.Clock.Now().Sub(s.asOf) <= s.within(gatewayBehind)+leastAnswer
 }
 
 // AsOf is until when all that was acknowledged is known here.
@@ -144,22 +144,22 @@
 	return s.asOf
 }
 
-// Flows is how many flows there are, in all and in the own zone, by the last answer.
-func (s *Subscriber) Flows() (all, near int) {
+// Gateways is how many gateways there are, in all and in the own zone, by the last answer.
+func (s *Subscriber) Gateways() (all, near int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.best()
-	return t.Flows, t.FlowsNear
+	return t.Gateways, t.GatewaysNear
 }
 
-// Following is the mind followed now.
+// Following is the controller followed now.
 func (s *Subscriber) Following() Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.best().Me
 }
 
-// best is the last answer of the first slot whose mind is fresh, else of the first. Under
+// best is the last answer of the first slot whose controller is fresh, else of the first. Under
 // the lock.
 func (s *Subscriber) best() WatchTold {
 	for _, t := range s.told {
@@ -170,10 +170,10 @@
 	return s.told[0]
 }
 
-// Board is what this flow knows.
+// Board is what this gateway knows.
 func (s *Subscriber) Board() *Board { return s.board }
 
-// Run follows minds until ctx ends.
+// Run follows controllers until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for slot := range followed {
@@ -182,8 +182,8 @@
 	wg.Wait()
 }
 
-// keep follows one mind after the other. The first slot is of the own zone where it can
-// be, and goes by that; the others keep to minds that no other slot follows.
+// keep follows one controller after the other. The first slot is of the own zone where it can
+// be, and goes by that; the others keep to controllers that no other slot follows.
 func (s *Subscriber) keep(ctx context.Context, slot int) {
 	if slot > 0 {
 		s.wait(ctx)
@@ -210,10 +210,10 @@
 	}
 }
 
-// minds lists the addresses to try, the best first: minds of the own zone, then those of
-// others, then seeds of which nothing is known, each by rendezvous, so that flows
-// spread and few move when minds come and go. Under the lock.
-func (s *Subscriber) minds() []string {
+// controllers lists the addresses to try, the best first: controllers of the own zone, then those of
+// others, then seeds of which nothing is known, each by rendezvous, so that gateways
+// spread and few move when controllers come and go. Under the lock.
+func (s *Subscriber) controllers() []string {
 	rank := func(a string) int {
 		switch p, ok := s.peers[a]; {
 		case ok && p.Zone == s.Me.Zone:
@@ -231,7 +231,7 @@
 	return out
 }
 
-// next is the mind to try: the best that is not passed over. Where all are, ok is
+// next is the controller to try: the best that is not passed over. Where all are, ok is
 // false, the one that answers is taken, and back is when the first is to be tried again.
 func (s *Subscriber) next(slot int) (addr string, ok bool, back time.Duration) {
 	now := s.Clock.Now()
@@ -239,7 +239,7 @@
 	defer s.mu.Unlock()
 	was := s.at[slot]
 	s.at[slot], s.told[slot].Fresh = "", false
-	all := s.minds()
+	all := s.controllers()
 	if slot > 0 {
 		// Of another zone than the first slot's, so that one fault seldom takes both; and
 		// the own zone is the first slot's to take.
@@ -272,8 +272,8 @@
 	return addr, false, back
 }
 
-// wait returns once a flow that starts knows everything, or hears nothing more: what it does
-// not hold yet is to be told once, and not by two minds at the same time.
+// wait returns once a gateway that starts knows everything, or hears nothing more: what it does
+// not hold yet is to be told once, and not by two controllers at the same time.
 func (s *Subscriber) wait(ctx context.Context) {
 	for still := 0; still*int(waitTick) < int(waitMost); still++ {
 		s.mu.Lock()
@@ -287,7 +287,7 @@
 		s.mu.Unlock()
 		switch {
 		case is == 0:
-			return // this mind may be down
+			return // this controller may be down
 		case is != was:
 			still = -1
 		}
@@ -296,11 +296,11 @@
 
 func b2i(b bool) int { return lo.Ternary(b, 1, 0) }
 
-// avoid passes a mind over for a while.
+// avoid passes a controller over for a while.
 func (s *Subscriber) avoid(addr string, stale bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.shun) > 4*maxMinds {
+	if len(s.shun) > 4*maxControllers {
 		s.shun = map[string]shun{}
 	}
 	x := s.shun[addr]
@@ -318,17 +318,17 @@
 // patience is how long the next ask may take, and how long it is to wait for news.
 func (s *Subscriber) patience(at *place, fails int) (answer, wait time.Duration) {
 	if at.inc == 0 {
-		return min(firstAnswer<<min(fails, 8), flowAnswer), 0
+		return min(firstAnswer<<min(fails, 8), gatewayAnswer), 0
 	}
 	if at.sums != nil {
-		return flowAnswer, 0
+		return gatewayAnswer, 0
 	}
-	left := s.asOf.Add(s.within(flowBehind)).Sub(s.Clock.Now())
-	answer = min(max(left, leastAnswer), flowAnswer)
-	return answer, min(answer-answerSlack, s.within(flowWait))
+	left := s.asOf.Add(s.within(gatewayBehind)).Sub(s.Clock.Now())
+	answer = min(max(left, leastAnswer), gatewayAnswer)
+	return answer, min(answer-answerSlack, s.within(gatewayWait))
 }
 
-// follow stays with one mind for as long as it will do; ok says that a better one than
+// follow stays with one controller for as long as it will do; ok says that a better one than
 // that is not known to be stale.
 func (s *Subscriber) follow(ctx context.Context, slot int, addr string, ok bool) {
 	q := &poller{me: func() Member { return s.Me }, line: s.Line, board: s.board, epoch: func() uint64 { return noEpoch }, told: &s.telling}
@@ -352,7 +352,7 @@
 		end()
 		if err != nil {
 			if ctx.Err() == nil {
-				s.Log.Debug("mind does not answer", "step", "follow", "mate", addr, "err", err)
+				s.Log.Debug("controller does not answer", "step", "follow", "mate", addr, "err", err)
 				s.avoid(addr, false)
 			}
 			return
@@ -386,14 +386,14 @@
 	if slot == 0 {
 		s.heard++
 	}
-	if len(s.places) > 4*maxMinds {
+	if len(s.places) > 4*maxControllers {
 		s.places = map[string]place{}
 	}
 	s.places[addr] = at
 	if len(t.Peers) > 0 {
 		s.peers = map[string]Member{}
-		for _, p := range t.Peers[:min(len(t.Peers), maxMinds)] {
-			if p.Kind == Mind && p.Inner != "" {
+		for _, p := range t.Peers[:min(len(t.Peers), maxControllers)] {
+			if p.Kind == Controller && p.Inner != "" {
 				s.peers[p.Inner] = p
 			}
 		}
@@ -402,7 +402,7 @@
 		return
 	}
 	t.Items, t.Runs, t.Peers = nil, nil, nil
-	t.Me = at.mind
+	t.Me = at.controller
 	s.told[slot] = t
 	if !t.Fresh {
 		return
@@ -414,7 +414,7 @@
 	}
 }
 
-// better tells whether it is time to try a better mind than the one at addr.
+// better tells whether it is time to try a better controller than the one at addr.
 func (s *Subscriber) better(slot int, addr string, since time.Time) bool {
 	now := s.Clock.Now()
 	s.mu.Lock()
@@ -426,7 +426,7 @@
 	if now.Sub(since) < homeEvery {
 		return false
 	}
-	for _, a := range s.minds() {
+	for _, a := range s.controllers() {
 		switch {
 		case a == addr:
 			return false
--- a/internal/watch/subscriber_test.go
+++ b/internal/watch/subscriber_test.go
@@ -20,32 +20,32 @@
 // far is a line on which each way takes a while: a question over it and, where the link
 // is new, two more round trips first.
 type far struct {
-	way   time.Duration
-	mu    sync.Mutex
-	minds map[string]*bench
-	met   map[string]bool
-	mute  map[string]bool
-	bytes int // of news
+	way         time.Duration
+	mu          sync.Mutex
+	controllers map[string]*bench
+	met         map[string]bool
+	mute        map[string]bool
+	bytes       int // of news
 }
 
-// newFar has minds that know each other, each in a zone of its own.
+// newFar has controllers that know each other, each in a zone of its own.
 func newFar(way time.Duration, ids ...string) *far {
-	f := &far{way: way, minds: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
+	f := &far{way: way, controllers: map[string]*bench{}, met: map[string]bool{}, mute: map[string]bool{}}
 	var all []Member
 	for _, id := range ids {
 		b := newBench()
-		me := Member{ID: id, Kind: Mind, Inner: id, Zone: "z" + id, Inc: 7, Seat: quorum.Seat{ID: id, Disk: "d" + id}}
+		me := Member{ID: id, Kind: Controller, Inner: id, Zone: "z" + id, Inc: 7, Seat: quorum.Seat{ID: id, Disk: "d" + id}}
 		b.Me = func() Member { return me }
 		b.Others = func() []Member { return all }
 		all = append(all, me)
-		f.minds[id] = b
+		f.controllers[id] = b
 	}
 	return f
 }
 
 func (f *far) Call(ctx context.Context, addr string, ask any) (any, error) {
 	f.mu.Lock()
-	b, first, mute := f.minds[addr], !f.met[addr], f.mute[addr]
+	b, first, mute := f.controllers[addr], !f.met[addr], f.mute[addr]
 	f.met[addr] = true
 	f.mu.Unlock()
 	trips := 1
@@ -78,18 +78,18 @@
 	return r, (clock.Wall{}).Sleep(ctx, f.way)
 }
 
-// TestNewsComeThoughTheMindFollowedMissesThem: a mind that is cut off from the others, but
-// not from the flow, takes over a second to notice; or it falls silent. On a slow link the
-// flow hears all the same in time what another mind was told in the meantime, for it
+// TestNewsComeThoughTheControllerFollowedMissesThem: a controller that is cut off from the others, but
+// not from the gateway, takes over a second to notice; or it falls silent. On a slow link the
+// gateway hears all the same in time what another controller was told in the meantime, for it
 // follows two.
-func TestNewsComeThoughTheMindFollowedMissesThem(t *testing.T) {
+func TestNewsComeThoughTheControllerFollowedMissesThem(t *testing.T) {
 	for name, mute := range map[string]bool{"cut off": false, "silent": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFar(120*time.Millisecond, "a", "b", "c", "d", "e")
 				var mu sync.Mutex
 				known := map[string]uint64{}
-				s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil),
+				s := &Subscriber{Me: Member{ID: "f", Kind: Gateway, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil),
 					OnNews: func(w WatchTold) {
 						mu.Lock()
 						defer mu.Unlock()
@@ -102,7 +102,7 @@
 				done := make(chan struct{})
 				go func() { s.Run(ctx); close(done) }()
 				tell := func(v uint64, but string) {
-					for id, b := range f.minds {
+					for id, b := range f.controllers {
 						if id != but {
 							b.Board.MergeItems([]item.Item{thing("x", v)})
 						}
@@ -119,19 +119,19 @@
 					}
 					tell(v, at)
 					time.Sleep(1200 * time.Millisecond)
-					f.minds[at].fresh.Store(false)
-					f.minds[at].Board.Wake()
+					f.controllers[at].fresh.Store(false)
+					f.controllers[at].Board.Wake()
 					time.Sleep(300 * time.Millisecond)
 					mu.Lock()
 					if known["x"] != v {
-						t.Errorf("version %d known 1.5 s after %d was told to all minds but %s, which it followed", known["x"], v, at)
+						t.Errorf("version %d known 1.5 s after %d was told to all controllers but %s, which it followed", known["x"], v, at)
 					}
 					mu.Unlock()
 					f.mu.Lock()
 					f.mute[at] = false
 					f.mu.Unlock()
-					f.minds[at].Board.MergeItems([]item.Item{thing("x", v)})
-					f.minds[at].fresh.Store(true)
+					f.controllers[at].Board.MergeItems([]item.Item{thing("x", v)})
+					f.controllers[at].fresh.Store(true)
 					time.Sleep(10 * time.Second)
 				}
 				end()
@@ -141,13 +141,13 @@
 	}
 }
 
-// TestAFlowKnowsWhatIsYoungEnough: where a change has less than the usual time, a flow asks so
+// TestAGatewayKnowsWhatIsYoungEnough: where a change has less than the usual time, a gateway asks so
 // often that it never goes by what is older, also on a slow link.
-func TestAFlowKnowsWhatIsYoungEnough(t *testing.T) {
+func TestAGatewayKnowsWhatIsYoungEnough(t *testing.T) {
 	oldest := func(t *testing.T, within time.Duration) (old time.Duration) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFar(120*time.Millisecond, "a", "b", "c")
-			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), Within: within, OnNews: func(WatchTold) {}}
+			s := &Subscriber{Me: Member{ID: "f", Kind: Gateway, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), Within: within, OnNews: func(WatchTold) {}}
 			s.Init([]string{"b", "c"})
 			ctx, end := context.WithCancel(t.Context())
 			done := make(chan struct{})
@@ -172,21 +172,21 @@
 	}
 }
 
-// TestAStartIsToldOnce: a flow that starts is told what there is by one mind and not by two
+// TestAStartIsToldOnce: a gateway that starts is told what there is by one controller and not by two
 // at once; where the first says nothing, the second is asked without a long wait.
 func TestAStartIsToldOnce(t *testing.T) {
 	start := func(mute string) (bytes int, took time.Duration) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFar(5*time.Millisecond, "a", "b", "c")
 			f.mute[mute] = true
-			for _, b := range f.minds {
+			for _, b := range f.controllers {
 				var items []item.Item
 				for i := range 6000 {
 					items = append(items, thing(fmt.Sprintf("%x-%d", xxhash.Sum64String(fmt.Sprint(i)), i), 1))
 				}
 				b.Board.MergeItems(items)
 			}
-			s := &Subscriber{Me: Member{ID: "f", Kind: Flow, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
+			s := &Subscriber{Me: Member{ID: "f", Kind: Gateway, Zone: "za", Inc: 1}, Line: f, Clock: clock.Wall{}, Log: log.New(nil), OnNews: func(WatchTold) {}}
 			s.Init([]string{"a", "b", "c"})
 			ctx, end := context.WithCancel(t.Context())
 			done := make(chan struct{})
@@ -201,7 +201,7 @@
 			bytes = f.bytes
 			f.mu.Unlock()
 			if s.told[1].Inc == 0 {
-				t.Error("no second mind is followed")
+				t.Error("no second controller is followed")
 			}
 			end()
 			<-done
--- a/internal/watch/teller.go
+++ b/internal/watch/teller.go
@@ -22,21 +22,21 @@
 	// maxReply bounds the items and runs of one answer, before packing.
 	maxReply = 256 << 10
 	// firstReply bounds the answer to an ask that does not wait, so that a node which
-	// looks for a mind learns soon whether this one will do.
+	// looks for a controller learns soon whether this one will do.
 	firstReply = 32 << 10
-	// flowGone is how long after its last ask a flow no longer counts as attached.
-	flowGone = 2500 * time.Millisecond
+	// gatewayGone is how long after its last ask a gateway no longer counts as attached.
+	gatewayGone = 2500 * time.Millisecond
 	// askerGone is how long an asker is remembered.
 	askerGone = time.Minute
 	// maxAskers bounds the askers remembered.
 	maxAskers = 1024
-	// holdUrgent and holdRest are how long after news were told to a flow the next are held
+	// holdUrgent and holdRest are how long after news were told to a gateway the next are held
 	// back, so that they go together: runs that leave for the first, other runs for the
-	// second, and items not at all (design 23.6). holdMind is for minds, of what is not
-	// urgent: what comes by way of two minds is not to be held back twice.
-	holdUrgent = 100 * time.Millisecond
-	holdRest   = 250 * time.Millisecond
-	holdMind   = 100 * time.Millisecond
+	// second, and items not at all (design 23.6). holdController is for controllers, of what is not
+	// urgent: what comes by way of two controllers is not to be held back twice.
+	holdUrgent     = 100 * time.Millisecond
+	holdRest       = 250 * time.Millisecond
+	holdController = 100 * time.Millisecond
 )
 
 // Teller answers those who follow this node.
@@ -52,19 +52,19 @@
 	Fresh func() (lag time.Duration, fresh bool)
 	// Going tells whether this node is about to stop; nil is never.
 	Going func() bool
-	// Others are the other minds that this node hears itself, and Elsewhere the zones of
-	// the flows that follow them, by ID.
+	// Others are the other controllers that this node hears itself, and Elsewhere the zones of
+	// the gateways that follow them, by ID.
 	Others    func() []Member
 	Elsewhere func() map[string]string
-	// Met is told of the minds that ask.
+	// Met is told of the controllers that ask.
 	Met func(Member)
 
 	mu     sync.Mutex
 	askers map[string]*asker
 	asks   uint64
 	peers  []Member
-	near   map[string]string // zones of the flows that follow this node, by ID
-	all    map[string]int    // flows that follow any, by zone
+	near   map[string]string // zones of the gateways that follow this node, by ID
+	all    map[string]int    // gateways that follow any, by zone
 	ver    uint64            // of peers and near
 	looked time.Time
 }
@@ -146,8 +146,8 @@
 		return 0
 	}
 	hold := lo.Ternary(urgent, holdUrgent, holdRest)
-	if a.Kind == Mind {
-		hold = lo.Ternary(urgent, 0, holdMind)
+	if a.Kind == Controller {
+		hold = lo.Ternary(urgent, 0, holdController)
 	}
 	return a.told.Add(hold).Sub(t.Clock.Now())
 }
@@ -187,12 +187,12 @@
 	}
 	if r.Seen.Peers = t.ver; a.Seen.Peers != t.ver {
 		r.Peers = append(slices.Clone(t.peers), me)
-		if t.askers[a.Me.ID].kind() == Mind {
+		if t.askers[a.Me.ID].kind() == Controller {
 			r.Attached = t.near
 		}
 	}
-	if t.askers[a.Me.ID].kind() == Flow {
-		r.Flows, r.FlowsNear = lo.Sum(lo.Values(t.all)), t.all[t.askers[a.Me.ID].Zone]
+	if t.askers[a.Me.ID].kind() == Gateway {
+		r.Gateways, r.GatewaysNear = lo.Sum(lo.Values(t.all)), t.all[t.askers[a.Me.ID].Zone]
 	}
 }
 
@@ -228,13 +228,13 @@
 		m = old.Member
 	}
 	t.mu.Unlock()
-	if m.Kind == Mind && t.Met != nil {
+	if m.Kind == Controller && t.Met != nil {
 		t.Met(m)
 	}
 	return true
 }
 
-// count brings peers and the number of flows up to date, now and then; under the lock.
+// count brings peers and the number of gateways up to date, now and then; under the lock.
 func (t *Teller) count() {
 	now := t.Clock.Now()
 	if !t.looked.IsZero() && now.Sub(t.looked) < 250*time.Millisecond {
@@ -246,13 +246,13 @@
 		switch age := now.Sub(a.at); {
 		case age > askerGone:
 			delete(t.askers, id)
-		case a.Kind == Flow && age < flowGone:
+		case a.Kind == Gateway && age < gatewayGone:
 			near[id] = a.Zone
 		}
 	}
 	peers := t.Others()
 	slices.SortFunc(peers, func(a, b Member) int { return cmp.Compare(a.Inner, b.Inner) })
-	// A flow that moved is told of by two minds for a while.
+	// A gateway that moved is told of by two controllers for a while.
 	zones := t.Elsewhere()
 	maps.Copy(zones, near)
 	all := lo.CountValues(lo.Values(zones))
@@ -278,8 +278,8 @@
 	return out
 }
 
-// Flows is how many flows there are, in all and by zone.
-func (t *Teller) Flows() (int, map[string]int) {
+// Gateways is how many gateways there are, in all and by zone.
+func (t *Teller) Gateways() (int, map[string]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.count()
--- a/internal/watch/teller_test.go
+++ b/internal/watch/teller_test.go
@@ -26,14 +26,14 @@
 	b := &bench{}
 	b.fresh.Store(true)
 	b.Teller = &Teller{Me: func() Member {
-		return Member{ID: "m", Kind: Mind, Inner: "in-m", Zone: "z", Inc: 5, Seat: quorum.Seat{ID: "m", Disk: "d"}}
+		return Member{ID: "m", Kind: Controller, Inner: "in-m", Zone: "z", Inc: 5, Seat: quorum.Seat{ID: "m", Disk: "d"}}
 	},
 		Board: NewBoard(clock.Wall{}), Clock: clock.Wall{}, Core: func() quorum.Core { return quorum.Core{Epoch: b.epoch.Load()} }, Votes: func() uint64 { return 0 },
 		Fresh: func() (time.Duration, bool) { return 0, b.fresh.Load() }, Others: func() []Member { return nil }, Elsewhere: func() map[string]string { return map[string]string{"f9": "y"} }}
 	return b
 }
 
-var asking = Member{ID: "f", Kind: Flow, Zone: "z", Inc: 1}
+var asking = Member{ID: "f", Kind: Gateway, Zone: "z", Inc: 1}
 
 func (b *bench) ask(t *testing.T, a WatchAsk) WatchTold {
 	t.Helper()
@@ -49,7 +49,7 @@
 		b := newBench()
 		b.Board.MergeItems([]item.Item{thing("x", 1)})
 		r := b.ask(t, WatchAsk{Me: asking, Sums: make([]uint64, sumsLen)})
-		if len(r.Items) != 1 || r.Inc != 5 || r.Me.ID != "m" || len(r.Peers) != 1 || r.Flows != 2 || r.FlowsNear != 1 {
+		if len(r.Items) != 1 || r.Inc != 5 || r.Me.ID != "m" || len(r.Peers) != 1 || r.Gateways != 2 || r.GatewaysNear != 1 {
 			t.Fatalf("%+v", r)
 		}
 		next := func(wait time.Duration) WatchAsk {
@@ -107,19 +107,19 @@
 	})
 }
 
-func TestFlowsThatAreGoneAreNotCounted(t *testing.T) {
+func TestGatewaysThatAreGoneAreNotCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench()
 		b.ask(t, WatchAsk{Me: asking, Sums: make([]uint64, sumsLen)})
-		if n, zones := b.Flows(); n != 2 || zones["z"] != 1 || zones["y"] != 1 {
+		if n, zones := b.Gateways(); n != 2 || zones["z"] != 1 || zones["y"] != 1 {
 			t.Errorf("%d %v", n, zones)
 		}
-		time.Sleep(flowGone + time.Second)
-		if n, zones := b.Flows(); n != 1 || zones["z"] != 0 {
+		time.Sleep(gatewayGone + time.Second)
+		if n, zones := b.Gateways(); n != 1 || zones["z"] != 0 {
 			t.Errorf("%d %v", n, zones)
 		}
 		time.Sleep(askerGone)
-		if _, _ = b.Flows(); len(b.Askers()) != 0 {
+		if _, _ = b.Gateways(); len(b.Askers()) != 0 {
 			t.Error("an asker is remembered for ever")
 		}
 	})
@@ -205,11 +205,11 @@
 		each       time.Duration
 		most, held time.Duration
 	}{
-		"runs that appear":          {Flow, func(b *bench, i int) { b.Board.MergeRuns([]target.Run{someRun(fmt.Sprint(i), 1)}) }, time.Millisecond, holdRest, holdRest},
-		"runs that leave":           {Flow, func(b *bench, i int) { b.Board.MergeRuns([]target.Run{leaving(fmt.Sprint(i), target.Draining)}) }, time.Millisecond, holdUrgent, holdUrgent},
-		"items":                     {Flow, func(b *bench, i int) { b.Board.MergeItems([]item.Item{thing(fmt.Sprint(i), 1)}) }, 10 * time.Millisecond, 0, 0},
-		"items at a mind":           {Mind, func(b *bench, i int) { b.Board.MergeItems([]item.Item{thing(fmt.Sprint(i), 1)}) }, 10 * time.Millisecond, 0, 0},
-		"runs that appear at minds": {Mind, func(b *bench, i int) { b.Board.MergeRuns([]target.Run{someRun(fmt.Sprint(i), 1)}) }, time.Millisecond, holdMind, holdMind},
+		"runs that appear":                {Gateway, func(b *bench, i int) { b.Board.MergeRuns([]target.Run{someRun(fmt.Sprint(i), 1)}) }, time.Millisecond, holdRest, holdRest},
+		"runs that leave":                 {Gateway, func(b *bench, i int) { b.Board.MergeRuns([]target.Run{leaving(fmt.Sprint(i), target.Draining)}) }, time.Millisecond, holdUrgent, holdUrgent},
+		"items":                           {Gateway, func(b *bench, i int) { b.Board.MergeItems([]item.Item{thing(fmt.Sprint(i), 1)}) }, 10 * time.Millisecond, 0, 0},
+		"items at a controller":           {Controller, func(b *bench, i int) { b.Board.MergeItems([]item.Item{thing(fmt.Sprint(i), 1)}) }, 10 * time.Millisecond, 0, 0},
+		"runs that appear at controllers": {Controller, func(b *bench, i int) { b.Board.MergeRuns([]target.Run{someRun(fmt.Sprint(i), 1)}) }, time.Millisecond, holdController, holdController},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/watch/types.go
+++ b/internal/watch/types.go
@@ -15,16 +15,16 @@
 
 // The kinds of nodes.
 const (
-	Mind = "mind"
-	Flow = "flow"
+	Controller = "controller"
+	Gateway    = "gateway"
 )
 
 // Member is a node as others know it.
 type Member struct {
 	ID    string
-	Kind  string // Mind or Flow
-	Inner string // where it answers other nodes; "" for a flow, which only asks
-	Door  string // where a mind answers targets and operators
+	Kind  string // Controller or Gateway
+	Inner string // where it answers other nodes; "" for a gateway, which only asks
+	Door  string // where a controller answers targets and operators
 	Zone  string
 	Inc   uint64 // of this life of its process
 	// Seat is the node's disk, where it has one.
@@ -87,12 +87,12 @@
 		Runs  []target.Run
 		// Packed holds Items and Runs instead, where they are many.
 		Packed []byte
-		// Peers are the minds that the teller hears, and Attached the zones of the flows
+		// Peers are the controllers that the teller hears, and Attached the zones of the gateways
 		// that follow it, by ID: both are told when they change, by Seen.Peers.
 		Peers    []Member
 		Attached map[string]string
-		// Flows is how many flows the teller knows of, in all and in the asker's zone.
-		Flows, FlowsNear int
+		// Gateways is how many gateways the teller knows of, in all and in the asker's zone.
+		Gateways, GatewaysNear int
 	}
 )
 
--- a/tools/fleet/failures.go
+++ b/tools/fleet/failures.go
@@ -67,7 +67,7 @@
 		start(ns...)
 	}
 	disks := func() []*stand.Node {
-		return lo.Filter(t.Fleet.Of("mind"), func(n *stand.Node, _ int) bool { return n.Disk })
+		return lo.Filter(t.Fleet.Of("controller"), func(n *stand.Node, _ int) bool { return n.Disk })
 	}
 	acts := map[string]func(){
 		"node killed": func() {
@@ -141,7 +141,7 @@
 			// Also when the failures end meanwhile: nobody is promised less than 2 s.
 			time.Sleep(2050 * time.Millisecond)
 			n := &stand.Target{ID: fmt.Sprintf("%s-in-%s", x.ID, svc), Service: svc, Zone: x.Zone, Addr: x.Addr, Capacity: x.Capacity,
-				Every: x.Every, Work: x.Work, Minds: x.Minds, Face: x.Face, Rec: x.Rec}
+				Every: x.Every, Work: x.Work, Controllers: x.Controllers, Face: x.Face, Rec: x.Rec}
 			if err := n.Start(context.WithoutCancel(ctx)); err != nil {
 				say("start %s: %v", n.ID, err)
 				return
@@ -151,7 +151,7 @@
 			time.Sleep(2050 * time.Millisecond)
 			again(x)
 		},
-		"flows killed together": func() { herd("all flows", t.Fleet.Of("flow")) },
+		"gateways killed together": func() { herd("all gateways", t.Fleet.Of("gateway")) },
 		"half of all killed": func() {
 			herd("half of all", lo.Filter(t.Fleet.Nodes, func(*stand.Node, int) bool { return rnd.IntN(2) == 0 }))
 		},
@@ -244,7 +244,7 @@
 		acts["core cut apart"] = func() {
 			say("the core is cut apart")
 			core := map[string]bool{}
-			for _, n := range t.Fleet.Of("mind") {
+			for _, n := range t.Fleet.Of("controller") {
 				core[n.ID] = n.Disk
 			}
 			t.Wires.Cut(func(from, to string) bool { return core[from] || core[to] })
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -19,7 +19,7 @@
 type args struct {
 	Plan  string        `arg:"--plan" default:"alcazar" help:"alcazar or grachtwerk"`
 	For   time.Duration `arg:"--for" default:"20s" help:"how long callers call"`
-	Bin   string        `arg:"--bin,required" help:"folder with the programs flow and mind"`
+	Bin   string        `arg:"--bin,required" help:"folder with the programs gateway and controller"`
 	Dir   string        `arg:"--dir" help:"folder for logs and data; a new one by default"`
 	Fail  bool          `arg:"--failures" help:"kill, freeze, stop and empty nodes and misuse targets meanwhile"`
 	Roll  bool          `arg:"--rolling" help:"stop every node in turn as planned and start it again, with slow targets"`
@@ -115,7 +115,7 @@
 // usage tells what the processes used, and how long changes and leavings took to
 // their acknowledgement.
 func usage(t *stand.Town, from map[*stand.Node]stand.Usage, d time.Duration) {
-	for _, kind := range []string{"flow", "mind"} {
+	for _, kind := range []string{"gateway", "controller"} {
 		var cpu, mem []float64
 		for _, n := range t.Fleet.Of(kind) {
 			if u, ok := n.Use(); ok && u.CPU >= from[n].CPU {
--- a/tools/hollow/minds.go
+++ b/tools/hollow/controllers.go
@@ -23,8 +23,8 @@
 	"walkrudder/internal/target"
 )
 
-// MindArgs describe one control-plane node.
-type MindArgs struct {
+// ControllerArgs describe one control-plane node.
+type ControllerArgs struct {
 	For   time.Duration `arg:"--for" default:"1m"`
 	N     int           `arg:"--n"`
 	Net   int           `arg:"--net" default:"70"`
@@ -46,7 +46,7 @@
 
 func quiet() *log.Logger { return log.New(io.Discard) }
 
-func (a *MindArgs) start(ctx context.Context) (*handler, error) {
+func (a *ControllerArgs) start(ctx context.Context) (*handler, error) {
 	inner, err := net.Listen("tcp", a.Inner)
 	if err != nil {
 		return nil, err
@@ -59,12 +59,12 @@
 	if err != nil {
 		return nil, errors.Join(err, inner.Close(), door.Close())
 	}
-	id := fmt.Sprintf("mind%d", a.N)
-	line := link.NewTCP(link.Who{ID: id, Kind: "mind"}, a.Inner, quiet())
-	way := &Way{Line: line, Delay: ways(mindZone(a.N))}
+	id := fmt.Sprintf("controller%d", a.N)
+	line := link.NewTCP(link.Who{ID: id, Kind: "controller"}, a.Inner, quiet())
+	way := &Way{Line: line, Delay: ways(controllerZone(a.N))}
 	bad := &atomic.Pointer[string]{}
 	n, err := control.New(control.Parts{
-		Settings: control.Settings{ID: id, Zone: zoneName(mindZone(a.N)), Inner: a.Inner, Door: a.Door, Seeds: strings.Split(a.Seeds, ","), FaultsTolerated: a.Bear, First: a.First, BeatEvery: a.Every},
+		Settings: control.Settings{ID: id, Zone: zoneName(controllerZone(a.N)), Inner: a.Inner, Door: a.Door, Seeds: strings.Split(a.Seeds, ","), FaultsTolerated: a.Bear, First: a.First, BeatEvery: a.Every},
 		Inc:      rand.Uint64() | 1, Fresh: fmt.Sprintf("%016x", rand.Uint64()), Line: way, Clock: clock.Wall{}, Disk: disk, Log: quiet(),
 		OnBad: func(err error) { s := err.Error(); bad.Store(&s) }})
 	if err != nil {
@@ -100,7 +100,7 @@
 					suspected++
 				}
 			}
-			t.Counts = map[string]int64{"flows": int64(v.Flows), "items": int64(v.Items), "runs": int64(len(v.Runs)), "suspected": suspected,
+			t.Counts = map[string]int64{"gateways": int64(v.Gateways), "items": int64(v.Items), "runs": int64(len(v.Runs)), "suspected": suspected,
 				"beats": beats.Load(), "epoch": int64(v.Core.Epoch), "seats": int64(len(v.Core.Seats))}
 			if n.Ready() {
 				t.Ready = 1
--- a/tools/hollow/costs.go
+++ b/tools/hollow/costs.go
@@ -9,7 +9,7 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// Costs split the processor time of minds by what they were asked.
+// Costs split the processor time of controllers by what they were asked.
 type Costs struct {
 	Windows   int
 	Base      float64 // part of a core that goes without being asked
@@ -17,7 +17,7 @@
 	R2        float64
 }
 
-// costs fits the processor time of the minds in all windows to the asks for news and the
+// costs fits the processor time of the controllers in all windows to the asks for news and the
 // beats that came; ok is false where the windows can't tell these apart.
 func costs(rs []Report) (c Costs, ok bool) {
 	var rows, core, guess []float64
@@ -26,9 +26,9 @@
 			continue
 		}
 		for _, w := range r.Windows {
-			asks := w.Messages["flow in news.WatchAsk"][0] + w.Messages["mind in news.WatchAsk"][0]
+			asks := w.Messages["gateway in news.WatchAsk"][0] + w.Messages["controller in news.WatchAsk"][0]
 			rows = append(rows, 1, asks, w.Messages["target in http"][0])
-			core = append(core, w.Roles["minds"].Core)
+			core = append(core, w.Roles["controllers"].Core)
 		}
 	}
 	const unknown = 3
@@ -50,5 +50,5 @@
 }
 
 func (c Costs) write(out io.Writer) {
-	_, _ = fmt.Fprintf(out, "\nOver %d windows a mind takes %.2f %% of a core, %.0f us for each ask for news and %.0f us for each beat (R2 %.2f).\n", c.Windows, 100*c.Base, 1e6*c.Ask, 1e6*c.Beat, c.R2)
+	_, _ = fmt.Fprintf(out, "\nOver %d windows a controller takes %.2f %% of a core, %.0f us for each ask for news and %.0f us for each beat (R2 %.2f).\n", c.Windows, 100*c.Base, 1e6*c.Ask, 1e6*c.Beat, c.R2)
 }
--- a/tools/hollow/costs_test.go
+++ b/tools/hollow/costs_test.go
@@ -7,8 +7,8 @@
 
 func TestCostsAreToldApart(t *testing.T) {
 	mk := func(core, asks, beats float64) Report {
-		return Report{Windows: []Window{{Roles: map[string]PerNode{"minds": {Core: core}},
-			Messages: map[string][2]float64{"flow in news.WatchAsk": {asks - 1, 0}, "mind in news.WatchAsk": {1, 0}, "target in http": {beats, 0}}}}}
+		return Report{Windows: []Window{{Roles: map[string]PerNode{"controllers": {Core: core}},
+			Messages: map[string][2]float64{"gateway in news.WatchAsk": {asks - 1, 0}, "controller in news.WatchAsk": {1, 0}, "target in http": {beats, 0}}}}}
 	}
 	var rs []Report
 	for _, x := range [][2]float64{{10, 100}, {50, 100}, {10, 900}, {300, 20}, {70, 400}} {
--- a/tools/hollow/flows.go
+++ b/tools/hollow/gateways.go
@@ -17,8 +17,8 @@
 	"walkrudder/internal/watch"
 )
 
-// FlowsArgs describe one process of hollow flows, all of one zone.
-type FlowsArgs struct {
+// GatewaysArgs describe one process of hollow gateways, all of one zone.
+type GatewaysArgs struct {
 	For   time.Duration `arg:"--for" default:"1m"`
 	Net   int           `arg:"--net" default:"70"`
 	Zone  int           `arg:"--zone"`
@@ -26,26 +26,26 @@
 	Seeds string        `arg:"--seeds,required"`
 }
 
-// seen notes when flows got which version of the marked route.
+// seen notes when gateways got which version of the marked route.
 type seen struct {
 	mu   sync.Mutex
 	at   map[uint64][]int64
 	last map[int]uint64
-	// told are items and runs that were news to flows, and runs that were suspected.
+	// told are items and runs that were news to gateways, and runs that were suspected.
 	told map[string]int64
 }
 
-// note takes in that a flow has a version, and so all before it.
-func (s *seen) note(flow int, v uint64, now int64) {
+// note takes in that a gateway has a version, and so all before it.
+func (s *seen) note(gateway int, v uint64, now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for x := s.last[flow] + 1; x <= v; x++ {
+	for x := s.last[gateway] + 1; x <= v; x++ {
 		s.at[x] = append(s.at[x], now)
 	}
-	s.last[flow] = max(s.last[flow], v)
+	s.last[gateway] = max(s.last[gateway], v)
 }
 
-// count takes in what was news to a flow.
+// count takes in what was news to a gateway.
 func (s *seen) count(t watch.WatchTold) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -63,7 +63,7 @@
 	return out
 }
 
-func (a *FlowsArgs) start(ctx context.Context) (*handler, error) {
+func (a *GatewaysArgs) start(ctx context.Context) (*handler, error) {
 	life, end := context.WithCancel(ctx)
 	s := &seen{at: map[uint64][]int64{}, last: map[int]uint64{}, told: map[string]int64{}}
 	var wg sync.WaitGroup
@@ -71,10 +71,10 @@
 	var lines []*link.TCP
 	var cuts []*Way
 	for i := range a.Count {
-		id := fmt.Sprintf("flow%d-%d", a.Zone, i)
-		line := link.NewTCP(link.Who{ID: id, Kind: watch.Flow}, ip(a.Net, flowNet, a.Zone)+":0", quiet())
+		id := fmt.Sprintf("gateway%d-%d", a.Zone, i)
+		line := link.NewTCP(link.Who{ID: id, Kind: watch.Gateway}, ip(a.Net, gatewayNet, a.Zone)+":0", quiet())
 		way := &Way{Line: line, Delay: ways(a.Zone)}
-		sub := &watch.Subscriber{Me: watch.Member{ID: id, Kind: watch.Flow, Zone: zoneName(a.Zone), Inc: rand.Uint64() | 1}, Line: way, Clock: clock.Wall{}, Log: quiet()}
+		sub := &watch.Subscriber{Me: watch.Member{ID: id, Kind: watch.Gateway, Zone: zoneName(a.Zone), Inc: rand.Uint64() | 1}, Line: way, Clock: clock.Wall{}, Log: quiet()}
 		sub.OnNews = func(t watch.WatchTold) {
 			s.count(t)
 			for _, x := range t.Items {
--- a/tools/hollow/load.go
+++ b/tools/hollow/load.go
@@ -24,7 +24,7 @@
 	Routes   int           `arg:"--routes" default:"6600"`
 	Services int           `arg:"--services" default:"390"`
 	Runs     int           `arg:"--runs" default:"6240"`
-	Flows    int           `arg:"--flows" default:"680"`
+	Gateways int           `arg:"--gateways" default:"680"`
 	Rates    []float64     `arg:"--rates" help:"calls a second, open loop; 0 is none at all"`
 	Closed   []int         `arg:"--closed" help:"so many callers that call again at once"`
 	Skew     float64       `arg:"--skew" help:"Zipf exponent of the routes, above 1; else all alike"`
@@ -82,7 +82,7 @@
 	if a.Runs == 0 {
 		ports = ""
 	}
-	p, told, err := begin(ctx, errw, "proxy", "--for", life.String(), "--routes", fmt.Sprint(a.Routes), "--services", fmt.Sprint(a.Services), "--flows", fmt.Sprint(a.Flows), "--probe", a.Probe.String())
+	p, told, err := begin(ctx, errw, "proxy", "--for", life.String(), "--routes", fmt.Sprint(a.Routes), "--services", fmt.Sprint(a.Services), "--gateways", fmt.Sprint(a.Gateways), "--probe", a.Probe.String())
 	if err != nil {
 		return err
 	}
--- a/tools/hollow/main.go
+++ b/tools/hollow/main.go
@@ -1,5 +1,5 @@
 // Command hollow measures what the product costs at a size beyond this machine: hollow
-// processes hold many flows or targets that speak the real links and carry no traffic,
+// processes hold many gateways or targets that speak the real links and carry no traffic,
 // around real control-plane nodes; and one real proxy carries calls between stand-ins.
 package main
 
@@ -19,15 +19,15 @@
 )
 
 type args struct {
-	Mind    *MindArgs    `arg:"subcommand:minds" help:"one control-plane node (started by run)"`
-	Flows   *FlowsArgs   `arg:"subcommand:flows" help:"many subscribers (started by run)"`
-	Targets *TargetsArgs `arg:"subcommand:targets" help:"many targets that beat (started by run)"`
-	Run     *RunArgs     `arg:"subcommand:run" help:"run a plan of hollow deployments"`
-	Slopes  *SlopesArgs  `arg:"subcommand:slopes" help:"lines through the reports of run"`
-	Plot    *PlotArgs    `arg:"subcommand:plot" help:"pictures of the lines that slopes fits"`
-	Proxy   *ProxyArgs   `arg:"subcommand:proxy" help:"one real proxy (started by load)"`
-	Stands  *StandsArgs  `arg:"subcommand:stands" help:"stand-in targets (started by load)"`
-	Load    *LoadArgs    `arg:"subcommand:load" help:"calls through one proxy, and the same without it"`
+	Controller *ControllerArgs `arg:"subcommand:controllers" help:"one control-plane node (started by run)"`
+	Gateways   *GatewaysArgs   `arg:"subcommand:gateways" help:"many subscribers (started by run)"`
+	Targets    *TargetsArgs    `arg:"subcommand:targets" help:"many targets that beat (started by run)"`
+	Run        *RunArgs        `arg:"subcommand:run" help:"run a plan of hollow deployments"`
+	Slopes     *SlopesArgs     `arg:"subcommand:slopes" help:"lines through the reports of run"`
+	Plot       *PlotArgs       `arg:"subcommand:plot" help:"pictures of the lines that slopes fits"`
+	Proxy      *ProxyArgs      `arg:"subcommand:proxy" help:"one real proxy (started by load)"`
+	Stands     *StandsArgs     `arg:"subcommand:stands" help:"stand-in targets (started by load)"`
+	Load       *LoadArgs       `arg:"subcommand:load" help:"calls through one proxy, and the same without it"`
 }
 
 func (args) Description() string {
@@ -52,15 +52,15 @@
 	}
 	ctx, end := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer end()
-	if a.Mind != nil || a.Flows != nil || a.Proxy != nil {
+	if a.Controller != nil || a.Gateways != nil || a.Proxy != nil {
 		// As the programs that they stand for.
 		shell.Memory(0)
 	}
 	switch {
-	case a.Mind != nil:
-		err = child(ctx, a.Mind.For, in, out, a.Mind.start)
-	case a.Flows != nil:
-		err = child(ctx, a.Flows.For, in, out, a.Flows.start)
+	case a.Controller != nil:
+		err = child(ctx, a.Controller.For, in, out, a.Controller.start)
+	case a.Gateways != nil:
+		err = child(ctx, a.Gateways.For, in, out, a.Gateways.start)
 	case a.Targets != nil:
 		err = child(ctx, a.Targets.For, in, out, a.Targets.start)
 	case a.Proxy != nil:
@@ -116,7 +116,7 @@
 	// one machine's clock.
 	Begun, Ended int64 `json:",omitempty"`
 	Ready        int   `json:",omitempty"` // nodes that are
-	// Seen are the times at which flows had a version, by version.
+	// Seen are the times at which gateways had a version, by version.
 	Seen map[uint64][]int64 `json:",omitempty"`
 	// Took are times in nanoseconds, by what took them.
 	Took   map[string][]int64 `json:",omitempty"`
--- a/tools/hollow/measure.go
+++ b/tools/hollow/measure.go
@@ -47,16 +47,16 @@
 	Name    string
 	Seconds float64
 	Roles   map[string]PerNode
-	// Messages are messages and bytes a second at one mind, in the mean, by the other
-	// side's role, direction and name; a message between minds counts at the one that
+	// Messages are messages and bytes a second at one controller, in the mean, by the other
+	// side's role, direction and name; a message between controllers counts at the one that
 	// was asked.
 	Messages map[string][2]float64
 	// Acked is how long changes took to be acknowledged, LastSeen from there to the last
-	// flow; a flow may have one before that, which counts as the least. Whole is from the
-	// change's call to the last flow, and Each to each.
+	// gateway; a gateway may have one before that, which counts as the least. Whole is from the
+	// change's call to the last gateway, and Each to each.
 	Acked, LastSeen, Whole, Each Times
 	Failed                       int // changes
-	Missing                      int // flows that never had a change
+	Missing                      int // gateways that never had a change
 	Took                         map[string]Times
 	Counts                       map[string]int64
 }
@@ -64,7 +64,7 @@
 // window measures for a while; during runs beside.
 func (t *town) window(ctx context.Context, name string, d time.Duration, during func(context.Context, *Window)) (w Window, err error) {
 	w = Window{Name: name, Roles: map[string]PerNode{}, Messages: map[string][2]float64{}, Took: map[string]Times{}, Counts: map[string]int64{}}
-	if _, err := tell(ctx, t.flows, same(Order{Op: "seen"})); err != nil {
+	if _, err := tell(ctx, t.gateways, same(Order{Op: "seen"})); err != nil {
 		return w, err
 	}
 	a, err := tell(ctx, t.all(), same(Order{Op: "mark"}))
@@ -119,7 +119,7 @@
 			for k, v := range y.Counts {
 				w.Counts[k] += v
 			}
-		case "flows":
+		case "gateways":
 			for k, v := range y.Counts {
 				w.Counts[k] += v - x.Counts[k]
 			}
@@ -140,16 +140,16 @@
 			total[k] = Count{o.N + c.N, o.Bytes + c.Bytes}
 		}
 	}
-	minds := max(float64(w.Roles["minds"].Nodes), 1)
+	controllers := max(float64(w.Roles["controllers"].Nodes), 1)
 	by := map[string]float64{} // bytes a second, by role and direction
 	for k, c := range total {
-		w.Messages[k] = [2]float64{float64(c.N) / w.Seconds / minds, float64(c.Bytes) / w.Seconds / minds}
+		w.Messages[k] = [2]float64{float64(c.N) / w.Seconds / controllers, float64(c.Bytes) / w.Seconds / controllers}
 		f := strings.SplitN(k, " ", 3)
 		by[f[0]+" "+f[1]] += float64(c.Bytes) / w.Seconds
 	}
-	// What one mind is asked by minds, it asks of them as well, in the mean.
-	w.set("minds", (by["flow in"]+by["target in"]+by["mind in"]+by["mind out"])/minds, (by["flow out"]+by["target out"]+by["mind in"]+by["mind out"])/minds)
-	for _, r := range [][2]string{{"flows", "flow"}, {"targets", "target"}} {
+	// What one controller is asked by controllers, it asks of them as well, in the mean.
+	w.set("controllers", (by["gateway in"]+by["target in"]+by["controller in"]+by["controller out"])/controllers, (by["gateway out"]+by["target out"]+by["controller in"]+by["controller out"])/controllers)
+	for _, r := range [][2]string{{"gateways", "gateway"}, {"targets", "target"}} {
 		if n := float64(w.Roles[r[0]].Nodes); n > 0 {
 			w.set(r[0], by[r[1]+" out"]/n, by[r[1]+" in"]/n)
 		}
@@ -163,13 +163,13 @@
 	}
 }
 
-// changes has one change made each pace, at some mind, and notes when all had it.
+// changes has one change made each pace, at some controller, and notes when all had it.
 func (t *town) changes(ctx context.Context, w *Window, pace time.Duration, o Order) {
 	acked, asked := map[uint64]int64{}, map[uint64]int64{}
 	ack, last, whole, each := histogram(), histogram(), histogram(), histogram()
-	flows := 0
-	for _, p := range t.flows {
-		flows += p.size
+	gateways := 0
+	for _, p := range t.gateways {
+		gateways += p.size
 	}
 	for ctx.Err() == nil {
 		begun := time.Now()
@@ -193,7 +193,7 @@
 	case <-ctx.Done():
 	case <-time.After(pace):
 	}
-	got, _ := tell(context.WithoutCancel(ctx), t.flows, same(Order{Op: "seen"}))
+	got, _ := tell(context.WithoutCancel(ctx), t.gateways, same(Order{Op: "seen"}))
 	at := map[uint64][]int64{}
 	for _, x := range got {
 		for v, l := range x.Seen {
@@ -201,7 +201,7 @@
 		}
 	}
 	for _, v := range slices.Sorted(maps.Keys(acked)) {
-		w.Missing += flows - len(at[v])
+		w.Missing += gateways - len(at[v])
 		if len(at[v]) == 0 {
 			continue
 		}
--- a/tools/hollow/measure_test.go
+++ b/tools/hollow/measure_test.go
@@ -9,11 +9,11 @@
 
 func TestFiguresOfAWindow(t *testing.T) {
 	const s = int64(time.Second)
-	m1, m2 := &process{role: "minds", size: 1}, &process{role: "minds", size: 1}
-	f, x := &process{role: "flows", size: 10}, &process{role: "targets", size: 50}
+	m1, m2 := &process{role: "controllers", size: 1}, &process{role: "controllers", size: 1}
+	f, x := &process{role: "gateways", size: 10}, &process{role: "targets", size: 50}
 	look := func(at, cpu, in, out int64) Told {
 		return Told{Usage: Usage{At: at * s, CPU: time.Duration(cpu) * time.Millisecond, RSS: 20 << 20}, Wire: map[string]Count{
-			"flow in news.WatchAsk": {in, 100 * in}, "flow out news.WatchTold": {out, 300 * out}, "mind in news.WatchAsk": {in, 10 * in}, "target in http": {in, 20 * in}, "target out http": {in, 8 * in}}}
+			"gateway in news.WatchAsk": {in, 100 * in}, "gateway out news.WatchTold": {out, 300 * out}, "controller in news.WatchAsk": {in, 10 * in}, "target in http": {in, 20 * in}, "target out http": {in, 8 * in}}}
 	}
 	a := map[*process]Told{m1: look(5, 100, 10, 10), m2: look(5, 0, 0, 0), f: {Usage: Usage{At: 5 * s}}, x: {Usage: Usage{At: 5 * s}}}
 	b := map[*process]Told{m1: look(7, 300, 30, 20), m2: look(7, 20, 20, 30), f: {Usage: Usage{At: 7 * s, CPU: time.Second, RSS: 30 << 20}},
@@ -26,23 +26,23 @@
 		}
 	}
 	near("seconds", w.Seconds, 2)
-	near("a mind's part of a core", w.Roles["minds"].Core, 0.055)
-	near("the busiest mind's", w.Roles["minds"].MostCore, 0.1)
-	near("a flow's", w.Roles["flows"].Core, 0.05)
-	near("a flow's MB", w.Roles["flows"].RSS, 3)
-	near("asks at a mind a second", w.Messages["flow in news.WatchAsk"][0], 10)
-	near("their bytes", w.Messages["flow in news.WatchAsk"][1], 1000)
-	// 40 asks and 40 answers of flows in 2 s, 40 asks of minds and of targets.
-	near("bytes to a mind", w.Roles["minds"].In, (40*100+40*20+40*10)/4.)
-	near("bytes from a mind", w.Roles["minds"].Out, (40*300+40*8+40*10)/4.)
-	near("bytes to a flow", w.Roles["flows"].In, 40*300/2./10)
-	near("bytes from a flow", w.Roles["flows"].Out, 40*100/2./10)
+	near("a controller's part of a core", w.Roles["controllers"].Core, 0.055)
+	near("the busiest controller's", w.Roles["controllers"].MostCore, 0.1)
+	near("a gateway's", w.Roles["gateways"].Core, 0.05)
+	near("a gateway's MB", w.Roles["gateways"].RSS, 3)
+	near("asks at a controller a second", w.Messages["gateway in news.WatchAsk"][0], 10)
+	near("their bytes", w.Messages["gateway in news.WatchAsk"][1], 1000)
+	// 40 asks and 40 answers of gateways in 2 s, 40 asks of controllers and of targets.
+	near("bytes to a controller", w.Roles["controllers"].In, (40*100+40*20+40*10)/4.)
+	near("bytes from a controller", w.Roles["controllers"].Out, (40*300+40*8+40*10)/4.)
+	near("bytes to a gateway", w.Roles["gateways"].In, 40*300/2./10)
+	near("bytes from a gateway", w.Roles["gateways"].Out, 40*100/2./10)
 	if w.Counts["beat"] != 2 || w.Took["beat"].N != 2 || math.Abs(w.Took["beat"].Worst-4) > 0.01 {
 		t.Errorf("%v %v", w.Counts, w.Took)
 	}
 }
 
-// A flow that got two versions at once has both; one that hears an old one again is not
+// A gateway that got two versions at once has both; one that hears an old one again is not
 // counted twice.
 func TestVersionsSeen(t *testing.T) {
 	s := &seen{at: map[uint64][]int64{}, last: map[int]uint64{}, told: map[string]int64{}}
--- a/tools/hollow/meter_test.go
+++ b/tools/hollow/meter_test.go
@@ -67,7 +67,7 @@
 	link.On(d, func(_ context.Context, _ link.Who, a quorum.MergeAsk) (quorum.MergeTold, error) {
 		return quorum.MergeTold{Over: make([]int, len(a.Items))}, nil
 	})
-	s := link.NewTCP(link.Who{ID: "s", Kind: "mind"}, "", quiet())
+	s := link.NewTCP(link.Who{ID: "s", Kind: "controller"}, "", quiet())
 	done := make(chan struct{})
 	go func() { s.Serve(metered{tapped{ln, &raw}, m, true}, d); close(done) }()
 	c := link.NewTCP(link.Who{ID: "c", Kind: "tool"}, "", quiet())
--- a/tools/hollow/place.go
+++ b/tools/hollow/place.go
@@ -24,9 +24,9 @@
 
 // The third number of a process's IP says its role, the last its zone or number.
 const (
-	mindNet   = 1
-	flowNet   = 2
-	targetNet = 3
+	controllerNet = 1
+	gatewayNet    = 2
+	targetNet     = 3
 )
 
 // ip is where a process of a deployment is. Deployments that run at the same time
@@ -40,18 +40,18 @@
 		return "other"
 	}
 	switch f[2] {
-	case strconv.Itoa(mindNet):
-		return "mind"
-	case strconv.Itoa(flowNet):
-		return "flow"
+	case strconv.Itoa(controllerNet):
+		return "controller"
+	case strconv.Itoa(gatewayNet):
+		return "gateway"
 	case strconv.Itoa(targetNet):
 		return "target"
 	}
 	return "other"
 }
 
-// mindZone is the zone of the n-th mind.
-func mindZone(n int) int { return n % zones }
+// controllerZone is the zone of the n-th controller.
+func controllerZone(n int) int { return n % zones }
 
 // zoneOf is the zone in which an IP is.
 func zoneOf(ip string) (int, bool) {
@@ -63,7 +63,7 @@
 	if err != nil || n < 1 {
 		return 0, false
 	}
-	return mindZone(n - 1), true
+	return controllerZone(n - 1), true
 }
 
 // ways gives the delay from a zone to an IP.
--- a/tools/hollow/place_test.go
+++ b/tools/hollow/place_test.go
@@ -11,19 +11,19 @@
 		to   string
 		want time.Duration
 	}{
-		{0, ip(70, mindNet, 0), 0},
-		{0, ip(70, mindNet, zones), 0}, // the mind after one in each zone is in the first again
-		{0, ip(70, mindNet, 2), nearWay},
-		{0, ip(70, mindNet, 3), farWay},
-		{5, ip(70, mindNet, 3), nearWay},
-		{5, ip(70, flowNet, 5), 0},
+		{0, ip(70, controllerNet, 0), 0},
+		{0, ip(70, controllerNet, zones), 0}, // the controller after one in each zone is in the first again
+		{0, ip(70, controllerNet, 2), nearWay},
+		{0, ip(70, controllerNet, 3), farWay},
+		{5, ip(70, controllerNet, 3), nearWay},
+		{5, ip(70, gatewayNet, 5), 0},
 		{0, "nowhere", 0},
 	} {
 		if d := ways(x.from)(x.to); d != x.want {
 			t.Errorf("from zone %d to %s: %v, want %v", x.from, x.to, d, x.want)
 		}
 	}
-	for role, n := range map[string]int{"mind": mindNet, "flow": flowNet, "target": targetNet} {
+	for role, n := range map[string]int{"controller": controllerNet, "gateway": gatewayNet, "target": targetNet} {
 		if got := roleOf(ip(70, n, 3)); got != role {
 			t.Errorf("%s taken for %s", role, got)
 		}
--- a/tools/hollow/plot_test.go
+++ b/tools/hollow/plot_test.go
@@ -14,7 +14,7 @@
 	t.Helper()
 	var b bytes.Buffer
 	for i, name := range names {
-		r := Report{Case: Case{Name: name}, Windows: []Window{{Name: "calm", Roles: map[string]PerNode{"minds": {Core: 0.01 * float64(i+1)}}}}}
+		r := Report{Case: Case{Name: name}, Windows: []Window{{Name: "calm", Roles: map[string]PerNode{"controllers": {Core: 0.01 * float64(i+1)}}}}}
 		if err := json.NewEncoder(&b).Encode(r); err != nil {
 			t.Fatal(err)
 		}
@@ -29,12 +29,12 @@
 func TestPlotDrawsFiguresOfThreeSizes(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "plots")
 	var out, errw bytes.Buffer
-	in := writeReports(t, "flows 10", "flows 20", "flows 40")
-	if code := run([]string{"plot", in, "--out", dir, "--only", "calm: minds, % of a core"}, nil, &out, &errw); code != 0 {
+	in := writeReports(t, "gateways 10", "gateways 20", "gateways 40")
+	if code := run([]string{"plot", in, "--out", dir, "--only", "calm: controllers, % of a core"}, nil, &out, &errw); code != 0 {
 		t.Fatal(errw.String())
 	}
-	b, err := os.ReadFile(filepath.Join(dir, "flows-calm-minds-part-of-a-core.svg"))
-	if err != nil || !strings.Contains(string(b), "<svg") || !strings.Contains(string(b), "calm: minds") {
+	b, err := os.ReadFile(filepath.Join(dir, "gateways-calm-controllers-part-of-a-core.svg"))
+	if err != nil || !strings.Contains(string(b), "<svg") || !strings.Contains(string(b), "calm: controllers") {
 		t.Fatalf("%v: %.80s", err, b)
 	}
 	if l, _ := os.ReadDir(dir); len(l) != 1 {
@@ -44,7 +44,7 @@
 
 func TestPlotRefusesWhatHasNoLine(t *testing.T) {
 	for name, argv := range map[string][]string{
-		"two sizes":    {writeReports(t, "flows 10", "flows 20")},
+		"two sizes":    {writeReports(t, "gateways 10", "gateways 20")},
 		"no such file": {filepath.Join(t.TempDir(), "none.json")},
 	} {
 		var out, errw bytes.Buffer
--- a/tools/hollow/proxy.go
+++ b/tools/hollow/proxy.go
@@ -23,7 +23,7 @@
 	For      time.Duration `arg:"--for" default:"1m"`
 	Routes   int           `arg:"--routes"`
 	Services int           `arg:"--services" default:"1"`
-	Flows    int           `arg:"--flows" default:"1" help:"how many such nodes it is told there are"`
+	Gateways int           `arg:"--gateways" default:"1" help:"how many such nodes it is told there are"`
 	Probe    time.Duration `arg:"--probe" help:"mean time between probes of a run; 0 is the product's own"`
 }
 
@@ -32,7 +32,7 @@
 	for z := range zones {
 		places[zoneName(z)] = fmt.Sprintf("region%d", regionOf(z))
 	}
-	s := proxy.Settings{ID: "flow0", Zone: zoneName(0), Zones: places, Dialect: dialect, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 68,
+	s := proxy.Settings{ID: "gateway0", Zone: zoneName(0), Zones: places, Dialect: dialect, BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 68,
 		MemoryMB: 284, MaxFiles: 4100, Grace: 6 * time.Second, ProbeEvery: a.Probe}
 	if err := s.Check(); err != nil {
 		return nil, err
@@ -49,8 +49,8 @@
 	n.TakeItems(items)
 	items = nil
 	compiled := time.Since(begun)
-	near := max(1, a.Flows/zones)
-	n.SetFlows(a.Flows, near)
+	near := max(1, a.Gateways/zones)
+	n.SetGateways(a.Gateways, near)
 	n.SetSynced(true)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -62,7 +62,7 @@
 	go func() {
 		// The number of nodes comes with each answer of the control plane.
 		for (clock.Wall{}).Sleep(life, time.Second) == nil {
-			n.SetFlows(a.Flows, near)
+			n.SetGateways(a.Gateways, near)
 		}
 	}()
 	do := func(_ context.Context, o Order) (t Told) {
--- a/tools/hollow/report.go
+++ b/tools/hollow/report.go
@@ -30,9 +30,9 @@
 func markdown(out io.Writer, r Report) {
 	p := func(f string, a ...any) { _, _ = fmt.Fprintf(out, f, a...) }
 	c := r.Case
-	p("\n## %s\n\n%d flows, %d targets, %d routes, %d services, %d minds; beats each %v, homes %v; load before %s; first configuration acknowledged in %.0f ms.\n",
-		c.Name, c.Flows, c.Targets, c.Routes, c.Services, c.Minds, c.Every, c.Homes, r.Machine.Load, float64(r.First.Milliseconds()))
-	p("From their start on all flows were told %v.\n", r.Start)
+	p("\n## %s\n\n%d gateways, %d targets, %d routes, %d services, %d controllers; beats each %v, homes %v; load before %s; first configuration acknowledged in %.0f ms.\n",
+		c.Name, c.Gateways, c.Targets, c.Routes, c.Services, c.Controllers, c.Every, c.Homes, r.Machine.Load, float64(r.First.Milliseconds()))
+	p("From their start on all gateways were told %v.\n", r.Start)
 	if r.Err != "" {
 		p("\nfailed: %s\n", r.Err)
 	}
@@ -42,7 +42,7 @@
 			x := w.Roles[k]
 			p("| %s | %d | %.3f | %.3f | %.1f | %.1f | %.0f | %.0f |\n", k, x.Nodes, 100*x.Core, 100*x.MostCore, x.RSS, x.MostRSS, x.In, x.Out)
 		}
-		p("\nat one mind, a second: ")
+		p("\nat one controller, a second: ")
 		for i, k := range slices.Sorted(maps.Keys(w.Messages)) {
 			if i > 0 {
 				p("; ")
@@ -51,7 +51,7 @@
 		}
 		p("\n")
 		if w.Acked.N > 0 || w.Failed > 0 {
-			p("\nms, half / 99 in 100 / worst (number): acknowledged %v; from there to the last flow %v; from the call to the last flow %v, to each %v; %d failed, %d never seen\n", w.Acked, w.LastSeen, w.Whole, w.Each, w.Failed, w.Missing)
+			p("\nms, half / 99 in 100 / worst (number): acknowledged %v; from there to the last gateway %v; from the call to the last gateway %v, to each %v; %d failed, %d never seen\n", w.Acked, w.LastSeen, w.Whole, w.Each, w.Failed, w.Missing)
 		}
 		for _, k := range slices.Sorted(maps.Keys(w.Took)) {
 			p("%s: %v ms; ", k, w.Took[k])
--- a/tools/hollow/run.go
+++ b/tools/hollow/run.go
@@ -11,19 +11,19 @@
 
 // RunArgs say what to measure.
 type RunArgs struct {
-	Plan    string        `arg:"positional,required" help:"a plan's name"`
-	Times   int           `arg:"--times" default:"1" help:"run each case so often"`
-	Warm    time.Duration `arg:"--warm" default:"6s" help:"wait before the first window"`
-	Measure time.Duration `arg:"--measure" default:"12s" help:"length of each window"`
-	Net     int           `arg:"--net" default:"70" help:"second number of the 127.x addresses"`
-	Out     string        `arg:"--out" help:"file for the report as JSON, a line a case"`
-	Flows   int           `arg:"--flows" help:"a plan's cases at another size; 0 leaves it"`
-	Targets int           `arg:"--targets"`
-	Routes  int           `arg:"--routes"`
-	Service int           `arg:"--services"`
-	Minds   int           `arg:"--minds"`
-	Replace float64       `arg:"--replace" help:"targets replaced a second in the last window"`
-	Profile string        `arg:"--profile" help:"folder for profiles of the first mind"`
+	Plan        string        `arg:"positional,required" help:"a plan's name"`
+	Times       int           `arg:"--times" default:"1" help:"run each case so often"`
+	Warm        time.Duration `arg:"--warm" default:"6s" help:"wait before the first window"`
+	Measure     time.Duration `arg:"--measure" default:"12s" help:"length of each window"`
+	Net         int           `arg:"--net" default:"70" help:"second number of the 127.x addresses"`
+	Out         string        `arg:"--out" help:"file for the report as JSON, a line a case"`
+	Gateways    int           `arg:"--gateways" help:"a plan's cases at another size; 0 leaves it"`
+	Targets     int           `arg:"--targets"`
+	Routes      int           `arg:"--routes"`
+	Service     int           `arg:"--services"`
+	Controllers int           `arg:"--controllers"`
+	Replace     float64       `arg:"--replace" help:"targets replaced a second in the last window"`
+	Profile     string        `arg:"--profile" help:"folder for profiles of the first controller"`
 }
 
 // Report is what one case gave.
@@ -33,7 +33,7 @@
 	Machine Machine
 	// First is how long the first configuration took to be acknowledged.
 	First time.Duration
-	// Start are the news that all flows were told from their start to the first window.
+	// Start are the news that all gateways were told from their start to the first window.
 	Start   map[string]int64
 	Windows []Window
 	Events  []Event `json:",omitempty"`
@@ -89,7 +89,7 @@
 	for _, x := range []struct {
 		to  *int
 		ask int
-	}{{&c.Flows, a.Flows}, {&c.Targets, a.Targets}, {&c.Routes, a.Routes}, {&c.Services, a.Service}, {&c.Minds, a.Minds}} {
+	}{{&c.Gateways, a.Gateways}, {&c.Targets, a.Targets}, {&c.Routes, a.Routes}, {&c.Services, a.Service}, {&c.Controllers, a.Controllers}} {
 		if x.ask > 0 {
 			*x.to = x.ask
 		}
@@ -119,7 +119,7 @@
 	r.First = first
 	time.Sleep(a.Warm)
 	r.Start = map[string]int64{}
-	m, _ := tell(ctx, t.flows, same(Order{Op: "mark"}))
+	m, _ := tell(ctx, t.gateways, same(Order{Op: "mark"}))
 	for _, x := range m {
 		for k, v := range x.Counts {
 			r.Start[k] += v
@@ -134,7 +134,7 @@
 		return true
 	}
 	if a.Profile != "" && c.Fault == "" {
-		for _, p := range t.minds[:1] {
+		for _, p := range t.controllers[:1] {
 			prof := Order{Op: "profile", Dir: a.Profile}
 			if _, err := p.order(ctx, prof); err != nil {
 				r.Err = err.Error()
--- a/tools/hollow/shape_test.go
+++ b/tools/hollow/shape_test.go
@@ -48,7 +48,7 @@
 	for name, cases := range plans() {
 		seen := map[string]bool{}
 		for _, c := range cases {
-			if c.Name == "" || seen[c.Name] || c.Flows < 1 || c.Targets < 1 || c.Routes < c.Changes || c.Minds%2 != 1 {
+			if c.Name == "" || seen[c.Name] || c.Gateways < 1 || c.Targets < 1 || c.Routes < c.Changes || c.Controllers%2 != 1 {
 				t.Errorf("%s: %+v", name, c)
 			}
 			seen[c.Name] = true
@@ -56,7 +56,7 @@
 				continue
 			}
 			differ := 0
-			for _, d := range []bool{c.Flows != b.Flows, c.Targets != b.Targets, c.Routes != b.Routes, c.Services != b.Services, c.Minds != b.Minds} {
+			for _, d := range []bool{c.Gateways != b.Gateways, c.Targets != b.Targets, c.Routes != b.Routes, c.Services != b.Services, c.Controllers != b.Controllers} {
 				if d {
 					differ++
 				}
@@ -75,8 +75,8 @@
 	if got := (&RunArgs{}).sized(c); got != c {
 		t.Errorf("%+v", got)
 	}
-	got := (&RunArgs{Flows: 13, Minds: 6, Service: 2, Replace: 20}).sized(c)
-	if got.Replace != 20 || got.Flows != 13 || got.Minds != 6 || got.Services != 2 || got.Targets != c.Targets || got.Name != "base, sized" {
+	got := (&RunArgs{Gateways: 13, Controllers: 6, Service: 2, Replace: 20}).sized(c)
+	if got.Replace != 20 || got.Gateways != 13 || got.Controllers != 6 || got.Services != 2 || got.Targets != c.Targets || got.Name != "base, sized" {
 		t.Errorf("%+v", got)
 	}
 }
--- a/tools/hollow/slopes.go
+++ b/tools/hollow/slopes.go
@@ -58,7 +58,7 @@
 // figures are what a window gives to fit lines to.
 func figures(w Window) map[string]float64 {
 	out := map[string]float64{}
-	for _, role := range []string{"minds", "flows"} {
+	for _, role := range []string{"controllers", "gateways"} {
 		x, ok := w.Roles[role]
 		if !ok {
 			continue
@@ -68,7 +68,7 @@
 		out[role+", B/s in"], out[role+", B/s out"] = x.In, x.Out
 	}
 	if w.Whole.N > 0 {
-		out["ms from a call to the last flow, half"] = w.Whole.P50
+		out["ms from a call to the last gateway, half"] = w.Whole.P50
 		out["ms to acknowledge, half"] = w.Acked.P50
 	}
 	return out
--- a/tools/hollow/slopes_test.go
+++ b/tools/hollow/slopes_test.go
@@ -26,11 +26,11 @@
 func TestSlopesOfReports(t *testing.T) {
 	var b bytes.Buffer
 	enc := json.NewEncoder(&b)
-	for i, name := range []string{"flows 100", "flows 200", "flows 400", "flows 800"} {
-		r := Report{Case: Case{Name: name}, Windows: []Window{{Name: "2 targets replaced a second", Roles: map[string]PerNode{"minds": {Core: 0.01 * float64(int(1)<<i)}}}}}
+	for i, name := range []string{"gateways 100", "gateways 200", "gateways 400", "gateways 800"} {
+		r := Report{Case: Case{Name: name}, Windows: []Window{{Name: "2 targets replaced a second", Roles: map[string]PerNode{"controllers": {Core: 0.01 * float64(int(1)<<i)}}}}}
 		if i == 3 {
 			r.Err = "failed"
-			r.Windows[0].Roles["minds"] = PerNode{Core: 99}
+			r.Windows[0].Roles["controllers"] = PerNode{Core: 99}
 		}
 		if err := enc.Encode(r); err != nil {
 			t.Fatal(err)
@@ -42,7 +42,7 @@
 	}
 	var out strings.Builder
 	slopes(&out, rs)
-	if !strings.Contains(out.String(), "| targets replaced a second: minds, % of a core | 100: 1 (1 to 1, 1); 200: 2 (2 to 2, 1); 400: 4 (4 to 4, 1) | ") || strings.Contains(out.String(), "800:") {
+	if !strings.Contains(out.String(), "| targets replaced a second: controllers, % of a core | 100: 1 (1 to 1, 1); 200: 2 (2 to 2, 1); 400: 4 (4 to 4, 1) | ") || strings.Contains(out.String(), "800:") {
 		t.Error(out.String())
 	}
 	if !strings.Contains(out.String(), " | 10 | 1.00 |") {
--- a/tools/hollow/town.go
+++ b/tools/hollow/town.go
@@ -17,28 +17,28 @@
 
 // Case is one deployment to be measured.
 type Case struct {
-	Name                                    string
-	Flows, Targets, Routes, Services, Minds int
-	Homes                                   bool          // targets go where the answer to a beat says
-	Every                                   time.Duration // between beats
-	Changes                                 int           // routes in each change
-	Replace                                 float64       // targets replaced a second, in the last window
-	Fault                                   string        `json:",omitempty"`
+	Name                                             string
+	Gateways, Targets, Routes, Services, Controllers int
+	Homes                                            bool          // targets go where the answer to a beat says
+	Every                                            time.Duration // between beats
+	Changes                                          int           // routes in each change
+	Replace                                          float64       // targets replaced a second, in the last window
+	Fault                                            string        `json:",omitempty"`
 }
 
 // town is a deployment under way.
 type town struct {
-	c       Case
-	net     int
-	life    time.Duration
-	dir     string
-	errw    io.Writer
-	inner   []string
-	door    []string
-	minds   []*process // nil is one that is lost
-	flows   []*process
-	targets []*process
-	version uint64
+	c           Case
+	net         int
+	life        time.Duration
+	dir         string
+	errw        io.Writer
+	inner       []string
+	door        []string
+	controllers []*process // nil is one that is lost
+	gateways    []*process
+	targets     []*process
+	version     uint64
 }
 
 // firstPort and lastPort are below the ports from which the system makes connections: a
@@ -70,25 +70,25 @@
 	if t.dir, err = os.MkdirTemp("", "hollow-"); err != nil {
 		return t, 0, err
 	}
-	for i := range c.Minds {
-		in, next, err := free(ip(netNo, mindNet, i), firstPort)
+	for i := range c.Controllers {
+		in, next, err := free(ip(netNo, controllerNet, i), firstPort)
 		if err != nil {
 			return t, 0, err
 		}
-		out, _, err := free(ip(netNo, mindNet, i), next)
+		out, _, err := free(ip(netNo, controllerNet, i), next)
 		if err != nil {
 			return t, 0, err
 		}
 		t.inner, t.door = append(t.inner, in), append(t.door, out)
 	}
-	t.minds = make([]*process, c.Minds)
-	for i := range c.Minds {
-		if err := t.mind(ctx, i, true); err != nil {
+	t.controllers = make([]*process, c.Controllers)
+	for i := range c.Controllers {
+		if err := t.controller(ctx, i, true); err != nil {
 			return t, 0, err
 		}
 	}
-	if _, err := t.until(ctx, 30*time.Second, func() (bool, error) { return t.readyMinds(ctx) == c.Minds, nil }); err != nil {
-		return t, 0, fmt.Errorf("minds not ready: %w", err)
+	if _, err := t.until(ctx, 30*time.Second, func() (bool, error) { return t.readyControllers(ctx) == c.Controllers, nil }); err != nil {
+		return t, 0, fmt.Errorf("controllers not ready: %w", err)
 	}
 	if first, err = t.apply(ctx, 0, Order{Count: c.Routes, Services: c.Services}); err != nil {
 		return t, 0, err
@@ -111,22 +111,22 @@
 		t.targets = append(t.targets, p)
 	}
 	for z := range zones {
-		n := part(c.Flows, z)
+		n := part(c.Gateways, z)
 		if n == 0 {
 			continue
 		}
-		p, err := t.start(ctx, "flows", z, n, append(append([]string{}, common...), "--zone", fmt.Sprint(z), "--count", fmt.Sprint(n))...)
+		p, err := t.start(ctx, "gateways", z, n, append(append([]string{}, common...), "--zone", fmt.Sprint(z), "--count", fmt.Sprint(n))...)
 		if err != nil {
 			return t, first, err
 		}
-		t.flows = append(t.flows, p)
+		t.gateways = append(t.gateways, p)
 	}
 	_, err = t.until(ctx, 60*time.Second, func() (bool, error) {
-		if t.readyFlows(ctx) < c.Flows {
+		if t.readyGateways(ctx) < c.Gateways {
 			return false, nil
 		}
 		for _, l := range t.look(ctx) {
-			if l.Counts["runs"] < int64(c.Targets) || l.Counts["flows"] < int64(c.Flows) {
+			if l.Counts["runs"] < int64(c.Targets) || l.Counts["gateways"] < int64(c.Gateways) {
 				return false, nil
 			}
 		}
@@ -155,27 +155,27 @@
 	return p, nil
 }
 
-// mind starts the i-th mind, on the disk that it had.
-func (t *town) mind(ctx context.Context, i int, first bool) error {
-	dir := filepath.Join(t.dir, fmt.Sprintf("mind%d", i))
+// controller starts the i-th controller, on the disk that it had.
+func (t *town) controller(ctx context.Context, i int, first bool) error {
+	dir := filepath.Join(t.dir, fmt.Sprintf("controller%d", i))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
 	argv := []string{"--for", t.life.String(), "--net", fmt.Sprint(t.net), "--n", fmt.Sprint(i), "--inner", t.inner[i], "--door", t.door[i], "--seeds", strings.Join(t.inner, ","),
-		"--bear", fmt.Sprint((t.c.Minds - 1) / 2), "--dir", dir, "--every", t.c.Every.String()}
+		"--bear", fmt.Sprint((t.c.Controllers - 1) / 2), "--dir", dir, "--every", t.c.Every.String()}
 	if first {
 		argv = append(argv, "--first")
 	}
-	p, err := t.start(ctx, "minds", mindZone(i), 1, argv...)
+	p, err := t.start(ctx, "controllers", controllerZone(i), 1, argv...)
 	if err == nil {
-		t.minds[i] = p
+		t.controllers[i] = p
 	}
 	return err
 }
 
 // all are the processes that run.
 func (t *town) all() (ps []*process) {
-	for _, l := range [][]*process{t.minds, t.flows, t.targets} {
+	for _, l := range [][]*process{t.controllers, t.gateways, t.targets} {
 		for _, p := range l {
 			if p != nil {
 				ps = append(ps, p)
@@ -210,19 +210,19 @@
 func same(o Order) func(*process) Order { return func(*process) Order { return o } }
 
 func (t *town) look(ctx context.Context) map[*process]Told {
-	m, _ := tell(ctx, t.minds, same(Order{Op: "look"}))
+	m, _ := tell(ctx, t.controllers, same(Order{Op: "look"}))
 	return m
 }
 
-func (t *town) readyMinds(ctx context.Context) (n int) {
+func (t *town) readyControllers(ctx context.Context) (n int) {
 	for _, x := range t.look(ctx) {
 		n += x.Ready
 	}
 	return n
 }
 
-func (t *town) readyFlows(ctx context.Context) (n int) {
-	m, _ := tell(ctx, t.flows, same(Order{Op: "mark"}))
+func (t *town) readyGateways(ctx context.Context) (n int) {
+	m, _ := tell(ctx, t.gateways, same(Order{Op: "mark"}))
 	for _, x := range m {
 		n += x.Ready
 	}
@@ -250,28 +250,28 @@
 	}
 }
 
-// apply has the i-th mind take a change, as the next version.
+// apply has the i-th controller take a change, as the next version.
 func (t *town) apply(ctx context.Context, i int, o Order) (time.Duration, error) {
 	x, err := t.change(ctx, i, o)
 	return time.Duration(x.Ended - x.Begun), err
 }
 
 func (t *town) change(ctx context.Context, i int, o Order) (Told, error) {
-	if t.minds[i] == nil {
+	if t.controllers[i] == nil {
 		return Told{}, errEnded
 	}
 	o.Op, o.Version = "apply", t.version+1
-	x, err := t.minds[i].order(ctx, o)
+	x, err := t.controllers[i].order(ctx, o)
 	if err == nil {
 		t.version++
 	}
 	return x, err
 }
 
-// any is some mind that runs.
+// any is some controller that runs.
 func (t *town) any() int {
 	for {
-		if i := rand.IntN(len(t.minds)); t.minds[i] != nil {
+		if i := rand.IntN(len(t.controllers)); t.controllers[i] != nil {
 			return i
 		}
 	}
--- a/tools/stand/caller.go
+++ b/tools/stand/caller.go
@@ -29,7 +29,7 @@
 	Loose bool
 }
 
-// Platform stands for the one address: it asks each flow once a second whether
+// Platform stands for the one address: it asks each gateway once a second whether
 // it is ready and spreads calls over those that are.
 type Platform struct {
 	Doors func() []string
@@ -140,7 +140,7 @@
 }
 
 // Insist makes one call and, for an order whose outcome its caller does not know,
-// up to three more under the same key through whichever flow comes.
+// up to three more under the same key through whichever gateway comes.
 func (c *Callers) Insist(k Kind) {
 	order := fmt.Sprintf("%s-%d", c.Run, c.n.Add(1))
 	o := c.Call(k, order, "")
@@ -161,7 +161,7 @@
 	if door == "" {
 		door = c.Platform.Pick()
 	}
-	o := Outcome{Order: order, Path: k.Path, Service: k.Service, Repeatable: k.Repeatable, Proper: !k.Loose && client == "", Sent: time.Now(), Flow: c.Platform.Name(door)}
+	o := Outcome{Order: order, Path: k.Path, Service: k.Service, Repeatable: k.Repeatable, Proper: !k.Loose && client == "", Sent: time.Now(), Gateway: c.Platform.Name(door)}
 	defer func() { o.Done = time.Now(); c.Rec.Outcome(o) }()
 	if door == "" {
 		o.Err = NoNode
--- a/tools/stand/checker.go
+++ b/tools/stand/checker.go
@@ -34,8 +34,8 @@
 	P99MS      float64        `json:"p99_ms"`
 	SlowestMS  float64        `json:"slowest_change_ms"` // last old behaviour after the ack
 	SlipMS     float64        `json:"widest_slip_ms"`
-	// Judged counts the pairs of an acknowledged change and a flow that showed it.
-	Judged int `json:"changes_shown_by_flows"`
+	// Judged counts the pairs of an acknowledged change and a gateway that showed it.
+	Judged int `json:"changes_shown_by_gateways"`
 	// Whys tells why calls were refused.
 	Whys map[string]int `json:"refused_for,omitempty"`
 	// Refused says that more proper calls were refused than is promised.
@@ -53,7 +53,7 @@
 	extraSpan     = 10 * time.Second
 	extraRatio    = 0.2
 	extraCommon   = 70
-	// lookEvery is how long the platform may still send calls to a flow that is
+	// lookEvery is how long the platform may still send calls to a gateway that is
 	// no longer ready.
 	lookEvery = time.Second
 	// heldWithin is the longest that a call may wait: no stand-in binds a path with an
@@ -160,7 +160,7 @@
 // to, while the call was under way or within the platform's look before it.
 func (r *Records) wasOut(o Outcome) bool {
 	return lo.SomeBy(r.Outs, func(x Out) bool {
-		return x.Node == o.Flow && !x.From.After(o.Done) && (x.To.IsZero() || x.To.Add(lookEvery).After(o.Sent))
+		return x.Node == o.Gateway && !x.From.After(o.Done) && (x.To.IsZero() || x.To.Add(lookEvery).After(o.Sent))
 	})
 }
 
@@ -174,7 +174,7 @@
 		c := r.class(o)
 		v.Classes[c]++
 		if took := o.Done.Sub(o.Sent); took > heldWithin && !r.wasOut(o) {
-			v.broke("call %s of order %s was held for %s at %s", o.Call, o.Order, took, o.Flow)
+			v.broke("call %s of order %s was held for %s at %s", o.Call, o.Order, took, o.Gateway)
 		}
 		if o.Proper && strings.HasPrefix(c, "refused") {
 			v.Refusals++
@@ -369,29 +369,29 @@
 	}
 }
 
-// sight is one call that showed what a path is bound to at a flow: that it came to a
+// sight is one call that showed what a path is bound to at a gateway: that it came to a
 // service, or the word that nothing is bound.
 type sight struct {
 	service    string
-	flow       string
+	gateway    string
 	from, till time.Time
 	what       string
 }
 
 // changes looks, for each path and each acknowledged change of it, when the state
-// before was last and the new one first seen, at whichever flow.
+// before was last and the new one first seen, at whichever gateway.
 func (r *Records) changes(v *Verdict) {
-	flows := map[string]string{}
+	gateways := map[string]string{}
 	sights := map[string][]sight{}
 	for _, o := range r.Outcomes {
-		flows[o.Call] = o.Flow
+		gateways[o.Call] = o.Gateway
 		if o.Code == face.NoBinding {
-			sights[o.Path] = append(sights[o.Path], sight{"", o.Flow, o.Sent, o.Done, o.Call})
+			sights[o.Path] = append(sights[o.Path], sight{"", o.Gateway, o.Sent, o.Done, o.Call})
 		}
 	}
 	// What arrived counts, not when it ran: a target may have others to serve first.
 	for _, a := range r.Arrivals {
-		sights[a.Path] = append(sights[a.Path], sight{a.Service, flows[callOf(a.Number)], a.At, a.At, a.Number})
+		sights[a.Path] = append(sights[a.Path], sight{a.Service, gateways[callOf(a.Number)], a.At, a.At, a.Number})
 	}
 	for path, bs := range r.bounds() {
 		ss := sights[path]
@@ -431,7 +431,7 @@
 			continue
 		}
 		if s.service == c.service {
-			if shown[s.flow] = true; first.IsZero() && !s.from.Before(floor) {
+			if shown[s.gateway] = true; first.IsZero() && !s.from.Before(floor) {
 				first = s.till
 			}
 			continue
@@ -439,14 +439,14 @@
 		if late := s.from.Sub(c.Acked); late > 0 {
 			v.SlowestMS = max(v.SlowestMS, ms(late))
 			if late > inForceWithin {
-				v.broke("version %d: %s still showed %q at flow %s %s after the acknowledgement (%s)", c.Version, path, s.service, s.flow, late, s.what)
+				v.broke("version %d: %s still showed %q at gateway %s %s after the acknowledgement (%s)", c.Version, path, s.service, s.gateway, late, s.what)
 			}
 		}
 		if !first.IsZero() && s.from.After(first) {
 			slip := s.from.Sub(first)
 			v.SlipMS = max(v.SlipMS, ms(slip))
 			if slip > slipWithin {
-				v.broke("version %d: %s showed %q at flow %s %s after the change had shown (%s at %s, asked %s, acknowledged %s)", c.Version, path, s.service, s.flow, slip,
+				v.broke("version %d: %s showed %q at gateway %s %s after the change had shown (%s at %s, asked %s, acknowledged %s)", c.Version, path, s.service, s.gateway, slip,
 					s.what, s.from.Format("05.000"), c.At.Format("05.000"), c.Acked.Format("05.000"))
 			}
 		}
@@ -469,8 +469,8 @@
 func (r *Records) stops(v *Verdict) {
 	for _, s := range r.Stops {
 		for _, o := range r.Outcomes {
-			if o.Flow == s.Flow && o.Err != "" && o.Done.After(s.From) && o.Sent.Before(s.From.Add(lookEvery)) && !o.Done.After(s.End.Add(lookEvery)) {
-				v.broke("call %s of order %s was cut off by the planned stop of %s (%s): %s", o.Call, o.Order, s.Flow, s.From.Format("05.000"), o.Err)
+			if o.Gateway == s.Gateway && o.Err != "" && o.Done.After(s.From) && o.Sent.Before(s.From.Add(lookEvery)) && !o.Done.After(s.End.Add(lookEvery)) {
+				v.broke("call %s of order %s was cut off by the planned stop of %s (%s): %s", o.Call, o.Order, s.Gateway, s.From.Format("05.000"), o.Err)
 			}
 		}
 	}
--- a/tools/stand/checker_test.go
+++ b/tools/stand/checker_test.go
@@ -51,7 +51,7 @@
 	o, n := fmt.Sprintf("o%d", i), fmt.Sprintf("n%d", i)
 	r.Arrive(Arrival{At: t, Target: target, Inc: 1, Service: svc, Order: o, Number: n + ".1", Path: "/p"})
 	r.Exec(Exec{At: t, Target: target, Service: svc, Inc: 1, Order: o, Number: n + ".1", Path: "/p", Digest: "d" + o})
-	r.Outcome(Outcome{Order: o, Call: n, Path: "/p", Proper: true, Sent: t, Done: t, Flow: fmt.Sprint("f", i%3), Status: 200, BodyOrder: o, BodyWhole: true,
+	r.Outcome(Outcome{Order: o, Call: n, Path: "/p", Proper: true, Sent: t, Done: t, Gateway: fmt.Sprint("f", i%3), Status: 200, BodyOrder: o, BodyWhole: true,
 		Digest: "d" + o, Stamp: face.Stamp{ID: target, Service: svc, Inc: 1, Request: n + ".1"}.String()})
 }
 
@@ -93,29 +93,29 @@
 		"proper, and answered 404": func(r *Records) {
 			r.Outcome(Outcome{Order: "w", Path: "/p", Proper: true, Status: 404, Code: face.NoBinding, Sent: at(500), Done: at(500)})
 		},
-		"version 3: /q still showed": func(r *Records) { // a removal that one flow never took in
+		"version 3: /q still showed": func(r *Records) { // a removal that one gateway never took in
 			r.Orders = append(r.Orders, order("three", 3, 1500, spec.Edit{Op: spec.DropBinding, Name: "q"}))
 			r.Arrive(Arrival{At: at(3700), Service: "old", Order: "u", Number: "x.1", Path: "/q"})
 		},
-		`version 3: /q showed "old" at flow f2 300ms after`: func(r *Records) { // one flow slips back behind another
+		`version 3: /q showed "old" at gateway f2 300ms after`: func(r *Records) { // one gateway slips back behind another
 			r.Orders = append(r.Orders, order("three", 3, 1500, spec.Edit{Op: spec.Replace, Sheet: &spec.Sheet{}}))
-			r.Outcome(Outcome{Order: "v", Call: "v", Flow: "f1", Path: "/q", Status: 404, Code: face.NoBinding, Sent: at(1550), Done: at(1550)})
-			r.Outcome(Outcome{Order: "u", Call: "x", Flow: "f2", Path: "/q", Status: 502, Code: face.BadAnswer, Sent: at(1850), Done: at(1850)})
+			r.Outcome(Outcome{Order: "v", Call: "v", Gateway: "f1", Path: "/q", Status: 404, Code: face.NoBinding, Sent: at(1550), Done: at(1550)})
+			r.Outcome(Outcome{Order: "u", Call: "x", Gateway: "f2", Path: "/q", Status: 502, Code: face.BadAnswer, Sent: at(1850), Done: at(1850)})
 			r.Arrive(Arrival{At: at(1850), Service: "old", Order: "u", Number: "x.1", Path: "/q"})
 		},
-		`version 4: /q still showed ""`: func(r *Records) { // a roll-back that one flow never took in
+		`version 4: /q still showed ""`: func(r *Records) { // a roll-back that one gateway never took in
 			r.Orders = append(r.Orders, order("three", 3, 1500, spec.Edit{Op: spec.DropBinding, Name: "q"}), order("four", 4, 2000))
 			r.Orders[3].Back = 2
-			r.Outcome(Outcome{Order: "v", Call: "v", Flow: "f1", Path: "/q", Status: 404, Code: face.NoBinding, Sent: at(4200), Done: at(4200)})
+			r.Outcome(Outcome{Order: "v", Call: "v", Gateway: "f1", Path: "/q", Status: 404, Code: face.NoBinding, Sent: at(4200), Done: at(4200)})
 		},
 		"made to be refused": func(r *Records) { r.Orders[1].Bad = true },
 		"both told":          func(r *Records) { r.Orders = append(r.Orders, order("three", 2, 1500)) },
 		"was held for 6s": func(r *Records) {
-			r.Outcome(Outcome{Order: "h", Flow: "f2", Sent: at(0), Done: at(6000), Err: "Timeout"})
+			r.Outcome(Outcome{Order: "h", Gateway: "f2", Sent: at(0), Done: at(6000), Err: "Timeout"})
 		},
 		"cut off by the planned stop": func(r *Records) {
-			r.Stop(Stop{Flow: "f", From: at(900), End: at(3000)})
-			r.Outcome(Outcome{Order: "z", Flow: "f", Sent: at(1000), Done: at(3000), Err: "connection reset"})
+			r.Stop(Stop{Gateway: "f", From: at(900), End: at(3000)})
+			r.Outcome(Outcome{Order: "z", Gateway: "f", Sent: at(1000), Done: at(3000), Err: "connection reset"})
 		},
 		"extra sends in 10 s": func(r *Records) {
 			// Sent and never run: refused, lost, or cut off on the way.
@@ -144,8 +144,8 @@
 		neverSent:   {Status: 503, Code: face.Unknown},
 		noReady:     {Err: NoNode},
 		gaveUp:      {Status: 502, Code: face.BadAnswer, SentOn: true, Repeatable: true},
-		linkClosed:  {Err: "EOF", Flow: "f2"},
-		nodeLost:    {Err: "connection reset", Flow: "f1"},
+		linkClosed:  {Err: "EOF", Gateway: "f2"},
+		nodeLost:    {Err: "connection reset", Gateway: "f1"},
 		earlierCall: {Status: 409, Code: face.Unknown},
 		mayHaveRun:  {Status: 502, Code: face.Unknown, SentOn: true},
 	} {
@@ -174,7 +174,7 @@
 	leave := ledger.Note{Kind: ledger.NoteLeave, Target: &ledger.Target{ID: "t-old", Service: "old", Inc: 1}}
 	mk := func() (*Records, queries.Picture) {
 		r := clean()
-		p := queries.Picture{Mind: "m", Decisions: []ledger.Note{leave, {Kind: ledger.NoteSuspect, N: 7}}}
+		p := queries.Picture{Controller: "m", Decisions: []ledger.Note{leave, {Kind: ledger.NoteSuspect, N: 7}}}
 		var s spec.Sheet
 		for i := range r.Orders {
 			o := &r.Orders[i]
--- a/tools/stand/failures.go
+++ b/tools/stand/failures.go
@@ -4,7 +4,7 @@
 // lacks what the other has; a test of each holds its own list against this one.
 var Failures = []string{
 	"node killed", "node frozen", "node stopped as planned", "all nodes restarted in turn",
-	"flows killed together", "core killed", "half of all killed", "zone killed",
+	"gateways killed together", "core killed", "half of all killed", "zone killed",
 	"disk lost", "sync failed", "disk slow", "control machine swapped", "disk lost at the last moment",
 	"node cut off", "link cut", "core cut apart", "zone cut off", "halves", "messages lost",
 	"target crashed", "target misbehaved", "target left", "address passed on", "release", "target removed", "target lost for good",
--- a/tools/stand/judge.go
+++ b/tools/stand/judge.go
@@ -7,10 +7,10 @@
 	"walkrudder/internal/queries"
 )
 
-// Judge checks the records, and the picture as every mind reads it.
+// Judge checks the records, and the picture as every controller reads it.
 func (t *Town) Judge(ctx context.Context) Verdict {
 	v := t.Rec.Check()
-	for _, door := range t.Fleet.Doors("mind") {
+	for _, door := range t.Fleet.Doors("controller") {
 		var p queries.Picture
 		if err := SayTo(ctx, door, "show picture", &p); err != nil {
 			v.broke("picture at %s not read: %v", t.Fleet.Name(door), err)
--- a/tools/stand/node.go
+++ b/tools/stand/node.go
@@ -43,18 +43,18 @@
 
 // Plan is the shape of a deployment.
 type Plan struct {
-	Name    string
-	Zones   int
-	Disks   int // one in each zone first
-	Minds   int // with the disks
-	Flows   int
-	Targets map[string]int // by service
-	Kinds   []Kind
+	Name        string
+	Zones       int
+	Disks       int // one in each zone first
+	Controllers int // with the disks
+	Gateways    int
+	Targets     map[string]int // by service
+	Kinds       []Kind
 }
 
 // Alcazar and Grachtwerk are the deployments of today.
 func Alcazar() Plan {
-	return Plan{Name: "alcazar", Zones: 3, Disks: 3, Minds: 5, Flows: 8, Targets: map[string]int{"orders": 14, "records": 16},
+	return Plan{Name: "alcazar", Zones: 3, Disks: 3, Controllers: 5, Gateways: 8, Targets: map[string]int{"orders": 14, "records": 16},
 		Kinds: []Kind{
 			{Method: "POST", Path: "/orders", Service: "orders", Rate: 50, Post: 300},
 			{Method: "GET", Path: "/status", Service: "orders", Repeatable: true, Rate: 80},
@@ -65,7 +65,7 @@
 
 // Grachtwerk is the other one.
 func Grachtwerk() Plan {
-	return Plan{Name: "grachtwerk", Zones: 4, Disks: 4, Minds: 6, Flows: 8, Targets: map[string]int{"ledgers": 20, "files": 20},
+	return Plan{Name: "grachtwerk", Zones: 4, Disks: 4, Controllers: 6, Gateways: 8, Targets: map[string]int{"ledgers": 20, "files": 20},
 		Kinds: []Kind{
 			{Method: "POST", Path: "/payments", Service: "ledgers", Rate: 55, Post: 300},
 			{Method: "POST", Path: "/terminations", Service: "ledgers", Rate: 20, Post: 300},
@@ -78,7 +78,7 @@
 // Times is the deployment with n times the nodes, targets and calls; the disks stay.
 func (p Plan) Times(n int) Plan {
 	out := p
-	out.Minds, out.Flows = p.Minds*n, p.Flows*n
+	out.Controllers, out.Gateways = p.Controllers*n, p.Gateways*n
 	out.Targets, out.Kinds = map[string]int{}, nil
 	for s, k := range p.Targets {
 		out.Targets[s] = k * n
@@ -114,13 +114,13 @@
 // differ. With wires, nodes reach each other through them.
 func NewFleet(p Plan, dir, bin string, net byte, wires *Wires) (*Fleet, error) {
 	f := &Fleet{Dir: dir, Bin: bin, Core: min(3, p.Disks)}
-	for i := range p.Minds + p.Flows {
+	for i := range p.Controllers + p.Gateways {
 		n := &Node{fleet: f}
-		if i < p.Minds {
-			n.ID, n.Kind, n.Zone, n.Disk = fmt.Sprintf("m%d", i+1), "mind", fmt.Sprintf("z%d", i%p.Zones+1), i < p.Disks
+		if i < p.Controllers {
+			n.ID, n.Kind, n.Zone, n.Disk = fmt.Sprintf("m%d", i+1), "controller", fmt.Sprintf("z%d", i%p.Zones+1), i < p.Disks
 		} else {
-			k := i - p.Minds
-			n.ID, n.Kind, n.Zone = fmt.Sprintf("f%d", k+1), "flow", fmt.Sprintf("z%d", k%p.Zones+1)
+			k := i - p.Controllers
+			n.ID, n.Kind, n.Zone = fmt.Sprintf("f%d", k+1), "gateway", fmt.Sprintf("z%d", k%p.Zones+1)
 		}
 		ip := fmt.Sprintf("127.%d.1.%d", net, i+1)
 		var err error
@@ -217,7 +217,7 @@
 	for _, s := range n.fleet.Seeds {
 		args = append(args, "--seed", s)
 	}
-	if n.Kind == "mind" {
+	if n.Kind == "controller" {
 		args = append(args, "--core", fmt.Sprint(n.fleet.Core))
 		if n.Disk {
 			if err := os.MkdirAll(n.Data(), 0o755); err != nil {
@@ -310,7 +310,7 @@
 }
 
 // Term warns the process as the platform does, and kills it after six seconds.
-// It tells whether the process ended by itself. What a flow's stop cut off is for
+// It tells whether the process ended by itself. What a gateway's stop cut off is for
 // the checker to find.
 func (n *Node) Term() bool {
 	n.mu.Lock()
@@ -320,8 +320,8 @@
 		return true
 	}
 	from := time.Now()
-	if n.Kind == "flow" {
-		defer func() { n.fleet.Rec.Stop(Stop{Flow: n.ID, From: from, End: time.Now()}) }()
+	if n.Kind == "gateway" {
+		defer func() { n.fleet.Rec.Stop(Stop{Gateway: n.ID, From: from, End: time.Now()}) }()
 	}
 	_ = c.Process.Signal(syscall.SIGTERM)
 	select {
--- a/tools/stand/picture.go
+++ b/tools/stand/picture.go
@@ -41,7 +41,7 @@
 func (r *Records) Picture(p queries.Picture) (bad []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	miss := func(format string, args ...any) { bad = append(bad, p.Mind+": "+fmt.Sprintf(format, args...)) }
+	miss := func(format string, args ...any) { bad = append(bad, p.Controller+": "+fmt.Sprintf(format, args...)) }
 	have := said(p)
 	for k := range r.shown {
 		if !have[k] {
--- a/tools/stand/records.go
+++ b/tools/stand/records.go
@@ -30,9 +30,9 @@
 	Service string
 	Inc     uint64
 	Order   string
-	Number  string // of the sending, as the flow named it
+	Number  string // of the sending, as the gateway named it
 	Path    string
-	Meant   string // target run the flow meant
+	Meant   string // target run the gateway meant
 	Digest  string // of the body that the target wrote as its answer
 }
 
@@ -45,7 +45,7 @@
 	Repeatable bool
 	Proper     bool
 	Sent, Done time.Time
-	Flow       string
+	Gateway    string
 	Status     int
 	Code       string // of our own verdicts
 	Why        string
@@ -59,7 +59,7 @@
 }
 
 // Asked is an operator's order as he noted it. The operator sends it again, to any
-// mind, until he has a final result.
+// controller, until he has a final result.
 type Asked struct {
 	Token string
 	Edits []spec.Edit
@@ -82,10 +82,10 @@
 	Acked  time.Time
 }
 
-// Stop is a planned stop of a flow, from the warning to the end of its process,
+// Stop is a planned stop of a gateway, from the warning to the end of its process,
 // which no other failure hit.
 type Stop struct {
-	Flow      string
+	Gateway   string
 	From, End time.Time
 }
 
--- a/tools/stand/target.go
+++ b/tools/stand/target.go
@@ -42,16 +42,16 @@
 
 // Target is a stand-in target: one listener, one identity at a time.
 type Target struct {
-	ID       string
-	Service  string
-	Zone     string
-	Addr     string
-	Face     string // the address it announces, where that is a relay's
-	Capacity int
-	Every    time.Duration
-	Work     time.Duration // mean time of a run
-	Minds    func() []string
-	Rec      *Records
+	ID          string
+	Service     string
+	Zone        string
+	Addr        string
+	Face        string // the address it announces, where that is a relay's
+	Capacity    int
+	Every       time.Duration
+	Work        time.Duration // mean time of a run
+	Controllers func() []string
+	Rec         *Records
 
 	mode    atomic.Int32
 	share   atomic.Int64 // of requests that Mode applies to, in percent
@@ -112,7 +112,7 @@
 	}
 }
 
-// Leave announces leaving until a mind acknowledges it, then tells when.
+// Leave announces leaving until a controller acknowledges it, then tells when.
 func (t *Target) Leave(ctx context.Context) (time.Time, error) {
 	t.leaving.Store(true)
 	asked := time.Now()
@@ -147,12 +147,12 @@
 var beater = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
 
 func (t *Target) beat(ctx context.Context) (a face.BeatAnswer, err error) {
-	ms := t.Minds()
+	ms := t.Controllers()
 	b, _ := json.Marshal(face.Beat{ID: t.ID, Service: t.Service, Zone: t.Zone, Addr: cmp.Or(t.Face, t.Addr), Capacity: t.Capacity, Leaving: t.leaving.Load(),
 		Seq: t.seq.Add(1), Inc: t.Inc(), EveryMS: int(t.Every.Milliseconds())})
-	err = errors.New("no mind")
+	err = errors.New("no controller")
 	for _, i := range rand.Perm(len(ms)) {
-		// A mind that does not answer is left soon, but for a leaving, which waits for flows.
+		// A controller that does not answer is left soon, but for a leaving, which waits for gateways.
 		cx, end := context.WithTimeout(ctx, lo.Ternary(t.leaving.Load(), 5*time.Second, 800*time.Millisecond))
 		defer end()
 		var q *http.Request
--- a/tools/stand/town.go
+++ b/tools/stand/town.go
@@ -47,7 +47,7 @@
 	for _, n := range f.Nodes {
 		n.struck = Struck{Rec: t.Rec, Node: n.ID}
 	}
-	t.Platform = &Platform{Doors: func() []string { return f.Doors("flow") }, Name: f.Name}
+	t.Platform = &Platform{Doors: func() []string { return f.Doors("gateway") }, Name: f.Name}
 	t.Callers = &Callers{Kinds: p.Kinds, Platform: t.Platform, Rec: t.Rec, Run: fmt.Sprintf("%d", time.Now().UnixNano()%1e9)}
 	i := 0
 	names := lo.Keys(p.Targets)
@@ -57,7 +57,7 @@
 			x := &Target{ID: fmt.Sprintf("%s-%d", svc, k+1), Service: svc, Zone: fmt.Sprintf("z%d", k%p.Zones+1),
 				Addr: fmt.Sprintf("127.%d.2.%d:0", net, i), Capacity: 8, Every: time.Second, Work: 8 * time.Millisecond,
 				Rec: t.Rec}
-			x.Minds = func() []string { return t.minds(x.ID) }
+			x.Controllers = func() []string { return t.controllers(x.ID) }
 			if wired {
 				if x.Face, err = t.Wires.Lay(fmt.Sprintf("127.%d.4.%d:0", net, i), x.ID, func() string { return x.Addr }); err != nil {
 					return nil, err
@@ -69,9 +69,9 @@
 	return t, nil
 }
 
-// minds lists the doors of the minds that a target reaches.
-func (t *Town) minds(target string) (out []string) {
-	for _, n := range t.Fleet.Of("mind") {
+// controllers lists the doors of the controllers that a target reaches.
+func (t *Town) controllers(target string) (out []string) {
+	for _, n := range t.Fleet.Of("controller") {
 		if t.Wires == nil || !t.Wires.IsCut(target, n.ID) && !t.Wires.IsCut(n.ID, target) {
 			out = append(out, n.Door)
 		}
@@ -104,7 +104,7 @@
 }
 
 // Raise starts fleet and targets, puts the sheet in force and waits until every
-// flow is ready and knows its targets.
+// gateway is ready and knows its targets.
 func (t *Town) Raise(ctx context.Context) error {
 	if err := t.Fleet.Start(); err != nil {
 		return err
@@ -123,19 +123,19 @@
 		t.Platform.Ask()
 		t.Platform.mu.Lock()
 		defer t.Platform.mu.Unlock()
-		return len(t.Platform.ready) == t.Plan.Flows
+		return len(t.Platform.ready) == t.Plan.Gateways
 	}); err != nil {
-		return fmt.Errorf("flows not ready: %w", err)
+		return fmt.Errorf("gateways not ready: %w", err)
 	}
 	return nil
 }
 
 var operator = &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// Order sends an order to some mind.
+// Order sends an order to some controller.
 func (t *Town) Order(ctx context.Context, o commands.Order) (r commands.Result, err error) {
-	ms := t.Fleet.Doors("mind")
-	err = errors.New("no mind")
+	ms := t.Fleet.Doors("controller")
+	err = errors.New("no controller")
 	for _, i := range rand.Perm(len(ms)) {
 		if r, err = SendOrder(ctx, ms[i], o); err == nil {
 			return r, nil
@@ -144,7 +144,7 @@
 	return r, err
 }
 
-// SendOrder sends an order to one mind.
+// SendOrder sends an order to one controller.
 func SendOrder(ctx context.Context, door string, o commands.Order) (r commands.Result, err error) {
 	b, err := json.Marshal(o)
 	if err != nil {
@@ -169,7 +169,7 @@
 	return r, nil
 }
 
-// Insist sends an order to any mind until it has a final result, and notes it.
+// Insist sends an order to any controller until it has a final result, and notes it.
 func (t *Town) Insist(ctx context.Context, a Asked) (commands.Result, error) {
 	a.At = time.Now()
 	var err error
@@ -198,10 +198,10 @@
 	return spec.Binding{Name: k.Path[1:], Service: service, Methods: []string{k.Method}, Path: k.Path, ExpiryMS: 3000, Repeatable: k.Repeatable}
 }
 
-// Say says something to some mind and reads the answer's data into out.
+// Say says something to some controller and reads the answer's data into out.
 func (t *Town) Say(ctx context.Context, text string, out any) error {
-	ds := t.Fleet.Doors("mind")
-	err := errors.New("no mind")
+	ds := t.Fleet.Doors("controller")
+	err := errors.New("no controller")
 	for _, i := range rand.Perm(len(ds)) {
 		if err = SayTo(ctx, ds[i], text, out); err == nil {
 			return nil
@@ -210,7 +210,7 @@
 	return err
 }
 
-// SayTo says something to one mind.
+// SayTo says something to one controller.
 func SayTo(ctx context.Context, door, text string, out any) error {
 	q, err := http.NewRequestWithContext(ctx, "POST", "http://"+door+"/v1/say", strings.NewReader(text))
 	if err != nil {
