A join that breaks off goes on where it stood

Change: what came is kept for the epoch, with how far each sealed voter was heard out; a later try asks for the rest. TestAJoinGoesOnWhereItBrokeOff: 8 MB from each of two voters, broken off after every second page.

--- a/internal/quorum/voter.go
+++ b/internal/quorum/voter.go
@@ -72,6 +72,9 @@
 	after    []int
 	dead     error
 
+	joining chan struct{} // holds a token while a join is under way
+	pulled  *transfer     // of a join that is under way or broke off; guarded by joining
+
 	mu   sync.RWMutex
 	view Core // copies of core and form, for others
 	cons form
@@ -90,7 +93,7 @@
 // disk is empty; onBad is told once when the disk fails.
 func NewVoter(me Seat, d storage.Disk, fresh string, l link.Line, fs *fault.Set, onBad func(error)) (*Voter, error) {
 	v := &Voter{me: me, disk: d, faults: fs, line: l, onBad: onBad,
-		cmds: make(chan *cmd, 4*maxBatch), items: map[string]Item{}, floor: map[string]string{}, merged: map[item.Key]item.Item{}, records: map[item.Key]record{}}
+		cmds: make(chan *cmd, 4*maxBatch), joining: make(chan struct{}, 1), items: map[string]Item{}, floor: map[string]string{}, merged: map[item.Key]item.Item{}, records: map[item.Key]record{}}
 	m, err := d.Load()
 	if err != nil {
 		return nil, steperr.At("load voter", "", err)
--- a/internal/quorum/voterdecision.go
+++ b/internal/quorum/voterdecision.go
@@ -256,27 +256,6 @@
 	})
 }
 
-// pullRecords fetches all item registers of a sealed voter.
-func (v *Voter) pullRecords(ctx context.Context, s Seat, epoch uint64, into map[item.Key]record) error {
-	a := RecordsAsk{Mark: Mark{Epoch: epoch}}
-	for {
-		t, err := link.Ask[RecordsTold](ctx, v.line, s.Addr, a)
-		if err != nil {
-			return steperr.At("pull", s.ID, err)
-		}
-		if !t.OK || t.Disk != s.Disk {
-			return steperr.New("pull", s.ID, "not sealed for epoch %d", epoch)
-		}
-		for _, k := range t.Records {
-			into[k.Key] = into[k.Key].join(record{k.Promised, k.Accepted, k.Decision})
-			a.After = k.Key
-		}
-		if !t.More {
-			return nil
-		}
-	}
-}
-
 // keysAfter are the keys past after, in order.
 func keysAfter(keys func(func(item.Key) bool), after item.Key) []item.Key {
 	out := make([]item.Key, 0, 64)
--- a/internal/quorum/voterjoin.go
+++ b/internal/quorum/voterjoin.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"walkrudder/internal/fault"
-	"walkrudder/internal/item"
 	"walkrudder/internal/link"
 	"walkrudder/internal/steperr"
 	"walkrudder/internal/storage"
@@ -42,17 +41,15 @@
 	if c := v.Core(); c.Epoch >= a.Next.Epoch && v.seated(c) {
 		return JoinTold{OK: c.Epoch == a.Next.Epoch}, nil
 	}
-	all, merged, records := map[string]Item{}, map[item.Key]item.Item{}, map[item.Key]record{}
-	for _, s := range a.From {
-		if err := v.pull(ctx, s, a.Next.Epoch, all); err != nil {
-			return r, err
-		}
-		if err := v.pullRecords(ctx, s, a.Next.Epoch, records); err != nil {
-			return r, err
-		}
-		if err := v.pullMerged(ctx, s, a.Next.Epoch, merged); err != nil {
-			return r, err
-		}
+	select {
+	case v.joining <- struct{}{}:
+		defer func() { <-v.joining }()
+	case <-ctx.Done():
+		return r, steperr.At("join", v.me.ID, ctx.Err())
+	}
+	got, err := v.transfer(ctx, a)
+	if err != nil {
+		return r, err
 	}
 	v.faults.At(fault.AfterPull)
 	return get(ctx, v, func() (r JoinTold) {
@@ -60,47 +57,20 @@
 			r.OK = v.core.Epoch == a.Next.Epoch
 			return r
 		}
-		for k, it := range all {
+		for k, it := range got.items {
 			if old, ok := v.items[k]; ok && old.Accepted.Compare(it.Accepted) > 0 {
 				continue
 			}
 			v.set(k, it)
 		}
-		for k, held := range records {
+		for k, held := range got.records {
 			v.setRecord(k, v.records[k].join(held))
 		}
-		for _, it := range merged {
+		for _, it := range got.merged {
 			v.take(it)
 		}
 		v.setCore(a.Next)
-		r.OK, r.Items = true, len(all)+len(merged)
+		r.OK, r.Items = true, len(got.items)+len(got.merged)
 		return r
 	})
 }
-
-func (v *Voter) pull(ctx context.Context, s Seat, epoch uint64, into map[string]Item) error {
-	after := ""
-	for {
-		t, err := link.Ask[ListTold](ctx, v.line, s.Addr, ListAsk{Mark: Mark{Epoch: epoch}, After: after, All: true})
-		if err != nil {
-			return steperr.At("pull", s.ID, err)
-		}
-		if !t.OK || t.Disk != s.Disk {
-			return steperr.New("pull", s.ID, "not sealed for epoch %d", epoch)
-		}
-		for _, e := range t.Entries {
-			o := into[e.Key]
-			if e.Item.Accepted.Compare(o.Accepted) > 0 {
-				o.Accepted, o.Value = e.Item.Accepted, e.Item.Value
-			}
-			if e.Item.Promised.Compare(o.Promised) > 0 {
-				o.Promised = e.Item.Promised
-			}
-			into[e.Key] = o
-			after = e.Key
-		}
-		if !t.More {
-			return nil
-		}
-	}
-}
--- a/internal/quorum/votermerge.go
+++ b/internal/quorum/votermerge.go
@@ -159,32 +159,6 @@
 	})
 }
 
-// pullMerged fetches all merge items of a sealed voter; the newest copies stay.
-func (v *Voter) pullMerged(ctx context.Context, s Seat, epoch uint64, into map[item.Key]item.Item) error {
-	a := MergedAsk{Mark: Mark{Epoch: epoch}}
-	for {
-		t, err := link.Ask[MergedTold](ctx, v.line, s.Addr, a)
-		if err != nil {
-			return steperr.At("pull", s.ID, err)
-		}
-		if !t.OK || t.Disk != s.Disk {
-			return steperr.New("pull", s.ID, "not sealed for epoch %d", epoch)
-		}
-		for _, it := range t.Items {
-			if err := checkMerge(it); err != nil {
-				return steperr.At("pull", s.ID, err)
-			}
-			if old, ok := into[it.Key]; !ok || newer(it, old) {
-				into[it.Key] = it
-			}
-			a.After = it.Key
-		}
-		if !t.More {
-			return nil
-		}
-	}
-}
-
 // Forget takes merge items off this disk. It is for kinds whose copies lose their worth
 // with time; a register's item must not go.
 func (v *Voter) Forget(ctx context.Context, keys []item.Key) error {
--- /dev/null
+++ b/internal/quorum/votertransfer_test.go
@@ -0,0 +1,81 @@
+package quorum
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"walkrudder/internal/item"
+)
+
+// A join that breaks off again and again goes on where it stood: each page crosses once.
+func TestAJoinGoesOnWhereItBrokeOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		c := newCity(ctx, t)
+		for i := range 4 {
+			c.boot(fmt.Sprint("n", i), "z", nil)
+		}
+		core := c.found("n0", "n1", "n2")
+		p := c.node("n0").p
+		var all []item.Item
+		for i := range 40 {
+			all = append(all, thing(fmt.Sprintf("k%02d", i), 1, string(bytes.Repeat([]byte{byte('a' + i%26)}, 200<<10))))
+		}
+		for _, it := range all {
+			stands, err := p.Decide(ctx, []item.Item{it})
+			if err == nil {
+				err = p.Merge(ctx, stands)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		next := Core{Epoch: 2, Seats: append(append([]Seat(nil), core.Seats[:2]...), c.node("n3").seat), Before: core.Seats}
+		for _, id := range []string{"n0", "n1"} {
+			if _, err := (port{c, "t"}).Call(ctx, id, SealAsk{Next: next}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		pages, left := 0, 0
+		c.set(func() {
+			c.drop = func(from, _ string, ask any) bool {
+				switch ask.(type) {
+				case ListAsk, RecordsAsk, MergedAsk:
+					if from != "n3" {
+						return false
+					}
+					if left--; left < 0 {
+						return true
+					}
+					pages++
+				}
+				return false
+			}
+		})
+		joined, tries := false, 0
+		for ; !joined && tries < 40; tries++ {
+			c.set(func() { left = 2 })
+			cx, stop := context.WithTimeout(ctx, joinTime)
+			r, err := (port{c, "t"}).Call(cx, "n3", JoinAsk{Next: next, From: core.Seats[:2]})
+			stop()
+			joined = err == nil && r.(JoinTold).OK
+		}
+		if !joined || tries < 4 {
+			t.Fatalf("joined %v after %d tries", joined, tries)
+		}
+		t.Logf("%d pages in %d tries", pages, tries)
+		// Two voters with 8 MB in merge items, the bodies of whose registers are told besides.
+		if pages > 24 {
+			t.Errorf("%d pages", pages)
+		}
+		for _, it := range all {
+			if h := c.node("n3").holds(it.Key); !h.Same(it) {
+				t.Errorf("%v is missing", it.Key)
+			}
+		}
+	})
+}
