A decided core whose disks are lost gives way to another; the known red test is green

Cause: a swap that is decided in the register of its epoch stayed decided. Where its new disk was lost before it was carried out, and a seat's disk with it, its core had no majority and no other could be decided, so no seat was filled any more (TestASwapForALostDiskIsGivenUp, known red until now).

Change: the register decides anew, under the next epoch number, when fewer than a majority of the decided core's seats are heard. A core names the epoch that decided it, and carries the ballot by which it was chosen; a voter refuses to be sealed for a core if it accepted another successor by a later ballot. Reads and changes of that register keep to one core, so that no value of another epoch's register counts.

Ruled out: the same epoch number for both (a seat sealed for the first would vote in the second without its items); refusing by promise in place of accept (a second carrier of the same core would stop the first).

TestASealOfAGivenUpCoreIsRefused.

--- a/internal/membership/court.go
+++ b/internal/membership/court.go
@@ -135,7 +135,7 @@
 	if co.Epoch != c.epoch {
 		// Without a seat in the epoch just before, earlier grants of this seat's
 		// former holder are unknown here.
-		if !c.seated || co.Epoch != c.epoch+1 {
+		if !c.seated || !co.Succeeds(c.epoch) {
 			now := c.clock.Now()
 			c.shown, c.given = now.Add(Lease), now.Add(DutyLease)
 		}
--- a/internal/quorum/handover.go
+++ b/internal/quorum/handover.go
@@ -23,6 +23,13 @@
 	return c, err
 }
 
+// chosenCore reads a core from its register, with the ballot by which it is chosen.
+func chosenCore(held Item) (Core, error) {
+	c, err := decodeCore(held.Value)
+	c.Decided = held.Accepted
+	return c, err
+}
+
 // carry brings next about: it seals the voters before, then has the seats join that
 // do not vote yet. Every step may be done again, by anybody. It is content once a
 // majority votes: they can be sealed for the swap after, so that a seat that never
@@ -31,8 +38,8 @@
 	if next.Epoch > v.core.Epoch {
 		// A decision may be old. Sealing for a core whose majority is not there would
 		// end the one that works.
-		if n := lo.CountBy(next.Seats, func(s Seat) bool { return v.heard(s, w.missing()) }); n < next.Quorum() {
-			return steperr.New("swap", "", "%d of the seats of epoch %d heard, need %d", n, next.Epoch, next.Quorum())
+		if err := w.reachable(v, next); err != nil {
+			return err
 		}
 	}
 	at := w.roll(ctx, v, next)
--- a/internal/quorum/proposer.go
+++ b/internal/quorum/proposer.go
@@ -66,32 +66,55 @@
 	return Ballot{N: n, By: p.By}
 }
 
+// ErrSuperseded says that a newer core is known than the one that was to be asked.
+var ErrSuperseded = errors.New("a newer core is known")
+
 // Change applies f to the item's chosen value and returns the value that is then
 // chosen. f sees nil for an item never written; when it returns an error nothing
 // is written and Change hands the error on with the value that f saw. f may run
 // more than once.
 func (p *Proposer) Change(ctx context.Context, key string, f func([]byte) ([]byte, error)) ([]byte, error) {
+	it, err := p.change(ctx, key, f, func() (Core, error) { return p.Core(), nil })
+	return it.Value, err
+}
+
+// ChangeIn is Change in the register of one core only; it returns the ballot, too, by which
+// the value is chosen.
+func (p *Proposer) ChangeIn(ctx context.Context, core Core, key string, f func([]byte) ([]byte, error)) (Item, error) {
+	return p.change(ctx, key, f, func() (Core, error) {
+		if p.Core().Epoch != core.Epoch {
+			return Core{}, steperr.At("change "+key, "", ErrSuperseded)
+		}
+		return core, nil
+	})
+}
+
+// change tries one ballot after the other, each at the core that of then names.
+func (p *Proposer) change(ctx context.Context, key string, f func([]byte) ([]byte, error), of func() (Core, error)) (Item, error) {
 	var over uint64
 	for try := 0; ; try++ {
-		v, again, err := p.attempt(ctx, key, &over, f)
+		core, err := of()
+		if err != nil {
+			return Item{}, err
+		}
+		it, again, err := p.attempt(ctx, core, key, &over, f)
 		if !again {
-			return v, err
+			return it, err
 		}
 		if ctx.Err() != nil {
-			return nil, steperr.At("change "+key, "", errors.Join(ErrNoQuorum, ctx.Err()))
+			return Item{}, steperr.At("change "+key, "", errors.Join(ErrNoQuorum, ctx.Err()))
 		}
 		w := time.Duration(1+rand.IntN(4<<min(try, 5))) * time.Millisecond
 		if p.Clock.Sleep(ctx, w) != nil {
-			return nil, steperr.At("change "+key, "", errors.Join(ErrNoQuorum, ctx.Err()))
+			return Item{}, steperr.At("change "+key, "", errors.Join(ErrNoQuorum, ctx.Err()))
 		}
 	}
 }
 
 // attempt is one ballot: promises from a majority, then accepts from a majority.
-func (p *Proposer) attempt(ctx context.Context, key string, over *uint64, f func([]byte) ([]byte, error)) (val []byte, again bool, err error) {
-	core := p.Core()
+func (p *Proposer) attempt(ctx context.Context, core Core, key string, over *uint64, f func([]byte) ([]byte, error)) (it Item, again bool, err error) {
 	if core.Epoch == 0 {
-		return nil, true, ErrNoCore
+		return Item{}, true, ErrNoCore
 	}
 	b := p.next(key, *over)
 	m := Mark{Epoch: core.Epoch}
@@ -120,19 +143,20 @@
 		}
 	}
 	if n < core.Quorum() {
-		return nil, true, ErrNoQuorum
+		return Item{}, true, ErrNoQuorum
 	}
-	val, err = f(best.Value)
+	val, err := f(best.Value)
 	if err != nil {
 		// The value seen may be one that no majority holds yet: finish it before
 		// anybody is told of it.
 		if best.Accepted.Zero() {
-			return nil, false, err
+			return Item{}, false, err
 		}
-		if _, again, _ := p.finish(ctx, core, key, b, best.Value); again {
-			return nil, true, nil
+		it, again, _ := p.finish(ctx, core, key, b, best.Value)
+		if again {
+			return Item{}, true, nil
 		}
-		return best.Value, false, err
+		return it, false, err
 	}
 	return p.finish(ctx, core, key, b, val)
 }
@@ -140,7 +164,7 @@
 // finish has a value accepted. All seats are asked, also those whose promise was
 // not waited for: one that has promised nothing higher may accept, and its copy is
 // then as new as the others'.
-func (p *Proposer) finish(ctx context.Context, core Core, key string, b Ballot, val []byte) ([]byte, bool, error) {
+func (p *Proposer) finish(ctx context.Context, core Core, key string, b Ballot, val []byte) (Item, bool, error) {
 	acc := gather(ctx, p, core.Seats, func(s Seat) any { return AcceptAsk{Mark{core.Epoch, s.Disk}, key, b, val} },
 		func(r AcceptTold) Told { return r.Told },
 		func(h []heard[AcceptTold]) bool {
@@ -159,18 +183,27 @@
 		}
 	}
 	if n < core.Quorum() {
-		return nil, true, ErrNoQuorum
+		return Item{}, true, ErrNoQuorum
 	}
-	return val, false, nil
+	return Item{Promised: b, Accepted: b, Value: val}, false, nil
 }
 
 // Read tells the item's chosen value: at once when a majority holds the same
 // accepted ballot, else by a ballot of its own, which mends the old copies
 // (design 4.3).
 func (p *Proposer) Read(ctx context.Context, key string) ([]byte, error) {
-	core := p.Core()
+	it, err := p.ReadIn(ctx, p.Core(), key)
+	if errors.Is(err, ErrSuperseded) {
+		return p.Change(ctx, key, unchanged)
+	}
+	return it.Value, err
+}
+
+// ReadIn is Read in the register of one core only; it returns the ballot, too, by which the value
+// is chosen.
+func (p *Proposer) ReadIn(ctx context.Context, core Core, key string) (Item, error) {
 	if core.Epoch == 0 {
-		return nil, ErrNoCore
+		return Item{}, ErrNoCore
 	}
 	got := gather(ctx, p, core.Seats, func(Seat) any { return ReadAsk{Mark{Epoch: core.Epoch}, key} },
 		func(r ReadTold) Told { return r.Told }, atLeast[ReadTold](core.Quorum()))
@@ -181,15 +214,18 @@
 			same = same && h.R.Item.Accepted == it.Accepted
 		}
 		if same {
-			return it.Value, nil
+			return it, nil
 		}
 	}
-	return p.Change(ctx, key, func(v []byte) ([]byte, error) {
-		if v == nil {
-			return nil, errNothing
-		}
-		return v, nil
-	})
+	return p.ChangeIn(ctx, core, key, unchanged)
+}
+
+// unchanged keeps a value as it is.
+func unchanged(v []byte) ([]byte, error) {
+	if v == nil {
+		return nil, errNothing
+	}
+	return v, nil
 }
 
 // errNothing ends a read of an item that was never written.
--- a/internal/quorum/reconfigurer.go
+++ b/internal/quorum/reconfigurer.go
@@ -149,16 +149,16 @@
 	}
 	cx, end := context.WithTimeout(ctx, decideTime)
 	defer end()
-	raw, err := w.Prop.Read(cx, coreRegister)
+	held, err := w.Prop.ReadIn(cx, v.core, coreRegister)
 	if err != nil && !Nothing(err) {
 		return steperr.At("read core", "", err)
 	}
-	if len(raw) > 0 {
-		next, err := decodeCore(raw)
+	if len(held.Value) > 0 {
+		next, err := chosenCore(held)
 		if err != nil {
 			return steperr.At("read core", "", err)
 		}
-		if next.Epoch > v.core.Epoch {
+		if next.Succeeds(v.core.Epoch) {
 			return w.carry(ctx, v, next)
 		}
 	}
@@ -166,40 +166,25 @@
 	return nil
 }
 
-// swap decides the next core in a register of the old epoch and carries it out.
-// Whatever is decided already, by whom ever, stays decided and is carried out in
-// place of this swap.
+// swap decides the next core in a register of the old epoch and carries it out. What is
+// decided already, by whom ever, is carried out in place of this swap, if a majority of its seats
+// is there. Else it is given up for this swap: the register's later ballot has a majority refuse
+// to be sealed for it (design 4.4).
 func (w *Reconfigurer) swap(ctx context.Context, v view, out, in Seat) error {
-	next := Core{Epoch: v.core.Epoch + 1, Before: v.core.Seats}
+	next := Core{Epoch: v.core.Epoch + 1, After: v.core.Epoch, Before: v.core.Seats}
 	for _, s := range v.core.Seats {
 		if s == out {
 			s = in
 		}
 		next.Seats = append(next.Seats, s)
 	}
-	raw, err := json.Marshal(next)
-	if err != nil {
-		return steperr.At("decide swap", in.ID, err)
-	}
 	cx, end := context.WithTimeout(ctx, decideTime)
 	defer end()
-	got, err := w.Prop.Change(cx, coreRegister, func(old []byte) ([]byte, error) {
-		if len(old) == 0 {
-			return raw, nil
-		}
-		o, err := decodeCore(old)
-		if err != nil {
-			return nil, err
-		}
-		if o.Epoch > v.core.Epoch {
-			return old, nil
-		}
-		return raw, nil
-	})
+	held, err := w.Prop.ChangeIn(cx, v.core, coreRegister, func(old []byte) ([]byte, error) { return w.decideAfter(v, old, next) })
 	if err != nil {
 		return steperr.At("decide swap", in.ID, err)
 	}
-	if next, err = decodeCore(got); err != nil {
+	if next, err = chosenCore(held); err != nil {
 		return steperr.At("decide swap", in.ID, err)
 	}
 	if w.Log != nil {
@@ -207,3 +192,32 @@
 	}
 	return w.carry(ctx, v, next)
 }
+
+// decideAfter tells what the register is to hold after old.
+func (w *Reconfigurer) decideAfter(v view, old []byte, next Core) ([]byte, error) {
+	if len(old) > 0 {
+		decided, err := decodeCore(old)
+		if err != nil {
+			return nil, err
+		}
+		if decided.Succeeds(v.core.Epoch) {
+			if w.reachable(v, decided) == nil {
+				return old, nil
+			}
+			// A core of another epoch number: nobody takes one for the other.
+			next.Epoch = decided.Epoch + 1
+			if w.Log != nil {
+				w.Log.Warn("a decided core is given up", "step", "swap", "epoch", decided.Epoch, "for", next.Epoch)
+			}
+		}
+	}
+	return json.Marshal(next)
+}
+
+// reachable tells whether enough seats of a core were heard lately for it to take over.
+func (w *Reconfigurer) reachable(v view, next Core) error {
+	if n := lo.CountBy(next.Seats, func(s Seat) bool { return v.heard(s, w.missing()) }); n < next.Quorum() {
+		return steperr.New("swap", "", "%d of the seats of epoch %d heard, need %d", n, next.Epoch, next.Quorum())
+	}
+	return nil
+}
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -45,6 +45,19 @@
 	// Before are the seats of the epoch before, where that is known: a joiner may
 	// pull from those of them that are sealed.
 	Before []Seat `json:",omitempty"`
+	// After is the epoch whose seats decided this core, 0 for the one just before Epoch. It
+	// is earlier where a core that was decided for it was given up.
+	After uint64 `json:",omitempty"`
+	// Decided is a ballot by which this core was chosen, where that is known.
+	Decided Ballot `json:"-"`
+}
+
+// Succeeds tells whether this core was decided by the seats of epoch.
+func (c Core) Succeeds(epoch uint64) bool {
+	if c.After == 0 {
+		return epoch > 0 && c.Epoch == epoch+1
+	}
+	return c.After == epoch && c.Epoch > epoch
 }
 
 // Quorum is a majority of the seats.
--- a/internal/quorum/voterjoin.go
+++ b/internal/quorum/voterjoin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"walkrudder/internal/fault"
 	"walkrudder/internal/link"
@@ -15,13 +16,14 @@
 }
 
 // seal moves this voter to the next epoch: it accepts nothing more in the one
-// before (design 4.4).
+// before (design 4.4). It refuses a core that was given up: one other than it accepted
+// itself by a later ballot.
 func (v *Voter) seal(ctx context.Context, _ link.Who, a SealAsk) (r SealTold, err error) {
 	return get(ctx, v, func() (r SealTold) {
 		switch {
 		case v.core.Epoch == a.Next.Epoch:
 			r.OK = true
-		case v.core.Epoch > 0 && a.Next.Epoch == v.core.Epoch+1 && v.seated(v.core):
+		case v.core.Epoch > 0 && a.Next.Succeeds(v.core.Epoch) && v.seated(v.core) && !v.acceptedInsteadOf(a.Next):
 			v.setCore(a.Next)
 			r.OK = true
 		}
@@ -30,6 +32,19 @@
 	})
 }
 
+// acceptedInsteadOf tells whether this voter accepted another core after its own epoch, by a later
+// ballot than next was chosen by. A core of which that is true at a majority can never be
+// sealed at enough seats to take over. Values that are not of a Reconfigurer don't count: its like
+// on the product's older side never replaces what it decided.
+func (v *Voter) acceptedInsteadOf(next Core) bool {
+	held := v.items[coreRegister]
+	if held.Accepted.Compare(next.Decided) <= 0 {
+		return false
+	}
+	other, err := decodeCore(held.Value)
+	return err == nil && other.Succeeds(v.core.Epoch) && (other.Epoch != next.Epoch || !slices.Equal(other.Seats, next.Seats))
+}
+
 // join pulls every item from the former voters and only then votes in the next
 // core (design 4.4). A promise that this node gave on an earlier disk is not
 // among them, but no accept that relies on it can reach this seat: it carries
--- /dev/null
+++ b/internal/quorum/voterseal_test.go
@@ -0,0 +1,67 @@
+package quorum
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"walkrudder/internal/link"
+)
+
+// After a core was given up for another, no majority can be sealed for it any more, however late
+// its seals come; and before that, one that was sealed for it accepts no other.
+func TestASealOfAGivenUpCoreIsRefused(t *testing.T) {
+	in(t, func(ctx context.Context, t *testing.T) {
+		c := newCity(ctx, t)
+		for _, id := range []string{"a", "b", "c", "x", "y"} {
+			c.boot(id, "", nil)
+		}
+		core := c.found("a", "b", "c")
+		successor := func(epoch uint64, id string) Core {
+			return Core{Epoch: epoch, After: core.Epoch, Before: core.Seats, Seats: []Seat{core.Seats[0], core.Seats[1], c.node(id).seat}}
+		}
+		decide := func(next Core) Core {
+			t.Helper()
+			raw, err := json.Marshal(next)
+			if err != nil {
+				t.Fatal(err)
+			}
+			held, err := c.node("a").p.ChangeIn(ctx, core, coreRegister, func([]byte) ([]byte, error) { return raw, nil })
+			if err != nil {
+				t.Fatal(err)
+			}
+			chosen, err := chosenCore(held)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return chosen
+		}
+		sealed := func(id string, next Core) bool {
+			t.Helper()
+			r, err := link.Ask[SealTold](ctx, port{c, "x"}, c.node(id).seat.Addr, SealAsk{Next: next})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return r.OK
+		}
+		first := decide(successor(2, "x"))
+		second := decide(successor(3, "y"))
+		granted := 0
+		for _, id := range []string{"a", "b", "c"} {
+			if sealed(id, first) {
+				granted++
+			}
+		}
+		if granted >= core.Blocking() {
+			t.Errorf("%d seats sealed for a core that was given up", granted)
+		}
+		for _, id := range []string{"a", "b"} {
+			if !sealed(id, second) {
+				t.Errorf("%s is not sealed for the core that stands", id)
+			}
+		}
+		if _, err := c.node("b").p.ChangeIn(ctx, core, coreRegister, func(old []byte) ([]byte, error) { return old, nil }); err == nil {
+			t.Error("sealed seats decide on a successor of their old epoch")
+		}
+	})
+}
--- a/internal/sim/model/network.go
+++ b/internal/sim/model/network.go
@@ -52,6 +52,10 @@
 		tell(result{err: errLost})
 		return
 	}
+	if w.keepBack(lateMessage{from, to, actor, ask}) {
+		tell(result{err: errLost})
+		return
+	}
 	if w.Tamper != nil {
 		changed, answer, answered := w.Tamper(from, to, ask)
 		if answered {
@@ -85,3 +89,35 @@
 	defer w.mu.Unlock()
 	return w.cuts[[2]string{from, to}]
 }
+
+// lateMessage is a question that the network keeps back.
+type lateMessage struct {
+	from, to, actor string
+	ask             any
+}
+
+// keepBack tells whether a question is kept back, and keeps it.
+func (w *World) keepBack(m lateMessage) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.scenario.KeepBack == nil || w.ending || w.arrived || !w.scenario.KeepBack(m.from, m.to, m.ask) {
+		return false
+	}
+	w.kept = append(w.kept, m)
+	return true
+}
+
+// Arrive lets what was kept back arrive, as far as it is wanted; from then on nothing is kept back.
+func Arrive(name string, wanted func(to string, ask any) bool) Actor {
+	return Happen(name+" arrive", func(w *World) {
+		w.mu.Lock()
+		kept := w.kept
+		w.kept, w.arrived = nil, true
+		w.mu.Unlock()
+		for _, m := range kept {
+			if wanted(m.to, m.ask) {
+				go w.serve(m.from, m.to, m.actor, m.ask, func(result) {})
+			}
+		}
+	})
+}
--- a/internal/sim/model/planted_test.go
+++ b/internal/sim/model/planted_test.go
@@ -25,6 +25,35 @@
 	shows    string // a part of the invariant that it breaks
 }
 
+// givenUpBesideLateSeals decides on a core, gives it up for another one, and has the seals for
+// the first arrive when the second is about to take over. The core has four seats: two of them are
+// enough to be sealed, so two cores could take over side by side.
+func givenUpBesideLateSeals() Scenario {
+	const givenUp = 2 // epoch
+	sealsGivenUp := func(ask any) bool {
+		a, ok := ask.(quorum.SealAsk)
+		return ok && a.Next.Epoch == givenUp
+	}
+	return Scenario{Seats: 4, Spares: 2,
+		KeepBack: func(_, to string, ask any) bool {
+			switch a := ask.(type) {
+			case quorum.SealAsk:
+				return a.Next.Epoch == givenUp || a.Next.Epoch > givenUp && to == "n1"
+			case quorum.JoinAsk:
+				return to == "n1"
+			}
+			return false
+		},
+		Actors: []Actor{Script("swaps",
+			TurnCut("n4"), Reconfigure("n1"), TurnCut("n4"),
+			Split("n1", "n3", "n4", "n6"), Reconfigure("n1"), Split("n1", "n2", "n5"),
+			Arrive("seals of the core given up", func(to string, ask any) bool {
+				return sealsGivenUp(ask) && (to == "n1" || to == "n2")
+			}),
+			Reconfigure("n2"), Reconfigure("n3"),
+			Order("a", To(2, "a", "r"), "n2"), Order("b", To(2, "b", "r"), "n3"))}}
+}
+
 func plants() []planted {
 	ready := []target.Run{{ID: "i-1", Service: "s", Addr: "10.0.0.1:80", Zone: "z", Slots: 1, Seq: 5, State: target.Ready}}
 	race := []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Order("b", To(2, "b", "r"), "n2", "n3")}
@@ -70,6 +99,16 @@
 					return ask, nil, false
 				}
 			}, "vote without"},
+		{"a core that was given up is sealed for", givenUpBesideLateSeals(),
+			func(w *World) {
+				w.Tamper = func(_, _ string, ask any) (any, any, bool) {
+					if a, ok := ask.(quorum.SealAsk); ok {
+						a.Next.Decided.N += 1000
+						ask = a
+					}
+					return ask, nil, false
+				}
+			}, "confirmed"},
 		{"an emptied disk keeps its seat", Scenario{Seats: 3, Budget: Budget{Losses: 1, Wipes: 1}, Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2")}},
 			func(w *World) {
 				for _, n := range w.list {
--- a/internal/sim/model/world.go
+++ b/internal/sim/model/world.go
@@ -49,6 +49,9 @@
 	Actors []Actor
 	// Notes are what every node's journal of runs holds at each start.
 	Notes []target.Run
+	// KeepBack names the questions that the network keeps back, until an actor lets them arrive;
+	// their askers take them for lost.
+	KeepBack func(from, to string, ask any) bool
 	// Plant changes the world before it starts: a planted fault.
 	Plant func(w *World)
 }
@@ -73,15 +76,17 @@
 	// Tamper is a planted fault in the network.
 	Tamper Tamper
 
-	mu     sync.Mutex
-	now    time.Time
-	events []*event
-	fresh  []*event
-	lastID int
-	cuts   map[[2]string]bool
-	actors int // still at work
-	steps  []string
-	ending bool
+	mu      sync.Mutex
+	kept    []lateMessage
+	arrived bool // what was kept back
+	now     time.Time
+	events  []*event
+	fresh   []*event
+	lastID  int
+	cuts    map[[2]string]bool
+	actors  int // still at work
+	steps   []string
+	ending  bool
 }
 
 func (w *World) tolerated() int { return (w.scenario.Seats - 1) / 2 }
