The fuzz test of the exchange has callers' bodies, early answers and a node that stops

Change: calls send no body, a short one, one longer than a target reads at once, or chunks; targets may answer before they read the body, and read on later or close; the node may be told to stop at any call. Checked besides: no target reads another body than was sent, and no target is handed more time than its caller has. Three plain tests show that sound exchanges are served whole, early answers reach callers, and a stop does not end the play.

--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -1,8 +1,12 @@
 package proxy
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"hash/fnv"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -79,27 +83,72 @@
 	}},
 }
 
-// FuzzExchange plays callers on kept connections against targets that do whatever a script says.
-// Whatever they do: a success is the whole answer to the very request, bears a seal, and nothing
-// comes that nobody asked for; what may run once runs once at most, and not at all where the
-// caller is told so.
+// earliness is what a target may do with a request whose body it has not read yet; in each case it
+// reads on later, unless it closes.
+var earliness = []struct {
+	ran   bool
+	stays bool
+	say   func(c net.Conn, s *seen)
+}{
+	{false, true, func(c net.Conn, s *seen) { say(c, "503 Full", s.id, "X-Not-Run: 1\r\n", "") }},
+	{true, true, func(c net.Conn, s *seen) { say(c, "200 OK", s.id, "X-Seal: s\r\n", bodyOf(s.id)) }},
+	{true, true, func(c net.Conn, s *seen) { say(c, "500 Failed", s.id, "X-Seal: s\r\n", "failed") }},
+	{false, false, func(c net.Conn, s *seen) {
+		say(c, "503 Full", s.id, "X-Not-Run: 1\r\nConnection: close\r\n", "")
+	}},
+	{true, false, func(c net.Conn, s *seen) { say(c, "200 OK", s.id, "X-Seal: s\r\nConnection: close\r\n", bodyOf(s.id)) }},
+}
+
+// bodySent is the one body that a request is sent with; none, short, or longer than what a
+// target's parser reads at once.
+func bodySent(id string, size int) string {
+	if size == 0 {
+		return ""
+	}
+	piece := "sent by " + id + ";"
+	return strings.Repeat(piece, size/len(piece)+1)
+}
+
+// sendsOf are the bodies of the calls: the size, and whether it goes in chunks.
+var sendsOf = []struct {
+	size    int
+	chunked bool
+}{{0, false}, {40, false}, {9000, false}, {300, true}}
+
+// script is one play of the exchange.
+type script struct {
+	hostilities []byte // of the answers, in turn
+	calls       []byte // kind, connection and body of each call
+	early       byte   // how many of the requests with a body are answered before it is read, of 256
+	stopAt      byte   // the call at which the node is told to stop; beyond the last one it is not
+}
+
+// FuzzExchange plays callers on kept connections against targets that do whatever a script says,
+// while the node may be told to stop. Whatever they do: a success is the whole answer to the very
+// request, bears a seal, and nothing comes that nobody asked for; no target reads another body than
+// was sent; what may run once runs once at most, and not at all where the caller is told so.
 func FuzzExchange(f *testing.F) {
 	for i := range hostility {
-		f.Add([]byte{byte(i), 0, byte(i), 1}, []byte{0, 1, 2, 3, 4, 5})
+		f.Add([]byte{byte(i), 0, byte(i), 1}, []byte{0, 1, 2, 3, 4, 5, 21, 22, 12}, byte(0), byte(255))
+	}
+	for i := range earliness {
+		f.Add([]byte{byte(i), 0}, []byte{6, 7, 12, 13, 18, 19, 24, 6, 12}, byte(100+40*i), byte(255))
 	}
-	f.Add([]byte{13, 7, 6, 20, 10, 3}, []byte{0, 9, 3, 12, 6, 1, 15, 4})
-	f.Fuzz(func(t *testing.T, script, calls []byte) {
-		if len(script) == 0 || len(calls) > 24 {
+	f.Add([]byte{13, 7, 6, 20, 10, 3}, []byte{0, 9, 3, 12, 6, 1, 15, 4}, byte(120), byte(3))
+	f.Add([]byte{0, 14, 13}, []byte{6, 12, 18, 0, 3, 9, 12, 6}, byte(0), byte(2))
+	f.Fuzz(func(t *testing.T, hostilities, calls []byte, early, stopAt byte) {
+		if len(hostilities) == 0 || len(calls) > 24 {
 			return
 		}
-		synctest.Test(t, func(t *testing.T) { playExchange(t, script, calls) })
+		synctest.Test(t, func(t *testing.T) { playExchange(t, script{hostilities, calls, early, stopAt}) })
 	})
 }
 
-// The same exchange with sound targets is served whole: the fuzzing is not of refusals alone.
+// The same exchange with sound targets is served whole, bodies and all: the fuzzing is not of
+// refusals alone.
 func TestExchangeWithSoundTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		done := playExchange(t, []byte{0}, []byte{0, 1, 2, 3, 4, 5, 6, 7, 8})
+		done := playExchange(t, script{[]byte{0}, []byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 12, 13, 14, 18, 19, 20}, 0, 255})
 		for _, x := range done {
 			if x.status != 200 {
 				t.Errorf("%s: status %d", x.id, x.status)
@@ -108,41 +157,102 @@
 	})
 }
 
+// Targets that answer before they read the body do so in the exchange, too: some of their
+// refusals reach the callers, and what they answer well is served.
+func TestExchangeWithEarlyAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := make([]byte, 24)
+		for i := range calls {
+			calls[i] = byte(6 + 6*(i%3))
+		}
+		statuses := map[int]int{}
+		for _, x := range playExchange(t, script{[]byte{0}, calls, 255, 255}) {
+			statuses[x.status]++
+		}
+		if statuses[200] == 0 || statuses[500] == 0 {
+			t.Errorf("statuses: %v", statuses)
+		}
+	})
+}
+
+// A node that is told to stop answers what is inside, and what still comes is refused or finds
+// no connection.
+func TestExchangeWhileTheNodeStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		done := playExchange(t, script{[]byte{14, 0}, []byte{0, 1, 6, 7, 12, 13}, 0, 2})
+		if n := len(done); n < 3 {
+			t.Errorf("%d calls were made", n)
+		}
+	})
+}
+
 // asked is one call of a caller, with what became of it.
 type asked struct {
 	id     string
 	once   bool
-	status int // 0 is no whole answer
+	body   string
+	left   time.Duration // for which the caller waits
+	status int           // 0 is no whole answer
 }
 
-func playExchange(t *testing.T, script, calls []byte) (done []asked) {
+// exchangeLab starts targets that follow a script.
+func exchangeLab(t *testing.T, s script) *lab {
 	l := newLab(t, newPipes(), nil)
 	l.routes(2)
-	act := func(l *lab, c net.Conn, s *seen) bool {
-		h := hostility[int(script[(s.nth-1)%len(script)])%len(hostility)]
+	act := func(l *lab, c net.Conn, q *seen) bool {
+		h := hostility[int(s.hostilities[(q.nth-1)%len(s.hostilities)])%len(hostility)]
 		if h.ran {
-			l.run(s)
+			l.run(q)
+		}
+		return h.do(c, q)
+	}
+	early := func(l *lab, c net.Conn, q *seen) (answered, stays bool) {
+		drawn := fnv.New32a()
+		_, _ = drawn.Write([]byte(q.id))
+		n := drawn.Sum32()
+		if byte(n>>8) >= s.early {
+			return false, false
+		}
+		e := earliness[int(n)%len(earliness)]
+		if e.ran {
+			l.run(q)
 		}
-		return h.do(c, s)
+		go e.say(c, q)
+		time.Sleep(time.Duration(n%400) * time.Millisecond)
+		return true, e.stays
 	}
 	for _, id := range []string{"one", "two"} {
-		l.stand(id, nil, act)
+		l.stand(id, nil, act).early = early
 	}
+	return l
+}
+
+func playExchange(t *testing.T, s script) (done []asked) {
+	l := exchangeLab(t, s)
 	kinds := []string{"/once/", "/idem/", "/down/"}
 	clients := make([]*client, 2)
-	for i, b := range calls {
+	for i, b := range s.calls {
+		if i == int(s.stopAt) {
+			l.wg.Go(func() { _ = l.node.Stop(context.Background()) })
+		}
 		k := int(b/3) % len(clients)
 		if clients[k] == nil {
-			clients[k] = l.client()
+			c, err := l.net.dial(context.Background(), l.addr)
+			if err != nil {
+				break // it has stopped
+			}
+			clients[k] = &client{c, bufio.NewReader(c)}
 		}
-		c, x := clients[k], asked{id: fmt.Sprint("q", i), once: b%3 == 0}
-		left := time.Second + time.Duration(b)*10*time.Millisecond
-		_ = c.c.SetReadDeadline(time.Now().Add(left + 3*time.Second))
+		c, send := clients[k], sendsOf[int(b/6)%len(sendsOf)]
+		x := asked{id: fmt.Sprint("q", i), once: b%3 == 0}
+		x.body = bodySent(x.id, send.size)
+		x.left = time.Second + time.Duration(b)*10*time.Millisecond
+		_ = c.c.SetDeadline(time.Now().Add(x.left + 3*time.Second))
 		if b >= 200 {
 			// It gives up while it waits.
-			_ = c.c.SetReadDeadline(time.Now().Add(time.Duration(b) * time.Millisecond))
+			_ = c.c.SetDeadline(time.Now().Add(time.Duration(b) * time.Millisecond))
 		}
-		g, err := c.call("GET", kinds[b%3]+x.id, x.id, left)
+		g, err := c.exchange(kinds[b%3]+x.id, x, send.chunked)
 		if err == nil {
 			x.status = g.status
 			checkAnswer(t, x.id, g)
@@ -158,19 +268,51 @@
 			continue
 		}
 		// Nothing comes that nobody asked for.
-		_ = c.c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_ = c.c.SetDeadline(time.Now().Add(2 * time.Second))
 		if b, err := c.r.ReadByte(); err == nil {
 			t.Errorf("a byte %q that no request was waiting for", b)
 		}
 		_ = c.c.Close()
 	}
 	time.Sleep(6 * time.Second)
+	calls := map[string]asked{}
 	for _, x := range done {
+		calls[x.id] = x
 		checkRuns(t, l, x)
 	}
+	for _, q := range l.arrivals() {
+		checkArrival(t, calls, q)
+	}
 	return done
 }
 
+// exchange sends a call with its body, and reads the answer.
+func (c *client) exchange(path string, x asked, chunked bool) (got, error) {
+	more, body := "", x.body
+	if chunked {
+		more = "Transfer-Encoding: chunked\r\n"
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(x.body), x.body)
+	}
+	method := "GET"
+	if body != "" {
+		method = "POST"
+	}
+	sent := make(chan error, 1)
+	go func() { sent <- c.sendRaw(method, path, x.id, x.left, more, body, chunked) }()
+	g, err := c.read()
+	if err != nil {
+		return g, err
+	}
+	// An answer may come before the request is sent whole; the connection is of no use then.
+	select {
+	case err := <-sent:
+		return g, err
+	default:
+		g.close = true
+		return g, nil
+	}
+}
+
 // checkAnswer wants a success to be the request's own, whole and sealed.
 func checkAnswer(t *testing.T, id string, g got) {
 	t.Helper()
@@ -185,6 +327,20 @@
 	}
 }
 
+// checkArrival wants a request at a target to be one that was called, with its own body and no more
+// time than its caller has.
+func checkArrival(t *testing.T, calls map[string]asked, q *seen) {
+	t.Helper()
+	x, called := calls[q.id]
+	if !called || x.body != string(q.body) {
+		t.Errorf("a target read %q as the body of %s", q.body, q.id)
+	}
+	left, err := strconv.ParseFloat(q.head.Get(dialect.Remaining), 64)
+	if err != nil || left > float64(x.left.Milliseconds()) {
+		t.Errorf("%s is handed %q ms, its caller waits %s", q.id, q.head.Get(dialect.Remaining), x.left)
+	}
+}
+
 // checkRuns wants what may run once to have run once at most, and not at all where its caller
 // was told so.
 func checkRuns(t *testing.T, l *lab, x asked) {
--- a/internal/proxy/stand_test.go
+++ b/internal/proxy/stand_test.go
@@ -135,8 +135,11 @@
 	ln net.Listener
 	// health answers its probes; nil is healthy.
 	health act
-	mu     sync.Mutex
-	conns  map[net.Conn]bool
+	// early may answer a request before its body is read; it tells whether it did, and whether
+	// the connection stays.
+	early func(l *lab, c net.Conn, s *seen) (answered, stays bool)
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 func newLab(t *testing.T, nw network, tune func(*Settings)) *lab {
@@ -258,15 +261,19 @@
 		if err != nil {
 			return
 		}
-		b, err := io.ReadAll(q.Body)
-		if err != nil {
-			return
-		}
 		s := &seen{method: q.Method, uri: q.RequestURI, host: q.Host, id: q.Header.Get(dialect.RequestID), head: q.Header,
-			body: b, run: st.id, onConn: on, conn: no}
+			run: st.id, onConn: on, conn: no}
 		if q.RequestURI == "/health" {
 			s.id = ""
 		}
+		answered, stays := false, false
+		if st.early != nil && s.id != "" && q.Header.Get(dialect.Expect) == st.id && q.ContentLength != 0 {
+			answered, stays = st.early(l, c, s)
+		}
+		s.body, err = io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
 		l.mu.Lock()
 		if s.id != "" {
 			l.arrived = append(l.arrived, s)
@@ -283,6 +290,12 @@
 			}
 			continue
 		}
+		if answered {
+			if !stays {
+				return
+			}
+			continue
+		}
 		if got := q.Header.Get(dialect.Expect); got != st.id {
 			if !misdirect(l, c, s) {
 				return
@@ -378,8 +391,13 @@
 }
 
 func (c *client) send(method, path, id string, left time.Duration, more, body string) error {
+	return c.sendRaw(method, path, id, left, more, body, false)
+}
+
+// sendRaw sends a request; framed says that the body brings its own framing.
+func (c *client) sendRaw(method, path, id string, left time.Duration, more, body string, framed bool) error {
 	b := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Left: %d\r\n%s", method, path, id, left.Milliseconds(), more)
-	if body != "" {
+	if body != "" && !framed {
 		b += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
 	_, err := io.WriteString(c.c, b+"\r\n"+body)
