Requests of callers that left are ended: nothing is sent for them, and repeatable work is given up

Cause: a node that waited for a target never looked at its caller's connection.

Change: five times a second a node looks, by one system call each, at the connections of callers whose requests are under way. Closed or reset: what may be repeated is given up at its target (the connection is dropped, so the target ends its work), nothing more is sent; what may run once and may have run is left alone.

Ruled out: a goroutine that reads each caller's connection (two hand-overs and two deadlines a request).

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -40,6 +41,8 @@
 	nc net.Conn
 	r  *bufio.Reader
 	h  fasthttp.RequestHeader
+	// leads is the request that waits for its answer; nil is none.
+	leads atomic.Pointer[exchange]
 
 	mu    sync.Mutex
 	idle  bool // waits for the first byte of a request
@@ -138,7 +141,9 @@
 		}
 		return c.refuse(why)
 	}
+	c.leads.Store(x)
 	a := n.lead(x)
+	c.leads.Store(nil)
 	keep := c.write(a, x.noBody, !c.h.ConnectionClose())
 	if a.passing != nil {
 		a.passing.stop()
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -74,8 +74,7 @@
 	}
 	quiet := false
 	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, e := peek(fd)
 		quiet = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
 		return true
 	})
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -41,6 +41,7 @@
 	paid     bool // the next arrival is paid for from the budget
 	live     []*conn
 	won      *answer
+	left     bool          // the caller has closed its connection
 	passed   chan struct{} // closed once won goes on to the caller while it comes; nil where none may
 	reader   *endpoint     // the run that it comes from
 	hedge    chan struct{} // closed when the attempt besides is over; nil is none
@@ -60,7 +61,7 @@
 func (x *exchange) enter(c *conn) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.won != nil || x.arrivals >= x.attempts || x.once && x.loose > 0 || !x.pay() {
+	if x.won != nil || x.left || x.arrivals >= x.attempts || x.once && x.loose > 0 || !x.pay() {
 		return false
 	}
 	x.paid = false
@@ -84,7 +85,7 @@
 func (x *exchange) more() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.won == nil && x.arrivals < x.attempts && !(x.once && x.loose > 0) && x.pay()
+	return x.won == nil && !x.left && x.arrivals < x.attempts && !(x.once && x.loose > 0) && x.pay()
 }
 
 // leave ends the use of a connection, with what is known then: notSent is that no byte
@@ -110,11 +111,16 @@
 	if x.won != nil {
 		return false
 	}
+	x.conclude(a)
+	return true
+}
+
+// conclude makes a the answer and gives up what is under way. Under mu.
+func (x *exchange) conclude(a *answer) {
 	x.won = a
 	for _, c := range x.live {
 		c.giveUp()
 	}
-	return true
 }
 
 // end closes the exchange without an answer of a target; what is under way is given up.
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -250,11 +250,13 @@
 	return n.synced.Load() && !n.stopping.Load() && n.view.Load().table.Len() > 0
 }
 
-// Run probes targets and closes what lies idle, until ctx ends.
+// Run probes targets, closes what lies idle and ends the requests of callers that left, until ctx
+// ends.
 func (n *Node) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { n.pauses.Run(ctx) })
 	wg.Go(func() { n.probe(ctx) })
+	wg.Go(func() { n.watchCallers(ctx) })
 	wg.Wait()
 }
 
--- a/internal/proxy/stand_test.go
+++ b/internal/proxy/stand_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,6 +49,26 @@
 	lns map[string]*pipeListener
 }
 
+// pipeEnd is an end of a pipe that knows whether the other one is closed.
+type pipeEnd struct {
+	net.Conn
+	closed, peer *atomic.Bool
+}
+
+func newPipe() (a, b *pipeEnd) {
+	x, y := net.Pipe()
+	var first, second atomic.Bool
+	return &pipeEnd{x, &first, &second}, &pipeEnd{y, &second, &first}
+}
+
+func (p *pipeEnd) Close() error {
+	p.closed.Store(true)
+	return p.Conn.Close()
+}
+
+// Gone tells whether the other end is closed.
+func (p *pipeEnd) Gone() bool { return p.peer.Load() }
+
 func newPipes() *pipes { return &pipes{lns: map[string]*pipeListener{}} }
 
 type pipeListener struct {
@@ -88,7 +109,7 @@
 	if l == nil {
 		return nil, errors.New("connection refused")
 	}
-	a, b := net.Pipe()
+	a, b := newPipe()
 	select {
 	case l.c <- b:
 		return a, nil
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -21,6 +21,8 @@
 	Passed uint64
 	// Surplus are answers to earlier requests that were passed over.
 	Surplus uint64
+	// CallersGone are requests that were ended because their callers had left.
+	CallersGone uint64
 }
 
 type stats struct {
@@ -31,6 +33,7 @@
 	probes, probesAnswered, probesSaved atomic.Uint64
 	malformed, overfull, surplus        atomic.Uint64
 	passedOver, behind, passed          atomic.Uint64
+	callersGone                         atomic.Uint64
 	outcomes                            [outcomes]atomic.Uint64
 }
 
@@ -50,5 +53,6 @@
 		Unreachable: of(unreachable), Reset: of(reset), Stale: of(stale), Spoilt: of(spoilt), Mute: of(mute),
 		CutShort: of(cutShort), Withheld: of(withheld), Malformed: s.malformed.Load(), Overfull: s.overfull.Load(),
 		PassedOver: s.passedOver.Load(), Behind: s.behind.Load(), Passed: s.passed.Load(), Surplus: s.surplus.Load(),
+		CallersGone: s.callersGone.Load(),
 	}
 }
