The model forms first cores, freezes nodes and cuts one way; the simulator's callers leave

Change, model: a node may stand still (nothing that waits there happens), or not be heard while it hears; bootstrappers form the first core with seeds that do not know all from the start; no two voters may be sealed for different first cores, and one must stand once all is well. Bootstrapper.Step is one look of Run.

--- a/internal/quorum/bootstrapper.go
+++ b/internal/quorum/bootstrapper.go
@@ -182,22 +182,29 @@
 // then, so that a node whose every voter was swapped finds the new ones.
 func (f *Bootstrapper) Run(ctx context.Context) {
 	for {
-		d := seekEvery
+		pause := seekEvery
 		if f.core().Epoch > 0 {
-			d = recheckEvery
-			f.recheck(ctx)
-		} else {
-			f.round(ctx)
-			if f.core().Epoch > 0 {
-				f.settle(ctx)
-			}
+			pause = recheckEvery
 		}
-		if f.Clock.Sleep(ctx, d) != nil {
+		f.Step(ctx)
+		if f.Clock.Sleep(ctx, pause) != nil {
 			return
 		}
 	}
 }
 
+// Step looks for the core once, or, where one is known, for a newer one.
+func (f *Bootstrapper) Step(ctx context.Context) {
+	if f.core().Epoch > 0 {
+		f.recheck(ctx)
+		return
+	}
+	f.round(ctx)
+	if f.core().Epoch > 0 {
+		f.settle(ctx)
+	}
+}
+
 // settle has a voter that consented to the core take it.
 func (f *Bootstrapper) settle(ctx context.Context) {
 	if f.Voter != nil && f.Voter.Core().Epoch == 0 {
--- a/internal/sim/day/alone_test.go
+++ b/internal/sim/day/alone_test.go
@@ -68,6 +68,8 @@
 	"invalid changes":                       {25 * s, .97, Together(Invalid(10), Changes(5, 2*s))},
 	"burst":                                 {25 * s, .4, Burst(4, 8*s)},
 	"retry abuse":                           {25 * s, .2, Together(Burst(3, 10*s), Abuse(12*s))},
+	"callers leave, targets are slow":       {25 * s, .3, Together(CallersLeave(.6, 100*time.Millisecond, 15*s), Faulty("orders", .7, Fault{Factor: 8}, 15*s))},
+	"callers leave while gateways roll":     {60 * s, .5, Together(CallersLeave(.4, 200*time.Millisecond, 50*s), Rolled(2*s), Faulty("orders", .5, Fault{Factor: 5}, 50*s))},
 	"all killed":                            {45 * s, .5, Together(Changes(4, s), At(15*s, Closes(AllKilled, 3*s)))},
 	"all without power":                     {45 * s, .5, Together(Changes(4, s), At(15*s, Closes(AllPower, 3*s)))},
 	"disks lost and all killed":             {45 * s, .5, Together(Changes(4, s), At(15*s, Closes(DisksLost, 3*s)))},
--- a/internal/sim/day/caller.go
+++ b/internal/sim/day/caller.go
@@ -82,7 +82,7 @@
 		}
 		promised := q.Status == 429 || q.Status == 503 || q.Status == 408 || q.Status == 421
 		final := q.Status >= 200 && q.Status < 300 || q.Status == 400 || q.Status == 401 || q.Status == 404 || q.Status == 413 || q.Status == 431
-		if n >= tries || final || left < 20*time.Millisecond || q.Once && !promised && !unsent {
+		if n >= tries || final || q.Left || left < 20*time.Millisecond || q.Once && !promised && !unsent {
 			return
 		}
 		switch {
--- a/internal/sim/day/mix_test.go
+++ b/internal/sim/day/mix_test.go
@@ -84,6 +84,7 @@
 		{name: "controllers frozen", what: Together(ControllersFroze(n+1, d+3*time.Second), Changes(6, d/4))},
 		{name: "rolled, slow targets", what: Together(Rolled(d/4), Faulty(svc, 1, Fault{Factor: 3}, 20*time.Second))},
 		{name: "burst", what: Burst(1.5+3*r.Float64(), d)},
+		{name: "callers leave", what: Together(CallersLeave(.4, 100*time.Millisecond, d), Faulty(svc, part, Fault{Factor: 6}, d))},
 		{name: "abuse", what: Together(Abuse(d), Burst(2.5, d))},
 	}
 	if wipes {
--- a/internal/sim/day/record.go
+++ b/internal/sim/day/record.go
@@ -57,6 +57,8 @@
 	Surplus bool
 	// GaveUp says that the caller stopped waiting.
 	GaveUp bool
+	// Left says that it closed its connection before its deadline, at Done.
+	Left bool
 }
 
 // digest stands for a body in a record, which would else hold all bodies of a day.
@@ -71,6 +73,7 @@
 	At                           time.Duration
 	Ran                          bool
 	RanAt                        time.Duration
+	Due                          time.Duration // when the work would have ended by itself
 	Done                         time.Duration // when work ended
 	Misdirected                  bool          // answered 421
 	Status                       int           // of its answer; 0 is none
--- a/internal/sim/day/rules_test.go
+++ b/internal/sim/day/rules_test.go
@@ -1,6 +1,7 @@
 package day
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,6 +104,20 @@
 			gone := item.Item{Key: routeItem(1, "a").Key, Version: 9, Gone: true}
 			r.Orders = append(r.Orders, &Order{By: "op", Valid: true, Sent: at(98), Acknowledged: true, Acked: at(98.1), Items: []item.Item{gone}})
 		}},
+		"sent after the caller left": {"GONE", func(r *Record) {
+			for i := range 5 {
+				q, a := add(r, fmt.Sprint("g", i), "b", "i2", at(50+float64(i)))
+				q.Left, q.GaveUp, q.Status = true, true, 0
+				a.At, a.RanAt, a.Done, a.Due = q.Done+at(.6), q.Done+at(.6), q.Done+at(.7), q.Done+at(.7)
+			}
+		}},
+		"worked on after the caller left": {"GONE", func(r *Record) {
+			for i := range 5 {
+				q, a := add(r, fmt.Sprint("g", i), "b", "i2", at(50+float64(i)))
+				q.Left, q.GaveUp, q.Status = true, true, 0
+				a.Done, a.Due = q.Done+at(1), q.Done+at(1)
+			}
+		}},
 		"a valid order refused": {"ACKS", func(r *Record) { r.Orders[1].Refused = true }},
 		"two contents of one version": {"CONFIG", func(r *Record) {
 			o := *r.Orders[1]
--- a/internal/sim/day/session.go
+++ b/internal/sim/day/session.go
@@ -55,7 +55,8 @@
 	if s.r.Buffered() > 0 {
 		got.Surplus = true
 	}
-	if s.c.SetDeadline(deadline) != nil {
+	patience, leaves := w.patienceOf(deadline)
+	if s.c.SetDeadline(patience) != nil {
 		return false
 	}
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", q.Method, q.Path, q.Host, dialect.RequestID, q.ID, dialect.Remaining, time.Until(deadline).Milliseconds())
@@ -78,7 +79,7 @@
 	got.Whole = true
 	fail := func(err error, begun bool) bool {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			got.GaveUp = true
+			got.GaveUp, got.Left = true, leaves
 		} else {
 			got.Broken = begun
 		}
--- a/internal/sim/day/visit.go
+++ b/internal/sim/day/visit.go
@@ -151,6 +151,7 @@
 	if late {
 		d = time.Until(until)
 	}
+	x.change(func(a *Arrival) { a.Due = w.now() + d })
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for done := false; !done; {
--- a/internal/sim/day/world.go
+++ b/internal/sim/day/world.go
@@ -115,6 +115,7 @@
 	lasting []func() // ends the troubles that last until all was read back
 	press   float64
 	abuse   bool
+	leavers leavers
 	ackLoss float64 // the part of the acknowledgements to operators that is lost
 	ids     int
 	version uint64
--- a/internal/sim/model/event.go
+++ b/internal/sim/model/event.go
@@ -86,6 +86,18 @@
 	return out
 }
 
+// eligible are the waiting events whose node does not stand still.
+func (w *World) eligible() []*event {
+	return slices.DeleteFunc(w.waiting(), func(e *event) bool {
+		at := e.owner
+		if e.to != "" {
+			at = e.to
+		}
+		n := w.nodes[at]
+		return n != nil && n.frozen.Load()
+	})
+}
+
 // actorKey is under which a context names the actor at whose call something happens.
 type actorKey struct{}
 
--- a/internal/sim/model/invariants.go
+++ b/internal/sim/model/invariants.go
@@ -33,6 +33,23 @@
 	}
 }
 
+// inspectFirstCore checks that no two voters were sealed for different first cores.
+func (w *World) inspectFirstCore() {
+	var first quorum.Core
+	for _, n := range w.list {
+		v := n.voter()
+		if v == nil || v.Core().Epoch != 1 {
+			continue
+		}
+		switch c := v.Core(); {
+		case first.Epoch == 0:
+			first = c
+		case !slices.Equal(first.Seats, c.Seats):
+			w.history.note("two first cores: %v and %v", first.Seats, c.Seats)
+		}
+	}
+}
+
 // seatDisk is what a seat's disk holds, as a new process would read it.
 type seatDisk struct{ *quorum.Voter }
 
--- a/internal/sim/model/node.go
+++ b/internal/sim/model/node.go
@@ -29,14 +29,20 @@
 	now atomic.Pointer[process] // nil where none runs
 	// lost says that its disk was lost, and that no reconfigurer has completed the core since.
 	lost atomic.Bool
+	// frozen says that it stands still: nothing that waits there happens.
+	frozen atomic.Bool
 	// keepsSeat is a planted fault: an emptied disk still says which seat it has.
 	keepsSeat bool
 }
 
+// seedCount is how many seeds the nodes are given.
+const seedCount = 3
+
 // process is one life of a node.
 type process struct {
 	control *control.Node
 	reconf  *quorum.Reconfigurer
+	boots   *quorum.Bootstrapper
 	ctx     context.Context
 	end     context.CancelFunc
 	stopped chan struct{}
@@ -62,7 +68,7 @@
 	clk := modelClock{n.w, n, p.ctx}
 	n.disk.calm = true
 	c, err := control.New(control.Parts{
-		Settings: control.Settings{ID: n.id, Zone: "z", Inner: n.id, Seeds: []string{n.id}, FaultsTolerated: n.w.tolerated(), First: n.lives == 1, BeatEvery: time.Second},
+		Settings: control.Settings{ID: n.id, Zone: "z", Inner: n.id, Seeds: []string{n.id}, FaultsTolerated: n.w.tolerated(), First: n.first(), BeatEvery: time.Second},
 		Inc:      uint64(n.lives), Fresh: fresh, Line: line, Clock: clk,
 		Disk: &handle{n.disk, n.w, n, p.ctx}, Notes: &notes{n.notes}, Log: quiet(), OnBad: func(error) {}})
 	if err != nil {
@@ -72,6 +78,7 @@
 	p.control = c
 	seat := c.Voter.Seat()
 	p.reconf = &quorum.Reconfigurer{Heard: func() []quorum.Heard { return n.heard(seat) }, Prop: c.Prop, Line: line, Clock: clk, Shuffle: func(int, func(i, j int)) {}}
+	p.boots = &quorum.Bootstrapper{Seeds: n.w.seeds(), Self: n.id, Size: n.w.scenario.Seats, Later: !n.first(), Line: line, Clock: clk, Prop: c.Prop, Voter: c.Voter}
 	go func() {
 		defer close(p.stopped)
 		c.Voter.Run(p.ctx)
@@ -93,6 +100,27 @@
 	n.w.forget(n.id)
 }
 
+// first tells whether the node starts as one of a system that never ran.
+func (n *node) first() bool {
+	if n.w.scenario.Unformed {
+		return !n.lost.Load()
+	}
+	return n.lives == 1
+}
+
+// seeds are the addresses that every node is given: the last ones, so that the node that goes first
+// by its ID is not known to all from the start.
+func (w *World) seeds() (out []string) {
+	all := w.scenario.Seats + w.scenario.Spares
+	for i := max(0, all-seedCount); i < all; i++ {
+		out = append(out, nodeID(i))
+	}
+	return out
+}
+
+// nodeID names the i-th node.
+func nodeID(i int) string { return fmt.Sprintf("n%d", i+1) }
+
 // lose ends the process, and starts another on an empty disk.
 func (n *node) lose() {
 	n.crash(0)
--- a/internal/sim/model/planted_test.go
+++ b/internal/sim/model/planted_test.go
@@ -109,6 +109,18 @@
 					return ask, nil, false
 				}
 			}, "confirmed"},
+		{"a consent to a first core does not bind", Scenario{Seats: 3, Spares: 1, Unformed: true, Budget: Budget{Losses: 4, Crashes: 2, OneWay: 2, Delays: 2},
+			Actors: []Actor{Bootstrap("n1"), Bootstrap("n2"), Bootstrap("n3"), Bootstrap("n4")}},
+			func(w *World) {
+				w.Tamper = func(_, to string, question any) (any, any, bool) {
+					if a, ok := question.(quorum.FormAsk); ok && !a.Seal && !a.Drop {
+						if by, core := w.nodes[to].voter().Consent(); by != "" {
+							ask[quorum.FormTold](w.nodes[to], quorum.FormAsk{By: by, Core: core, Drop: true})
+						}
+					}
+					return question, nil, false
+				}
+			}, "two first cores"},
 		{"an emptied disk keeps its seat", Scenario{Seats: 3, Budget: Budget{Losses: 1, Wipes: 1}, Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2")}},
 			func(w *World) {
 				for _, n := range w.list {
--- a/internal/sim/model/scenarios.go
+++ b/internal/sim/model/scenarios.go
@@ -30,6 +30,12 @@
 				Script("second", TurnCut("n4"), TurnCut("n3"), Reconfigure("n2"), Order("b", To(3, "b", "r"), "n3", "n2"))}},
 		{Name: "two disks lost of five", Seats: 5, Spares: 1, Budget: Budget{Losses: 1, Wipes: 2, PowerOff: 1},
 			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2", "n3"), Reconfigure("n1"), Reconfigure("n4"), Read("n5")}},
+		{Name: "a first core formed in trouble", Seats: 3, Spares: 1, Unformed: true, Budget: Budget{Losses: 3, Repeats: 1, Crashes: 2, OneWay: 2, Delays: 2},
+			Actors: []Actor{Script("first", Bootstrap("n1"), Order("base", base(), "n1", "n2"), Order("a", To(2, "a", "r"), "n2", "n1")), Bootstrap("n2"), Bootstrap("n3"), Bootstrap("n4")}},
+		{Name: "nodes that stand still beside a race", Seats: 3, Spares: 1, Budget: Budget{Losses: 1, Freezes: 4, Delays: 2},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Order("b", To(2, "b", "r"), "n2", "n3"), Reconfigure("n1"), Reconfigure("n2"), Read("n3")}},
+		{Name: "nodes that are not heard", Seats: 3, Spares: 1, Budget: Budget{Losses: 1, Crashes: 1, OneWay: 4, Delays: 2, Wipes: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n4"), Order("b", To(2, "b", "r"), "n2", "n3"), Reconfigure("n1"), Reconfigure("n4"), Read("n2")}},
 		{Name: "a leaving beside losses", Seats: 3, Notes: ready, Budget: Budget{Losses: 1, Crashes: 1, PowerOff: 1, Wipes: 1},
 			Actors: []Actor{Leave("i-1", "n1", "n2", "n3"), Read("n2"), Reconfigure("n3"), Read("n3")}},
 	}
--- a/internal/sim/model/world.go
+++ b/internal/sim/model/world.go
@@ -35,6 +35,8 @@
 	PowerOff int // times at which all processes end together
 	Wipes    int // disks lost
 	Cuts     int // nodes cut off from all others, or joined again
+	OneWay   int // nodes that others no longer hear, or hear again
+	Freezes  int // nodes that stand still, or wake again
 	Delays   int // times at which whoever waits for an answer has waited for too long
 }
 
@@ -47,6 +49,8 @@
 	// Actors do what operators, readers, targets and reconfigurers do; each begins at once, or
 	// by a step of the schedule.
 	Actors []Actor
+	// Unformed says that no first core stands yet: bootstrappers are to form it.
+	Unformed bool
 	// Notes are what every node's journal of runs holds at each start.
 	Notes []target.Run
 	// KeepBack names the questions that the network keeps back, until an actor lets them arrive;
@@ -106,11 +110,14 @@
 		time.Sleep(settleTime)
 	}()
 	w.build()
-	w.begin(Order("base", base(), w.list[0].id))
-	if !w.drive() {
-		return "the first change is not acknowledged", w.steps
+	if !s.Unformed {
+		w.found()
+		w.begin(Order("base", base(), w.list[0].id))
+		if !w.drive() {
+			return "the first change is not acknowledged", w.steps
+		}
+		w.steps = nil
 	}
-	w.steps = nil
 	for _, a := range s.Actors {
 		w.begin(a)
 		w.quiesce()
@@ -128,11 +135,10 @@
 	return w.history.verdict(), w.steps
 }
 
-// build starts the nodes and gives them their first core.
+// build starts the nodes.
 func (w *World) build() {
-	var seats []quorum.Seat
 	for i := range w.scenario.Seats + w.scenario.Spares {
-		n := &node{w: w, id: fmt.Sprintf("n%d", i+1), disk: newDisk()}
+		n := &node{w: w, id: nodeID(i), disk: newDisk()}
 		for _, r := range w.scenario.Notes {
 			n.notes = append(n.notes, r.Record())
 		}
@@ -142,11 +148,16 @@
 	if w.scenario.Plant != nil {
 		w.scenario.Plant(w)
 	}
-	for i, n := range w.list {
+	for _, n := range w.list {
 		n.boot()
-		if i < w.scenario.Seats {
-			seats = append(seats, n.voter().Seat())
-		}
+	}
+}
+
+// found gives the nodes their first core.
+func (w *World) found() {
+	var seats []quorum.Seat
+	for _, n := range w.list[:w.scenario.Seats] {
+		seats = append(seats, n.voter().Seat())
 	}
 	core := quorum.Core{Epoch: 1, Seats: seats}
 	for _, seal := range []bool{false, true} {
@@ -209,7 +220,7 @@
 
 // choices are the possible steps: first the events in their usual order, then what may go wrong.
 func (w *World) choices() (out []choice) {
-	events := w.waiting()
+	events := w.eligible()
 	for _, e := range events {
 		out = append(out, choice{e.String(), func() { w.take(e); e.fire() }})
 	}
@@ -252,6 +263,12 @@
 	if !n.up() {
 		return []choice{{n.id + " starts", n.boot}}
 	}
+	if w.left.Freezes > 0 || n.frozen.Load() {
+		out = append(out, choice{n.id + " stands still, or wakes", func() { w.left.Freezes--; n.frozen.Store(!n.frozen.Load()) }})
+	}
+	if w.left.OneWay > 0 {
+		out = append(out, choice{n.id + " is not heard, or heard again", func() { w.left.OneWay--; w.turnMute(n) }})
+	}
 	if w.left.Crashes > 0 {
 		kept := []int{0}
 		if k := n.disk.unsynced(); k > 0 {
@@ -319,6 +336,17 @@
 	}
 }
 
+// turnMute cuts the ways from a node to all others, or joins them; it still hears them.
+func (w *World) turnMute(n *node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range w.list {
+		if way := [2]string{n.id, o.id}; o != n {
+			w.cuts[way] = !w.cuts[way]
+		}
+	}
+}
+
 // split cuts a group of nodes from all others, and joins all other ways.
 func (w *World) split(group []string) {
 	w.mu.Lock()
@@ -340,6 +368,7 @@
 	w.ending, w.cuts = true, map[[2]string]bool{}
 	w.mu.Unlock()
 	for _, n := range w.list {
+		n.frozen.Store(false)
 		if !n.up() {
 			n.boot()
 		}
@@ -350,6 +379,10 @@
 		return
 	}
 	w.patience, w.giveUp = context.WithCancel(w.ctx)
+	if w.scenario.Unformed && !w.formAtLast() {
+		w.history.note("no first core is formed")
+		return
+	}
 	for round := 0; ; round++ {
 		for _, n := range w.list {
 			w.begin(Actor{"reconfigure at " + n.id, func(w *World) { w.reconfigure(n.id) }})
@@ -430,4 +463,5 @@
 		})
 	}
 	w.inspectDisks()
+	w.inspectFirstCore()
 }
