--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -28,6 +28,9 @@
 	if len(os.Args) > 1 && os.Args[1] == "show" {
 		os.Exit(show(os.Args[2:], os.Stdout, os.Stderr))
 	}
+	if len(os.Args) > 1 && os.Args[1] == "snapshot" {
+		os.Exit(runSnapshot(os.Args[2:], os.Stdout, os.Stderr))
+	}
 	if len(os.Args) > 1 && os.Args[1] == "platform" {
 		os.Exit(platform.ControllerMain(os.Args[2:], os.Stdout, os.Stderr))
 	}
--- /dev/null
+++ b/internal/control/restore_test.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"walkrudder/internal/item"
+	"walkrudder/internal/quorum"
+	"walkrudder/internal/route"
+	"walkrudder/internal/sim/simnet"
+)
+
+// restored writes items onto the disks of controllers that have not started yet.
+func (w *world) restored(items []item.Item) {
+	for _, m := range w.controllers {
+		if m.disk == nil {
+			continue
+		}
+		proc := m.Start(w.ctx, "")
+		if err := quorum.Store(&simnet.Handle{D: m.disk.Disk, P: proc, Calm: true}, items); err != nil {
+			w.t.Fatal(err)
+		}
+		proc.Kill()
+	}
+}
+
+// A system that starts on restored disks shows the whole configuration, takes newer changes, and
+// goes back for no older one, also of what was dropped.
+func TestASystemStartsOnARestoredConfiguration(t *testing.T) {
+	service := route.Service{Name: "s", Version: 3, Health: "/h", Source: []byte("{}")}
+	old := sampleRoute("r", 7)
+	items := []item.Item{service.Item(), old.Item(), {Key: item.Key{Kind: item.Route, Name: "gone"}, Version: 9, Gone: true}}
+	playOn(t, 1, small, func(w *world) { w.restored(items) }, func(w *world) {
+		time.Sleep(3 * time.Second)
+		w.note(items)
+		w.readBack(w.controllers)
+		for _, m := range w.controllers {
+			for _, r := range []route.Route{sampleRoute("r", 5), sampleRoute("gone", 8)} {
+				if _, err := m.control().Apply(w.ctx, Change{Routes: []route.Route{r}}); err != nil {
+					t.Errorf("an older version of %s at %s: %v", r.Name, m.id, err)
+				}
+			}
+		}
+		w.readBack(w.controllers)
+		w.order(Change{Routes: []route.Route{sampleRoute("r", 11)}}, w.controllers)
+		w.readBack(w.controllers)
+	})
+}
+
+// sampleRoute is a route to the service s.
+func sampleRoute(name string, version uint64) route.Route {
+	return route.Route{Name: name, Version: version, Host: "h", Prefix: "/" + name + "/", Repeat: route.Idempotent,
+		Shares: []route.Share{{Service: "s", Weight: 1}}, Source: []byte(name)}
+}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -80,6 +80,11 @@
 
 // play runs f in a world in which a core is formed and every gateway is synced.
 func play(t *testing.T, seed uint64, s shape, f func(w *world)) {
+	playOn(t, seed, s, func(*world) {}, f)
+}
+
+// playOn plays as play does, on disks that prepare has written to.
+func playOn(t *testing.T, seed uint64, s shape, prepare, f func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
 		w := &world{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), bear: s.bear, first: true, acked: map[item.Key]item.Item{}}
@@ -105,6 +110,7 @@
 			id := fmt.Sprintf("f%d", i)
 			w.gateways = append(w.gateways, &gatewayHost{host: w.net.add(id, nil), w: w, id: id, zone: fmt.Sprintf("z%d", i%s.zones)})
 		}
+		prepare(w)
 		for _, m := range w.controllers {
 			m.boot()
 			time.Sleep(time.Duration(w.chance(50)) * time.Millisecond)
