--- a/internal/sim/day/mix_test.go
+++ b/internal/sim/day/mix_test.go
@@ -76,6 +76,12 @@
 		{name: "acknowledgements lost", what: Together(AcksLost(.7, d), Changes(6, d/4))},
 		{name: "gone first", what: ScaleInUnsaid(svc, min(part, .3))},
 		{name: "long core cut", what: Together(CoreCut(20*time.Second), RaceOneVersion(4), Reads(10, d/4))},
+		{name: "core split", what: Together(CoreSplit(20*time.Second), RaceOneVersion(4), Reads(10, d/4))},
+		{name: "core not heard", what: Together(CoreNotHeard(20*time.Second), RaceOneVersion(4), Reads(10, d/4))},
+		{name: "core restarted", what: CoreCutAndRestarted(3 * d)},
+		{name: "core relieved", what: CoreRelieved(3 * d)},
+		{name: "core lured", what: CoreLured(svc, min(part, .3), 3*d)},
+		{name: "core seeded", what: CoreSeeded(n, 2*d)},
 		{name: "storm", what: Storm(25)},
 		{name: "older", what: Again(n, d/2, Older)},
 		{name: "invalid", what: Invalid(6)},
@@ -88,7 +94,7 @@
 		{name: "abuse", what: Together(Abuse(d), Burst(2.5, d))},
 	}
 	if wipes {
-		out = append(out, named{"disk after an acknowledgement", AfterAck(true, d/2), true}, named{"cut off, told, and lost", CutAndLost(d/2, d/2), true})
+		out = append(out, named{"core behind", CoreBehind(2 * d), true}, named{"disk after an acknowledgement", AfterAck(true, d/2), true}, named{"cut off, told, and lost", CutAndLost(d/2, d/2), true})
 	}
 	return out
 }
--- a/internal/sim/day/trouble_machines.go
+++ b/internal/sim/day/trouble_machines.go
@@ -355,9 +355,10 @@
 
 // Ends of a day.
 const (
-	AllKilled End = iota
-	AllPower      // with what was not synced
-	DisksLost     // as many disks as may be lost, and all killed
+	AllKilled     End = iota
+	AllPower          // with what was not synced
+	DisksLost         // as many disks as may be lost, and all killed
+	DisksAndPower     // as many disks as may be lost, and all other machines lose power, also those without a disk
 )
 
 // Closes ends all processes at one moment, and starts them again. The day goes on for
@@ -370,12 +371,12 @@
 		each(w.Machines, func(m *Machine) {
 			over := w.trouble(m, Down)
 			switch how {
-			case AllPower:
+			case AllPower, DisksAndPower:
 				m.powerLoss()
 			default:
 				m.killAll()
 			}
-			if how == DisksLost && slices.Contains(lost, m) {
+			if (how == DisksLost || how == DisksAndPower) && slices.Contains(lost, m) {
 				if err := m.disk.Wipe(); err != nil {
 					w.t.Error(err)
 				}
