--- a/internal/quorum/decision.go
+++ b/internal/quorum/decision.go
@@ -110,13 +110,16 @@
 	Promised Ballot
 	Accepted Ballot
 	Decision Decision
+	// bodiless says, in a transfer only, that the body of the decision's item was left out: it
+	// is that of the merge item which the same voter tells.
+	bodiless bool
 }
 
 // join is what a seat holds that has both records: the decision of the higher ballot, and
 // every promise.
 func (r record) join(o record) record {
 	if o.Accepted.Compare(r.Accepted) > 0 {
-		r.Accepted, r.Decision = o.Accepted, o.Decision
+		r.Accepted, r.Decision, r.bodiless = o.Accepted, o.Decision, o.bodiless
 	}
 	if o.Promised.Compare(r.Promised) > 0 {
 		r.Promised = o.Promised
--- a/internal/quorum/voterdecision.go
+++ b/internal/quorum/voterdecision.go
@@ -78,12 +78,14 @@
 		Records []KeyedRecord
 		More    bool
 	}
-	// KeyedRecord is one register of a listing.
+	// KeyedRecord is one register of a listing. Bodiless says that the body of the decision's
+	// item is left out: the voter's merge item of that name has it, or is newer.
 	KeyedRecord struct {
 		Key      item.Key
 		Promised Ballot
 		Accepted Ballot
 		Decision Decision
+		Bodiless bool
 	}
 )
 
@@ -245,12 +247,16 @@
 		size := 0
 		for _, k := range keysAfter(maps.Keys(v.records), a.After) {
 			held := v.records[k]
-			size += len(k.Name) + len(held.Decision.Item.Body) + 32*len(held.Decision.Past) + 128
+			told := KeyedRecord{Key: k, Promised: held.Promised, Accepted: held.Accepted, Decision: held.Decision, Bodiless: v.settled(held.Decision)}
+			if told.Bodiless {
+				told.Decision.Item.Body = nil
+			}
+			size += len(k.Name) + len(told.Decision.Item.Body) + 32*len(held.Decision.Past) + 128
 			if len(r.Records) > 0 && size > listPage {
 				r.More = true
 				return r
 			}
-			r.Records = append(r.Records, KeyedRecord{k, held.Promised, held.Accepted, held.Decision})
+			r.Records = append(r.Records, told)
 		}
 		return r
 	})
--- a/internal/quorum/votertransfer.go
+++ b/internal/quorum/votertransfer.go
@@ -46,9 +46,35 @@
 		}
 	}
 	v.pulled = nil
+	if err := got.complete(); err != nil {
+		return nil, err
+	}
 	return got, nil
 }
 
+// complete gives the records the bodies that were left out. One may be missing where a voter told
+// its records and then, before its merge items, dropped out of those that are asked; the next
+// join begins anew.
+func (t *transfer) complete() error {
+	for k, r := range t.records {
+		if !r.bodiless {
+			continue
+		}
+		known, ok := t.merged[k]
+		switch {
+		case !ok || known.Version < r.Decision.Item.Version:
+			return steperr.New("pull", "", "the body of %q, version %d, was not told", k.Name, r.Decision.Item.Version)
+		case known.Version == r.Decision.Item.Version:
+			r.Decision.Item = known
+		default:
+			r.Decision = r.Decision.under(known)
+		}
+		r.bodiless = false
+		t.records[k] = r
+	}
+	return nil
+}
+
 // page asks a sealed voter for one page; told yields the head of its answer.
 func page[R any](ctx context.Context, v *Voter, s Seat, ask any, told func(R) Told) (R, error) {
 	t, err := link.Ask[R](ctx, v.line, s.Addr, ask)
@@ -93,7 +119,7 @@
 			return err
 		}
 		for _, k := range t.Records {
-			got.records[k.Key] = got.records[k.Key].join(record{k.Promised, k.Accepted, k.Decision})
+			got.records[k.Key] = got.records[k.Key].join(record{k.Promised, k.Accepted, k.Decision, k.Bodiless})
 			at.record = k.Key
 		}
 		at.recordsDone = !t.More
--- a/internal/quorum/votertransfer_test.go
+++ b/internal/quorum/votertransfer_test.go
@@ -79,3 +79,38 @@
 		}
 	})
 }
+
+// A record whose body was left out takes that of the merge item, keeps its call only where that is
+// the very item, and is refused where nobody told the body.
+func TestBodiesThatWereLeftOutAreCompleted(t *testing.T) {
+	told := thing("k", 3, "three")
+	bare := told
+	bare.Body = nil
+	pulled := func(known ...item.Item) *transfer {
+		tr := &transfer{records: map[item.Key]record{told.Key: {Decision: Decision{Item: bare, Call: "c"}, bodiless: true}}, merged: map[item.Key]item.Item{}}
+		for _, it := range known {
+			tr.merged[it.Key] = it
+		}
+		return tr
+	}
+	for name, x := range map[string]struct {
+		known []item.Item
+		want  Decision
+		fails bool
+	}{
+		"the same":  {[]item.Item{told}, Decision{Item: told, Call: "c"}, false},
+		"a newer":   {[]item.Item{thing("k", 4, "four")}, Decision{Item: thing("k", 4, "four")}, false},
+		"an older":  {[]item.Item{thing("k", 2, "two")}, Decision{}, true},
+		"none":      {nil, Decision{}, true},
+		"another's": {[]item.Item{thing("l", 3, "three")}, Decision{}, true},
+	} {
+		tr := pulled(x.known...)
+		err := tr.complete()
+		if (err != nil) != x.fails {
+			t.Errorf("%s: %v", name, err)
+		}
+		if got := tr.records[told.Key].Decision; err == nil && (!got.Item.Same(x.want.Item) || got.Call != x.want.Call) {
+			t.Errorf("%s: %+v, want %+v", name, got, x.want)
+		}
+	}
+}
