--- a/internal/membership/duty_test.go
+++ b/internal/membership/duty_test.go
@@ -30,11 +30,8 @@
 			var others []*Tenant
 			var ways []*lab
 			for i, id := range []string{"x", "y", "z"} {
-				// Each is nearest to another court, and none begins with the others.
-				way := &lab{desks: l.desks, slow: map[string]time.Duration{}}
-				for j, c := range []string{"a", "b", "c"} {
-					way.pace(c, time.Duration((j-i+3)%3)*5*time.Millisecond)
-				}
+				// None begins with the others.
+				way := l.nearestTo(i)
 				other := l.tenant(id, way)
 				other.Seek("duty")
 				others, ways = append(others, other), append(ways, way)
--- a/internal/membership/tenant_test.go
+++ b/internal/membership/tenant_test.go
@@ -87,6 +87,15 @@
 	return slices.ContainsFunc(ms, func(m Member) bool { return m.ID == id })
 }
 
+// nearestTo is the way of a node whose asks come to the i-th court first.
+func (l *lab) nearestTo(i int) *lab {
+	way := &lab{desks: l.desks, slow: map[string]time.Duration{}}
+	for j, c := range []string{"a", "b", "c"} {
+		way.pace(c, time.Duration((j-i+3)%3)*5*time.Millisecond)
+	}
+	return way
+}
+
 func (l *lab) tenant(id string, line link.Line) *Tenant {
 	p := quorum.NewProposer(id, line, clock.Wall{})
 	p.Learn(l.core)
@@ -175,12 +184,7 @@
 		l := newLab(ctx, t)
 		var all []*Tenant
 		for i, id := range []string{"x", "y", "z"} {
-			// Each is nearest to another court: its ask is there first.
-			w := &lab{desks: l.desks, slow: map[string]time.Duration{}}
-			for j, c := range []string{"a", "b", "c"} {
-				w.pace(c, time.Duration((j-i+3)%3)*5*time.Millisecond)
-			}
-			x := l.tenant(id, w)
+			x := l.tenant(id, l.nearestTo(i))
 			x.Seek("duty")
 			all = append(all, x)
 			go x.Run(ctx)
--- a/internal/sim/day/trouble_cores.go
+++ b/internal/sim/day/trouble_cores.go
@@ -83,29 +83,10 @@
 		few, others := w.divide()
 		heal := w.apart(few, others, true)
 		Changes(4, d/8)(w)
-		dark := others[1:]
 		var wg sync.WaitGroup
-		wg.Go(func() {
-			m := others[0]
-			over := w.trouble(m, Down)
-			m.powerLoss()
-			if err := m.disk.Wipe(); err != nil {
-				w.t.Error(err)
-			}
-			time.Sleep(time.Second)
-			m.host.Dark(false)
-			m.bootAll()
-			over()
-		})
-		for _, m := range dark {
-			wg.Go(func() {
-				over := w.trouble(m, Down)
-				m.powerLoss()
-				time.Sleep(d)
-				m.host.Dark(false)
-				m.bootAll()
-				over()
-			})
+		wg.Go(func() { w.dark(others[0], true, time.Second) })
+		for _, m := range others[1:] {
+			wg.Go(func() { w.dark(m, false, d) })
 		}
 		time.Sleep(d / 2)
 		heal()
--- a/internal/sim/day/trouble_machines.go
+++ b/internal/sim/day/trouble_machines.go
@@ -115,6 +115,21 @@
 	}
 }
 
+// dark takes the power of a machine for a time, and its disk with it where that is lost.
+func (w *World) dark(m *Machine, diskLost bool, d time.Duration) {
+	over := w.trouble(m, Down)
+	m.powerLoss()
+	if diskLost && m.disk != nil {
+		if err := m.disk.Wipe(); err != nil {
+			w.t.Error(err)
+		}
+	}
+	time.Sleep(d)
+	m.host.Dark(false)
+	m.bootAll()
+	over()
+}
+
 // AfterAck takes the power, or the whole disk, from the machine that has just
 // acknowledged a change.
 func AfterAck(disk bool, d time.Duration) Trouble {
@@ -125,18 +140,8 @@
 		if m == nil {
 			return
 		}
-		over := w.trouble(m, Down)
-		m.powerLoss()
-		if disk && m.disk != nil {
-			if err := m.disk.Wipe(); err != nil {
-				w.t.Error(err)
-			}
-		}
 		o.watch(name)
-		time.Sleep(d)
-		m.host.Dark(false)
-		m.bootAll()
-		over()
+		w.dark(m, disk, d)
 	}
 }
 
@@ -186,12 +191,7 @@
 		t.mu.Lock()
 		m := w.machine(t.by)
 		t.mu.Unlock()
-		over := w.trouble(m, Down)
-		m.powerLoss()
-		time.Sleep(d)
-		m.host.Dark(false)
-		m.bootAll()
-		over()
+		w.dark(m, false, d)
 	}
 }
 
