--- a/internal/quorum/bootstrapper.go
+++ b/internal/quorum/bootstrapper.go
@@ -49,6 +49,8 @@
 	Clock clock.Clock
 	Prop  *Proposer
 	Voter *Voter // nil without a disk
+	// Draw draws a number below n, for the seed that is asked first; nil is by chance.
+	Draw func(n int) int
 
 	mu    sync.Mutex
 	known map[string]knownSeat
@@ -218,7 +220,11 @@
 	f.settle(ctx)
 	if f.turn == 0 {
 		// Nodes that start together do not all ask the same seed.
-		f.turn = rand.IntN(len(f.Seeds) + 1)
+		draw := f.Draw
+		if draw == nil {
+			draw = rand.IntN
+		}
+		f.turn = draw(len(f.Seeds) + 1)
 	}
 	for range f.Seeds {
 		f.turn++
