--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -13,11 +13,11 @@
 	"walkrudder/internal/clock"
 	"walkrudder/internal/controller"
 	"walkrudder/internal/link"
+	"walkrudder/internal/metrics"
 	"walkrudder/internal/quorum"
 	"walkrudder/internal/shell"
 	"walkrudder/internal/startup"
 	"walkrudder/internal/storage"
-	"walkrudder/internal/tally"
 	"walkrudder/platform"
 )
 
@@ -68,7 +68,7 @@
 		return err
 	}
 	line := link.NewTCP(link.Who{ID: s.ID, Kind: "controller"}, s.Bind, lg)
-	count := tally.New("controller")
+	count := metrics.New("controller")
 	bad := make(chan error, 1)
 	m, err := controller.New(controller.Parts{Startup: s, Inc: shell.Incarnation(), Fresh: shell.Fresh(), Line: line, Clock: clock.Wall{}, Disk: disk, Log: lg,
 		OnBad:  func(err error) { bad <- err },
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -12,10 +12,10 @@
 	"walkrudder/internal/clock"
 	"walkrudder/internal/gateway"
 	"walkrudder/internal/link"
+	"walkrudder/internal/metrics"
 	"walkrudder/internal/passage"
 	"walkrudder/internal/shell"
 	"walkrudder/internal/startup"
-	"walkrudder/internal/tally"
 	"walkrudder/platform"
 )
 
@@ -38,7 +38,7 @@
 	}
 	line := link.NewTCP(link.Who{ID: s.ID, Kind: "gateway"}, s.Bind, lg)
 	courier := passage.NewHTTP(s.Bind)
-	count := tally.New("gateway")
+	count := metrics.New("gateway")
 	f := gateway.New(gateway.Parts{Startup: s, Inc: shell.Incarnation(), Line: line, Clock: clock.Wall{}, Courier: courier, Log: lg, Count: count.Add})
 	go line.Serve(inner, f.Desk)
 	life, end := context.WithCancel(context.Background())
--- a/internal/commands/beat.go
+++ b/internal/commands/beat.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/link"
 	"walkrudder/internal/membership"
 	"walkrudder/internal/registry"
@@ -24,7 +24,7 @@
 // Take hands a beat to the service's home in every zone; where none answers, to
 // this controller's own house. A leaving beat returns only once no gateway elects the
 // target.
-func (b *Beater) Take(ctx context.Context, t face.Beat) (registry.BeatTold, error) {
+func (b *Beater) Take(ctx context.Context, t httpapi.Beat) (registry.BeatTold, error) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var told registry.BeatTold
--- a/internal/commands/change.go
+++ b/internal/commands/change.go
@@ -12,7 +12,7 @@
 	"walkrudder/internal/clock"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/quorum"
-	"walkrudder/internal/roll"
+	"walkrudder/internal/rollout"
 	"walkrudder/internal/spec"
 	"walkrudder/internal/steperr"
 )
@@ -55,7 +55,7 @@
 // Changer carries orders out.
 type Changer struct {
 	Book       *ledger.Book
-	Roller     *roll.Roller
+	Roller     *rollout.Roller
 	Clock      clock.Clock
 	Controller string
 }
--- a/internal/commands/drain.go
+++ b/internal/commands/drain.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
 	"walkrudder/internal/membership"
 	"walkrudder/internal/registry"
-	"walkrudder/internal/roll"
+	"walkrudder/internal/rollout"
 )
 
 // Drainer stops new work to target runs that are leaving or let go.
@@ -34,7 +34,7 @@
 // Leave records that a target run is leaving and returns once no gateway elects it
 // any more: each holds the word, or has lost its lease and learns it with its
 // next confirmation (design 12.3).
-func (d *Drainer) Leave(ctx context.Context, b face.Beat) error {
+func (d *Drainer) Leave(ctx context.Context, b httpapi.Beat) error {
 	t := ledger.Target{ID: b.ID, Service: b.Service, Inc: b.Inc}
 	return d.run(ctx, ledger.LeavePrefix, t, ledger.Note{Kind: ledger.NoteLeave, Target: &t, Seq: b.Seq})
 }
@@ -56,7 +56,7 @@
 		return err
 	}
 	d.Faults.At(fault.AfterLeaveNoted)
-	_, err := roll.Everyone(ctx, d.Tenant, d.Clock, nil, func(cx context.Context, m membership.Member) bool {
+	_, err := rollout.Everyone(ctx, d.Tenant, d.Clock, nil, func(cx context.Context, m membership.Member) bool {
 		r, err := link.Ask[registry.DrainTold](cx, d.Line, m.Inner, registry.DrainAsk{Service: t.Service, ID: t.ID, Inc: t.Inc, Gone: prefix == ledger.GonePrefix})
 		return err == nil && r.OK
 	})
@@ -74,8 +74,8 @@
 }
 
 // Leaves lists the target runs that may get no new work, by a majority.
-func (d *Drainer) Leaves(ctx context.Context) ([]roll.Leave, error) {
-	var out []roll.Leave
+func (d *Drainer) Leaves(ctx context.Context) ([]rollout.Leave, error) {
+	var out []rollout.Leave
 	for _, p := range []string{ledger.LeavePrefix, ledger.GonePrefix} {
 		ns, err := d.Book.Notes(ctx, p)
 		if err != nil {
@@ -83,7 +83,7 @@
 		}
 		for _, n := range ns {
 			if n.Target != nil {
-				out = append(out, roll.Leave{Service: n.Target.Service, ID: n.Target.ID, Inc: n.Target.Inc, Gone: n.Kind == ledger.NoteGone})
+				out = append(out, rollout.Leave{Service: n.Target.Service, ID: n.Target.ID, Inc: n.Target.Inc, Gone: n.Kind == ledger.NoteGone})
 			}
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,10 +22,10 @@
 	"walkrudder/internal/queries"
 	"walkrudder/internal/quorum"
 	"walkrudder/internal/registry"
-	"walkrudder/internal/roll"
+	"walkrudder/internal/rollout"
 	"walkrudder/internal/startup"
+	"walkrudder/internal/statement"
 	"walkrudder/internal/storage"
-	"walkrudder/internal/voice"
 )
 
 // Parts is what a controller stands on.
@@ -54,13 +54,13 @@
 	Prop    *quorum.Proposer
 	Tenant  *membership.Tenant
 	Book    *ledger.Book
-	Roller  *roll.Roller
+	Roller  *rollout.Roller
 	House   *registry.House
 	Changer *commands.Changer
 	Beater  *commands.Beater
 	Drainer *commands.Drainer
 	Warden  *commands.Warden
-	Speaker *voice.Speaker
+	Speaker *statement.Speaker
 	Clerk   *claim.Clerk
 
 	trim     *commands.Trimmer
@@ -97,8 +97,8 @@
 	do.Provide(i, func(i do.Injector) (*ledger.Book, error) {
 		return &ledger.Book{Prop: do.MustInvoke[*quorum.Proposer](i), Clock: p.Clock, Controller: p.Startup.ID, WallMS: p.WallMS}, nil
 	})
-	do.Provide(i, func(i do.Injector) (*roll.Roller, error) {
-		return &roll.Roller{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*membership.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
+	do.Provide(i, func(i do.Injector) (*rollout.Roller, error) {
+		return &rollout.Roller{Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*membership.Tenant](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*registry.House, error) {
 		h := &registry.House{Clock: p.Clock, Pause: do.MustInvoke[*liveness.Pauses](i), Run: p.Inc}
@@ -113,17 +113,17 @@
 			Drainer: do.MustInvoke[*commands.Drainer](i)}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*commands.Changer, error) {
-		return &commands.Changer{Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), Clock: p.Clock, Controller: p.Startup.ID}, nil
+		return &commands.Changer{Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*rollout.Roller](i), Clock: p.Clock, Controller: p.Startup.ID}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*commands.Warden, error) {
 		return &commands.Warden{House: do.MustInvoke[*registry.House](i), Book: do.MustInvoke[*ledger.Book](i), Tenant: do.MustInvoke[*membership.Tenant](i),
 			Drainer: do.MustInvoke[*commands.Drainer](i), Prop: do.MustInvoke[*quorum.Proposer](i), Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}, nil
 	})
 	m := &Controller{Parts: p, Voter: v, Desk: do.MustInvoke[*link.Desk](i), Prop: do.MustInvoke[*quorum.Proposer](i), Tenant: do.MustInvoke[*membership.Tenant](i),
-		Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*roll.Roller](i), House: do.MustInvoke[*registry.House](i),
+		Book: do.MustInvoke[*ledger.Book](i), Roller: do.MustInvoke[*rollout.Roller](i), House: do.MustInvoke[*registry.House](i),
 		Changer: do.MustInvoke[*commands.Changer](i), Beater: do.MustInvoke[*commands.Beater](i), Drainer: do.MustInvoke[*commands.Drainer](i),
 		Warden: do.MustInvoke[*commands.Warden](i)}
-	m.Speaker = &voice.Speaker{Changer: m.Changer, Drainer: m.Drainer, Warden: m.Warden, Book: m.Book, Settle: m.Roller.Settle,
+	m.Speaker = &statement.Speaker{Changer: m.Changer, Drainer: m.Drainer, Warden: m.Warden, Book: m.Book, Settle: m.Roller.Settle,
 		Asker: &queries.Asker{Book: m.Book, House: m.House, Tenant: m.Tenant, Prop: m.Prop, Line: p.Line}}
 	since := p.WallMS()
 	m.Tenant.Me = func() membership.Member {
--- a/internal/controller/door.go
+++ b/internal/controller/door.go
@@ -12,9 +12,9 @@
 	"github.com/gofiber/fiber/v2/middleware/recover"
 
 	"walkrudder/internal/commands"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/quorum"
-	"walkrudder/internal/voice"
+	"walkrudder/internal/statement"
 )
 
 const (
@@ -37,16 +37,16 @@
 			return refuse(c, code, err.Error())
 		}})
 	app.Use(recover.New())
-	app.Get(face.ReadyPath, func(c *fiber.Ctx) error {
+	app.Get(httpapi.ReadyPath, func(c *fiber.Ctx) error {
 		if !m.Ready() {
 			return c.Status(503).SendString("not ready\n")
 		}
 		return c.SendString("ready\n")
 	})
 	if metrics != nil {
-		app.Get(face.MetricsPath, metrics)
+		app.Get(httpapi.MetricsPath, metrics)
 	}
-	app.Post(face.BeatPath, m.beat)
+	app.Post(httpapi.BeatPath, m.beat)
 	app.Post("/v1/changes", m.change)
 	app.Post("/v1/say", m.say)
 	app.Get("/v1/picture", func(c *fiber.Ctx) error { return m.speak(c, "show picture") })
@@ -61,8 +61,8 @@
 	defer end()
 	r, err := m.Speaker.Say(ctx, text)
 	switch {
-	case errors.Is(err, voice.ErrSaid):
-		return refuse(c, 400, strings.TrimPrefix(err.Error(), voice.ErrSaid.Error()+"\n"))
+	case errors.Is(err, statement.ErrSaid):
+		return refuse(c, 400, strings.TrimPrefix(err.Error(), statement.ErrSaid.Error()+"\n"))
 	case errors.Is(err, quorum.ErrNoQuorum), errors.Is(err, quorum.ErrNoCore):
 		c.Set("Retry-After", "1")
 		return refuse(c, 503, err.Error())
@@ -83,7 +83,7 @@
 }
 
 func (m *Controller) beat(c *fiber.Ctx) error {
-	b, err := face.ReadBeat(c.Body())
+	b, err := httpapi.ReadBeat(c.Body())
 	if err != nil {
 		return refuse(c, 400, err.Error())
 	}
@@ -94,7 +94,7 @@
 		c.Set("Retry-After", "1")
 		return refuse(c, 503, err.Error())
 	}
-	return c.JSON(face.BeatAnswer{OK: true, Seq: r.Seq, Leaving: b.Leaving, Gone: r.Gone})
+	return c.JSON(httpapi.BeatAnswer{OK: true, Seq: r.Seq, Leaving: b.Leaving, Gone: r.Gone})
 }
 
 // statusOf is the HTTP status of an order's outcome.
--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -9,7 +9,7 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/recover"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/passage"
 )
 
@@ -31,7 +31,7 @@
 		ReadBufferSize: 16 << 10, DisableDefaultContentType: true, UnescapePath: false, CaseSensitive: true, StrictRouting: true,
 		ErrorHandler: f.defect})
 	app.Use(recover.New())
-	app.Get(face.ReadyPath, func(c *fiber.Ctx) error {
+	app.Get(httpapi.ReadyPath, func(c *fiber.Ctx) error {
 		if !f.Ready() {
 			c.Set("Retry-After", "1")
 			return c.Status(503).SendString("not ready\n")
@@ -39,7 +39,7 @@
 		return c.SendString("ready\n")
 	})
 	if metrics != nil {
-		app.Get(face.MetricsPath, metrics)
+		app.Get(httpapi.MetricsPath, metrics)
 	}
 	h := f.call
 	for _, m := range []middleware{f.parting} {
@@ -66,9 +66,9 @@
 	if e, ok := err.(*fiber.Error); ok {
 		code = e.Code
 	}
-	v := face.Verdict{Status: code, Code: face.Malformed}
+	v := httpapi.Verdict{Status: code, Code: httpapi.Malformed}
 	if code == 413 {
-		v.Code = face.TooLarge
+		v.Code = httpapi.TooLarge
 	}
 	return f.verdict(c, v, "")
 }
@@ -77,10 +77,10 @@
 func (f *Gateway) call(c *fiber.Ctx) error {
 	r := copyRequest(c)
 	if r.URI == "" || r.URI[0] != '/' {
-		return f.verdict(c, face.Verdict{Status: 400, Code: face.Malformed}, "")
+		return f.verdict(c, httpapi.Verdict{Status: 400, Code: httpapi.Malformed}, "")
 	}
-	client := c.Get(face.ClientField)
-	t := f.Passage.Enter(context.Background(), client, c.Get(face.KeyField), r)
+	client := c.Get(httpapi.ClientField)
+	t := f.Passage.Enter(context.Background(), client, c.Get(httpapi.KeyField), r)
 	if t.Out != nil {
 		return f.verdict(c, *t.Out, t.Call)
 	}
@@ -88,7 +88,7 @@
 	for _, h := range t.Answer.Header {
 		c.Context().Response.Header.Add(h[0], h[1])
 	}
-	c.Set(face.CallField, t.Call)
+	c.Set(httpapi.CallField, t.Call)
 	if r.Method == fiber.MethodHead {
 		c.Context().Response.SkipBody = true
 		return nil
@@ -96,7 +96,7 @@
 	return c.Send(t.Answer.Body)
 }
 
-func (f *Gateway) verdict(c *fiber.Ctx, v face.Verdict, call string) error {
+func (f *Gateway) verdict(c *fiber.Ctx, v httpapi.Verdict, call string) error {
 	if v.Retry > 0 {
 		c.Set("Retry-After", v.RetryAfter())
 	}
@@ -104,7 +104,7 @@
 		c.Append("Allow", a)
 	}
 	if call != "" {
-		c.Set(face.CallField, call)
+		c.Set(httpapi.CallField, call)
 	}
 	c.Set("Content-Type", "application/json")
 	f.count(v.Code)
@@ -133,10 +133,10 @@
 	for k, v := range q.Header.All() {
 		n := string(k)
 		switch n {
-		case "Host", "Content-Length", face.RequestField, face.TargetField, "Expect":
+		case "Host", "Content-Length", httpapi.RequestField, httpapi.TargetField, "Expect":
 			continue
 		}
-		if !face.Hop(n) && !named[n] {
+		if !httpapi.Hop(n) && !named[n] {
 			r.Header = append(r.Header, [2]string{n, string(v)})
 		}
 	}
--- a/internal/gateway/door_test.go
+++ b/internal/gateway/door_test.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/liveness"
 	"walkrudder/internal/passage"
 	"walkrudder/internal/registry"
@@ -38,7 +38,7 @@
 
 // stamp writes the stamp that the target owes to r.
 func stamp(w http.ResponseWriter, r *http.Request, length int) {
-	w.Header().Set(face.StampField, face.Stamp{ID: "a", Service: "svc", Inc: 1, Request: r.Header.Get(face.RequestField), Length: length}.String())
+	w.Header().Set(httpapi.StampField, httpapi.Stamp{ID: "a", Service: "svc", Inc: 1, Request: r.Header.Get(httpapi.RequestField), Length: length}.String())
 }
 
 func newStand(t *testing.T, serve http.HandlerFunc) *stand {
@@ -64,7 +64,7 @@
 	r := &registry.Roster{Clock: clock.Wall{}, Pause: liveness.NewPauses(clock.Wall{}), Controllers: nil, Every: time.Second}
 	r.Init()
 	go r.Alone(ctx)
-	if err := r.Learn(ctx, "svc", []registry.Entry{{Beat: face.Beat{ID: "a", Service: "svc", Addr: addr, Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
+	if err := r.Learn(ctx, "svc", []registry.Entry{{Beat: httpapi.Beat{ID: "a", Service: "svc", Addr: addr, Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
 		t.Fatal(err)
 	}
 	// The test lasts longer than a proof does.
@@ -126,7 +126,7 @@
 	if got.RequestURI != "/once/a%2Fb?x=1&y=%20z" || in != "body" || got.Header.Get("X-Theirs") != "1" || got.Header.Get("Cookie") != "c=3" || got.Host != s.door {
 		t.Errorf("request: %s %q %v %s", got.RequestURI, in, got.Header, got.Host)
 	}
-	if got.Header.Get("X-Local") != "" || got.Header.Get("Te") != "" || got.Header.Get(face.TargetField) != "a;svc;1" {
+	if got.Header.Get("X-Local") != "" || got.Header.Get("Te") != "" || got.Header.Get(httpapi.TargetField) != "a;svc;1" {
 		t.Errorf("fields of one link were passed on: %v", got.Header)
 	}
 	if r, _ := s.call(t, "GET", "/nowhere", nil); r.StatusCode != 404 {
@@ -214,7 +214,7 @@
 				}
 				_, _ = io.Copy(io.Discard, q.Body)
 				s.ran.Add(1)
-				answer(c, q.Header.Get(face.RequestField))
+				answer(c, q.Header.Get(httpapi.RequestField))
 			}()
 		}
 	}()
@@ -223,7 +223,7 @@
 }
 
 func line(number, id string, inc, length int) string {
-	return face.StampField + ": " + id + ";svc;" + strconv.Itoa(inc) + ";" + number + ";" + strconv.Itoa(length) + "\r\n"
+	return httpapi.StampField + ": " + id + ";svc;" + strconv.Itoa(inc) + ";" + number + ";" + strconv.Itoa(length) + "\r\n"
 }
 
 // What is no proper answer is never a success; a request that may not be repeated
@@ -257,10 +257,10 @@
 			t.Parallel()
 			s := raw(t, answer)
 			r, b := s.call(t, "POST", "/once/x", strings.NewReader("order"))
-			if r.StatusCode != 502 || !strings.Contains(b, face.Unknown) || s.ran.Load() != 1 {
+			if r.StatusCode != 502 || !strings.Contains(b, httpapi.Unknown) || s.ran.Load() != 1 {
 				t.Errorf("POST: %d %s after %d sends", r.StatusCode, b, s.ran.Load())
 			}
-			if r, b := s.call(t, "GET", "/again/x", nil); r.StatusCode != 502 || strings.Contains(b, face.BusyNotRun) {
+			if r, b := s.call(t, "GET", "/again/x", nil); r.StatusCode != 502 || strings.Contains(b, httpapi.BusyNotRun) {
 				t.Errorf("GET: %d %s", r.StatusCode, b)
 			}
 		})
@@ -270,7 +270,7 @@
 func TestDoorSaysNotRunOnlyWhenTrue(t *testing.T) {
 	busy := newStand(t, func(w http.ResponseWriter, r *http.Request) {
 		stamp(w, r, 0)
-		w.Header().Set(face.NotRunField, "1")
+		w.Header().Set(httpapi.NotRunField, "1")
 		w.WriteHeader(503)
 	})
 	gone := &stand{}
@@ -283,7 +283,7 @@
 	gone.raise(t, addr)
 	for name, s := range map[string]*stand{"target says not run": busy, "nobody listens": gone} {
 		r, b := s.call(t, "POST", "/once/x", strings.NewReader("order"))
-		if r.StatusCode != 503 || !strings.Contains(b, face.BusyNotRun) || r.Header.Get("Retry-After") == "" {
+		if r.StatusCode != 503 || !strings.Contains(b, httpapi.BusyNotRun) || r.Header.Get("Retry-After") == "" {
 			t.Errorf("%s: %d %s %v", name, r.StatusCode, b, r.Header)
 		}
 	}
@@ -292,7 +292,7 @@
 	defer close(ends)
 	silent := newStand(t, func(_ http.ResponseWriter, r *http.Request) { <-ends })
 	r, b := silent.call(t, "POST", "/once/x", strings.NewReader("order"))
-	if r.StatusCode != 502 || !strings.Contains(b, face.Unknown) || silent.ran.Load() != 1 {
+	if r.StatusCode != 502 || !strings.Contains(b, httpapi.Unknown) || silent.ran.Load() != 1 {
 		t.Errorf("silent target: %d %s after %d sends", r.StatusCode, b, silent.ran.Load())
 	}
 }
@@ -304,7 +304,7 @@
 	for range 10 {
 		wg.Go(func() {
 			for range 80 {
-				r, _ := s.call(t, "GET", "/again/x", nil, face.ClientField, "hammer")
+				r, _ := s.call(t, "GET", "/again/x", nil, httpapi.ClientField, "hammer")
 				switch {
 				case r.StatusCode == 429 && r.Header.Get("Retry-After") != "":
 					limited.Add(1)
@@ -318,7 +318,7 @@
 	}
 	wg.Wait()
 	for range 20 {
-		if r, _ := s.call(t, "GET", "/again/x", nil, face.ClientField, "proper"); r.StatusCode != 200 {
+		if r, _ := s.call(t, "GET", "/again/x", nil, httpapi.ClientField, "proper"); r.StatusCode != 200 {
 			t.Fatalf("a proper client got %d beside one that hammers", r.StatusCode)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,15 +14,15 @@
 
 	"walkrudder/internal/claim"
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
 	"walkrudder/internal/membership"
 	"walkrudder/internal/passage"
 	"walkrudder/internal/quorum"
 	"walkrudder/internal/registry"
-	"walkrudder/internal/roll"
+	"walkrudder/internal/rollout"
 	"walkrudder/internal/spec"
 	"walkrudder/internal/startup"
 )
@@ -52,7 +52,7 @@
 	Parts
 	Desk    *link.Desk
 	Tenant  *membership.Tenant
-	Rack    *roll.Rack
+	Rack    *rollout.Rack
 	Roster  *registry.Roster
 	Passage *passage.Passage
 	Pauses  *liveness.Pauses
@@ -86,7 +86,7 @@
 	do.Provide(i, newCircle)
 	do.Provide(i, newPassage)
 	f := &Gateway{Parts: p, born: p.Clock.Now(), Desk: link.NewDesk(), Tenant: do.MustInvoke[*membership.Tenant](i), Pauses: do.MustInvoke[*liveness.Pauses](i),
-		Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*registry.Roster](i), Passage: do.MustInvoke[*passage.Passage](i)}
+		Rack: do.MustInvoke[*rollout.Rack](i), Roster: do.MustInvoke[*registry.Roster](i), Passage: do.MustInvoke[*passage.Passage](i)}
 	since := time.Now().UnixMilli()
 	f.Tenant.Me = func() membership.Member {
 		return membership.Member{ID: p.Startup.ID, Inc: p.Inc, Kind: "gateway", Inner: p.Startup.Inner, Door: p.Startup.Door,
@@ -120,9 +120,9 @@
 	return r, nil
 }
 
-func newRack(i do.Injector) (*roll.Rack, error) {
+func newRack(i do.Injector) (*rollout.Rack, error) {
 	p, t, r := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i), do.MustInvoke[*registry.Roster](i)
-	k := &roll.Rack{Tenant: t, Line: p.Line, Clock: p.Clock, ID: p.Startup.ID, Log: p.Log,
+	k := &rollout.Rack{Tenant: t, Line: p.Line, Clock: p.Clock, ID: p.Startup.ID, Log: p.Log,
 		Controllers: func() []string { return nearest(t.Kind("controller"), p.Startup) },
 		Mates: func() []string {
 			return lo.Union(t.Others(p.Startup.ID), lo.Without(p.Startup.Seeds, p.Startup.Inner))
@@ -130,7 +130,7 @@
 		OnSpec: func(t *spec.Table) {
 			r.Want(lo.Map(t.Services, func(s spec.Service, _ int) string { return s.Name }))
 		},
-		OnLeaves: func(ls []roll.Leave) {
+		OnLeaves: func(ls []rollout.Leave) {
 			for _, l := range ls {
 				_ = r.Drain(context.Background(), l.Service, l.ID, l.Inc, l.Gone)
 			}
@@ -163,7 +163,7 @@
 
 func newPassage(i do.Injector) (*passage.Passage, error) {
 	p, t := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i)
-	g := &passage.Passage{Clock: p.Clock, Rack: do.MustInvoke[*roll.Rack](i), Roster: do.MustInvoke[*registry.Roster](i),
+	g := &passage.Passage{Clock: p.Clock, Rack: do.MustInvoke[*rollout.Rack](i), Roster: do.MustInvoke[*registry.Roster](i),
 		Courier: p.Courier, Zone: p.Startup.Zone, Chart: p.Startup.Chart, ID: p.Startup.ID, Inc: p.Inc, Faults: p.Faults, Log: p.Log, Count: p.Count,
 		Gateways: func() int {
 			// Read at every choice: counted, not listed.
@@ -175,7 +175,7 @@
 }
 
 func newCircle(i do.Injector) (*claim.Circle, error) {
-	p, t, k := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i), do.MustInvoke[*roll.Rack](i)
+	p, t, k := do.MustInvoke[Parts](i), do.MustInvoke[*membership.Tenant](i), do.MustInvoke[*rollout.Rack](i)
 	c := &claim.Circle{Me: p.Startup.ID, Line: p.Line, Clock: p.Clock, Log: p.Log, Mates: k.Mates, Held: t.Held, Alone: k.Stranded, Gateways: k.Counts,
 		Members: func() []string { return t.Others(p.Startup.ID) },
 		Keep:    &claims{line: p.Line, clock: p.Clock, controllers: func() []string { return nearest(t.Kind("controller"), p.Startup) }}}
@@ -275,7 +275,7 @@
 func (f *Gateway) Part(ctx context.Context) {
 	f.Tenant.Leave(ctx)
 	for _, a := range f.Rack.Controllers() {
-		if r, err := link.Ask[roll.PartTold](ctx, f.Line, a, roll.PartAsk{ID: f.Startup.ID}); err == nil && r.OK {
+		if r, err := link.Ask[rollout.PartTold](ctx, f.Line, a, rollout.PartAsk{ID: f.Startup.ID}); err == nil && r.OK {
 			return
 		}
 	}
@@ -313,13 +313,13 @@
 	sent := f.Clock.Now()
 	cx, end := context.WithTimeout(ctx, probeTime)
 	defer end()
-	name := face.TargetName(s.ID, s.Service, s.Inc)
-	a, _, err := f.Courier.Carry(cx, &passage.Sending{Addr: s.Addr, Target: "probe:" + name, Number: face.ProbeNumber(seq), Expiry: sent.Add(probeTime),
-		Req: &passage.Request{Method: "GET", URI: face.ProbeURI(seq), Host: s.Addr}})
+	name := httpapi.TargetName(s.ID, s.Service, s.Inc)
+	a, _, err := f.Courier.Carry(cx, &passage.Sending{Addr: s.Addr, Target: "probe:" + name, Number: httpapi.ProbeNumber(seq), Expiry: sent.Add(probeTime),
+		Req: &passage.Request{Method: "GET", URI: httpapi.ProbeURI(seq), Host: s.Addr}})
 	if err != nil || a.Status != 200 || !a.Whole {
 		return
 	}
-	p, err := face.ReadProbe(a.Body)
+	p, err := httpapi.ReadProbe(a.Body)
 	if err != nil || p.Seq != seq || p.ID != s.ID || p.Service != s.Service || p.Inc != s.Inc {
 		return
 	}
--- a/internal/face/beat.go
+++ b/internal/httpapi/beat.go
@@ -1,6 +1,6 @@
-// Package face holds every format that callers, targets and the platform see,
+// Package httpapi holds every format that callers, targets and the platform see,
 // so that another dialect of them is a change in one place (design 11).
-package face
+package httpapi
 
 import (
 	"encoding/json"
--- a/internal/face/reply.go
+++ b/internal/httpapi/reply.go
@@ -1,4 +1,4 @@
-package face
+package httpapi
 
 import (
 	"encoding/json"
--- a/internal/tally/tally.go
+++ b/internal/metrics/metrics.go
@@ -1,5 +1,5 @@
-// Package tally counts for the metrics endpoint, through the Prometheus library.
-package tally
+// Package metrics counts for the metrics endpoint, through the Prometheus library.
+package metrics
 
 import (
 	"github.com/gofiber/fiber/v2"
--- a/internal/passage/courier.go
+++ b/internal/passage/courier.go
@@ -12,14 +12,14 @@
 
 	"github.com/valyala/fasthttp"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/link"
 )
 
 // Sending is one sending of a request to one target run.
 type Sending struct {
 	Addr   string
-	Target string // face.TargetName of the run meant
+	Target string // httpapi.TargetName of the run meant
 	Number string // of this sending; the stamp must repeat it
 	Req    *Request
 	Expiry time.Time
@@ -228,8 +228,8 @@
 	for _, f := range s.Req.Header {
 		req.Header.Add(f[0], f[1])
 	}
-	req.Header.Set(face.RequestField, s.Number)
-	req.Header.Set(face.TargetField, s.Target)
+	req.Header.Set(httpapi.RequestField, s.Number)
+	req.Header.Set(httpapi.TargetField, s.Target)
 	req.SetBodyRaw(s.Req.Body)
 }
 
@@ -262,9 +262,9 @@
 	for k, v := range h.All() {
 		f := string(k)
 		switch f {
-		case face.StampField:
+		case httpapi.StampField:
 			a.Stamp = string(v)
-		case face.NotRunField:
+		case httpapi.NotRunField:
 			a.NotRun = string(v) == "1"
 		case "Content-Length":
 			// Written anew by the server, but for HEAD, where it tells of a body
@@ -273,7 +273,7 @@
 				continue
 			}
 		}
-		if !face.Hop(f) {
+		if !httpapi.Hop(f) {
 			a.Header = append(a.Header, [2]string{f, string(v)})
 		}
 	}
--- a/internal/passage/elect_test.go
+++ b/internal/passage/elect_test.go
@@ -7,11 +7,11 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/chart"
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/liveness"
 	"walkrudder/internal/registry"
+	"walkrudder/internal/topology"
 )
 
 // crowd is a passage with n proved targets, each heard of every 400 ms so far.
@@ -24,7 +24,7 @@
 	go r.Alone(ctx)
 	var es []registry.Entry
 	for i := range n {
-		es = append(es, registry.Entry{Beat: face.Beat{ID: fmt.Sprint("t", i), Service: "s", Zone: "z1", Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Capacity: 4, Seq: 1, Inc: 1}})
+		es = append(es, registry.Entry{Beat: httpapi.Beat{ID: fmt.Sprint("t", i), Service: "s", Zone: "z1", Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Capacity: 4, Seq: 1, Inc: 1}})
 	}
 	if err := r.Learn(ctx, "s", es); err != nil {
 		t.Fatal(err)
@@ -113,7 +113,7 @@
 		defer end()
 		p, ss := crowd(ctx, t, 8)
 		var err error
-		if p.Chart, err = chart.Dot([]byte(`graph { here -- near [ms=1]; here -- far [ms=9] }`)); err != nil {
+		if p.Chart, err = topology.Dot([]byte(`graph { here -- near [ms=1]; here -- far [ms=9] }`)); err != nil {
 			t.Fatal(err)
 		}
 		p.Zone = "here"
--- a/internal/passage/passage.go
+++ b/internal/passage/passage.go
@@ -14,12 +14,12 @@
 	"github.com/samber/lo"
 	"golang.org/x/time/rate"
 
-	"walkrudder/internal/chart"
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
+	"walkrudder/internal/topology"
 )
 
 const (
@@ -64,7 +64,7 @@
 	Courier  Courier
 	Claims   Claims
 	Zone     string
-	Chart    *chart.Chart // nil where no map is given
+	Chart    *topology.Chart // nil where no map is given
 	ID       string
 	Inc      uint64
 	Gateways func() int
@@ -173,7 +173,7 @@
 			cut = true
 			t.over.Store(true)
 			// A stage may still hold the trip; the caller gets one of his own.
-			return &Trip{Call: t.Call, Out: &face.Verdict{Status: 502, Code: face.Unknown, Why: "this node was ended", Sent: true}}
+			return &Trip{Call: t.Call, Out: &httpapi.Verdict{Status: 502, Code: httpapi.Unknown, Why: "this node was ended", Sent: true}}
 		}
 		if t.drop() {
 			t.finish(nil, p.notRun(t, "no target could take it before its expiry"))
@@ -193,15 +193,15 @@
 	return len(uri)
 }
 
-func missing(m spec.Match, t *spec.Table, r *Request) *face.Verdict {
+func missing(m spec.Match, t *spec.Table, r *Request) *httpapi.Verdict {
 	if m == spec.NoMethod {
-		return &face.Verdict{Status: 405, Code: face.BadMethod, Allow: t.Allows(r.URI[:pathEnd(r.URI)])}
+		return &httpapi.Verdict{Status: 405, Code: httpapi.BadMethod, Allow: t.Allows(r.URI[:pathEnd(r.URI)])}
 	}
-	return &face.Verdict{Status: 404, Code: face.NoBinding}
+	return &httpapi.Verdict{Status: 404, Code: httpapi.NoBinding}
 }
 
-func busy(why string, retry time.Duration) *face.Verdict {
-	return &face.Verdict{Status: 503, Code: face.BusyNotRun, Why: why, Retry: retry}
+func busy(why string, retry time.Duration) *httpapi.Verdict {
+	return &httpapi.Verdict{Status: 503, Code: httpapi.BusyNotRun, Why: why, Retry: retry}
 }
 
 // refuse ends a trip that has not run, unless a sending is still under way: then
@@ -220,9 +220,9 @@
 	}
 	switch {
 	case loose > 0 && !t.Bound.Repeatable:
-		t.finish(nil, &face.Verdict{Status: 502, Code: face.Unknown, Why: why, Sent: true})
+		t.finish(nil, &httpapi.Verdict{Status: 502, Code: httpapi.Unknown, Why: why, Sent: true})
 	case loose > 0:
-		t.finish(nil, &face.Verdict{Status: 502, Code: face.BadAnswer, Why: why, Retry: time.Second, Sent: true})
+		t.finish(nil, &httpapi.Verdict{Status: 502, Code: httpapi.BadAnswer, Why: why, Retry: time.Second, Sent: true})
 	case t.drop() || t.state.Load() == sent:
 		// Sent without a byte that left, or answered "not run" by the target.
 		t.finish(nil, p.notRun(t, why))
@@ -252,7 +252,7 @@
 	}
 	if len(t.Req.Body) > b.MaxBody {
 		if t.drop() {
-			t.finish(nil, &face.Verdict{Status: 413, Code: face.TooLarge, Why: fmt.Sprintf("the limit here is %d bytes", b.MaxBody)})
+			t.finish(nil, &httpapi.Verdict{Status: 413, Code: httpapi.TooLarge, Why: fmt.Sprintf("the limit here is %d bytes", b.MaxBody)})
 		}
 		return
 	}
@@ -412,7 +412,7 @@
 func (p *Passage) doSend(x *Try) {
 	t, s, b := x.Trip, x.Stand, x.Bound
 	svc := x.Table.Services[b.Service]
-	n := &Sending{Addr: s.Addr, Target: face.TargetName(s.ID, s.Service, s.Inc), Req: t.Req, Expiry: t.Expiry,
+	n := &Sending{Addr: s.Addr, Target: httpapi.TargetName(s.ID, s.Service, s.Inc), Req: t.Req, Expiry: t.Expiry,
 		Number: t.Call + "." + strconv.Itoa(x.No), Fresh: !b.Repeatable}
 	charged, dead, begun := false, false, false
 	n.Last = func() bool {
@@ -548,7 +548,7 @@
 	t, s, a := x.Trip, x.Stand, x.Answer
 	svc := s.Service
 	bad := ""
-	st, err := face.ReadStamp(a.Stamp)
+	st, err := httpapi.ReadStamp(a.Stamp)
 	switch {
 	case a.Stamp == "":
 		bad = "no stamp"
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
@@ -34,7 +34,7 @@
 		<-cx.Done()
 		return nil, true, cx.Err()
 	}
-	st := face.Stamp{ID: p[0], Service: p[1], Inc: 1, Request: s.Number}
+	st := httpapi.Stamp{ID: p[0], Service: p[1], Inc: 1, Request: s.Number}
 	return &Answer{Status: 200, Whole: true, Stamp: st.String()}, true, nil
 }
 
@@ -46,7 +46,7 @@
 		ctx, end := context.WithCancel(context.Background())
 		defer end()
 		p, _ := crowd(ctx, t, 2)
-		b := face.Beat{ID: "u", Service: "u", Zone: "z1", Addr: "127.0.0.1:9", Capacity: slots, Seq: 1, Inc: 1}
+		b := httpapi.Beat{ID: "u", Service: "u", Zone: "z1", Addr: "127.0.0.1:9", Capacity: slots, Seq: 1, Inc: 1}
 		if err := p.Roster.Learn(ctx, "u", []registry.Entry{{Beat: b}}); err != nil {
 			t.Fatal(err)
 		}
@@ -72,9 +72,9 @@
 				switch {
 				case x.Out == nil && path == "/u" && took < 10*time.Millisecond:
 					served++
-				case path == "/s" && x.Out.Code == face.BusyNotRun && x.Out.Retry > 0 && took < roomWaits*waitTime+10*time.Millisecond:
+				case path == "/s" && x.Out.Code == httpapi.BusyNotRun && x.Out.Retry > 0 && took < roomWaits*waitTime+10*time.Millisecond:
 					atOnce++
-				case path == "/s" && x.Out.Code == face.Unknown:
+				case path == "/s" && x.Out.Code == httpapi.Unknown:
 					hung++
 				default:
 					t.Errorf("%s: %+v after %s", path, x.Out, took)
@@ -107,7 +107,7 @@
 				switch {
 				case x.Out == nil && took <= roomWaits*waitTime:
 					crowded++
-				case x.Out != nil && x.Out.Code == face.BusyNotRun && x.Out.Retry > 0 && took <= roomWaits*waitTime:
+				case x.Out != nil && x.Out.Code == httpapi.BusyNotRun && x.Out.Retry > 0 && took <= roomWaits*waitTime:
 					turnedAway++
 				default:
 					t.Errorf("one of a crowd: %+v after %s", x.Out, took)
--- a/internal/passage/trip.go
+++ b/internal/passage/trip.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
@@ -65,13 +65,13 @@
 	steps  []Step
 	state  atomic.Int32
 	Answer *Answer
-	Out    *face.Verdict
+	Out    *httpapi.Verdict
 	done   chan struct{}
 	over   atomic.Bool
 }
 
 // finish ends the trip with an answer or a verdict; only the first counts.
-func (t *Trip) finish(a *Answer, v *face.Verdict) {
+func (t *Trip) finish(a *Answer, v *httpapi.Verdict) {
 	if t.over.CompareAndSwap(false, true) {
 		t.Answer, t.Out = a, v
 		close(t.done)
--- a/internal/passage/try_test.go
+++ b/internal/passage/try_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/spec"
 )
 
@@ -35,7 +35,7 @@
 		return nil, true, cx.Err()
 	case <-time.After(wait):
 	}
-	return &Answer{Status: 200, Whole: true, Stamp: face.Stamp{ID: id, Service: "s", Inc: 1, Request: s.Number}.String()}, true, nil
+	return &Answer{Status: 200, Whole: true, Stamp: httpapi.Stamp{ID: id, Service: "s", Inc: 1, Request: s.Number}.String()}, true, nil
 }
 
 // retry is a passage of n targets of which the first k fall silent, in probes and
@@ -116,7 +116,7 @@
 	})
 	retry(t, 6, 1, true, func(call func(string) (*Trip, time.Duration, int)) {
 		x, took, sends := call("POST")
-		if x.Out == nil || x.Out.Code != face.Unknown || sends != 1 || took < 3900*time.Millisecond {
+		if x.Out == nil || x.Out.Code != httpapi.Unknown || sends != 1 || took < 3900*time.Millisecond {
 			t.Errorf("one that may not be repeated: %+v after %s, %d sendings", x.Out, took, sends)
 		}
 	})
--- a/internal/registry/house.go
+++ b/internal/registry/house.go
@@ -11,7 +11,7 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
 	"walkrudder/internal/membership"
@@ -98,7 +98,7 @@
 }
 
 // Take merges a beat: the largest number of the latest run counts.
-func (h *House) Take(ctx context.Context, b face.Beat) (r BeatTold, err error) {
+func (h *House) Take(ctx context.Context, b httpapi.Beat) (r BeatTold, err error) {
 	return owner.Get(ctx, h.own, func() (r BeatTold) {
 		now := h.Clock.Now()
 		s := h.rows[b.Service]
--- a/internal/registry/near_test.go
+++ b/internal/registry/near_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/liveness"
 )
 
@@ -23,7 +23,7 @@
 	go r.Alone(ctx)
 	var es []Entry
 	for i := range n {
-		es = append(es, Entry{Beat: face.Beat{ID: fmt.Sprint("t", i), Service: "s", Zone: fmt.Sprintf("z%d", i%3+1), Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Capacity: 4, Seq: 1, Inc: 1}})
+		es = append(es, Entry{Beat: httpapi.Beat{ID: fmt.Sprint("t", i), Service: "s", Zone: fmt.Sprintf("z%d", i%3+1), Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Capacity: 4, Seq: 1, Inc: 1}})
 	}
 	if err := r.Learn(ctx, "s", es); err != nil {
 		t.Fatal(err)
--- a/internal/registry/roster.go
+++ b/internal/registry/roster.go
@@ -8,7 +8,7 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
 	"walkrudder/internal/membership"
@@ -36,8 +36,8 @@
 	proof  atomic.Int64
 	Det    *liveness.Detector
 	near   atomic.Bool
-	beat   face.Beat // owned by the roster
-	nearAt time.Time // owned by the roster
+	beat   httpapi.Beat // owned by the roster
+	nearAt time.Time    // owned by the roster
 	listed atomic.Int64
 }
 
--- a/internal/registry/roster_test.go
+++ b/internal/registry/roster_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"walkrudder/internal/clock"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/link"
 	"walkrudder/internal/liveness"
 	"walkrudder/internal/membership"
@@ -47,8 +47,8 @@
 	l.shut[addr] = shut
 }
 
-func beat(id string, seq, inc uint64, leaving bool) face.Beat {
-	return face.Beat{ID: id, Service: "s", Addr: "127.0.0.1:" + id, Capacity: 1, Seq: seq, Inc: inc, EveryMS: 1000, Leaving: leaving}
+func beat(id string, seq, inc uint64, leaving bool) httpapi.Beat {
+	return httpapi.Beat{ID: id, Service: "s", Addr: "127.0.0.1:" + id, Capacity: 1, Seq: seq, Inc: inc, EveryMS: 1000, Leaving: leaving}
 }
 
 func TestGatewayKeepsItsTargetsWhileHomesChange(t *testing.T) {
@@ -69,7 +69,7 @@
 			return h
 		}
 		h1, h2 := house("m1", 1), house("m2", 1)
-		both := func(b face.Beat) {
+		both := func(b httpapi.Beat) {
 			for _, h := range []*House{h1, h2} {
 				if _, err := h.Take(ctx, b); err != nil {
 					t.Error(err)
@@ -191,7 +191,7 @@
 		h := &House{Clock: clock.Wall{}, Pause: p, Run: 1}
 		h.Init()
 		go h.Start(ctx)
-		for _, b := range []face.Beat{beat("1", 5, 2, false), beat("1", 4, 2, true), beat("1", 9, 1, true), beat("1", 5, 2, true)} {
+		for _, b := range []httpapi.Beat{beat("1", 5, 2, false), beat("1", 4, 2, true), beat("1", 9, 1, true), beat("1", 5, 2, true)} {
 			if _, err := h.Take(ctx, b); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/registry/types.go
+++ b/internal/registry/types.go
@@ -2,11 +2,11 @@
 // zone, and at the gateways that subscribe there (design 12).
 package registry
 
-import "walkrudder/internal/face"
+import "walkrudder/internal/httpapi"
 
 // Entry is what is known of a target run.
 type Entry struct {
-	Beat    face.Beat
+	Beat    httpapi.Beat
 	Gone    bool // let go by agreement
 	Suspect bool // by the home's detector
 	W       float64
@@ -24,13 +24,13 @@
 
 // later tells whether b is news against what is held: a later run, or a later
 // beat of the same.
-func later(b, held face.Beat) bool {
+func later(b, held httpapi.Beat) bool {
 	return b.Inc > held.Inc || b.Inc == held.Inc && b.Seq > held.Seq
 }
 
 type (
 	// BeatAsk hands a beat on to a home.
-	BeatAsk struct{ Beat face.Beat }
+	BeatAsk struct{ Beat httpapi.Beat }
 	// BeatTold answers it.
 	BeatTold struct {
 		OK   bool
--- a/internal/roll/register.go
+++ b/internal/rollout/register.go
@@ -1,4 +1,4 @@
-package roll
+package rollout
 
 import "walkrudder/internal/link"
 
--- a/internal/roll/types.go
+++ b/internal/rollout/types.go
@@ -1,6 +1,6 @@
-// Package roll brings a decided change into force on every gateway: stage it
+// Package rollout brings a decided change into force on every gateway: stage it
 // everywhere, hold, decide the flip, release (design 8.2).
-package roll
+package rollout
 
 import "walkrudder/internal/spec"
 
--- a/internal/sim/keys_test.go
+++ b/internal/sim/keys_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/tools/stand"
 )
 
@@ -38,7 +38,7 @@
 			defer losing(stand.Good)
 			for i := range 20 {
 				o := name + string(rune('a'+i))
-				if r := w.through("f1", o); r.Code == face.Unknown && r.SentOn {
+				if r := w.through("f1", o); r.Code == httpapi.Unknown && r.SentOn {
 					return o
 				}
 			}
--- a/internal/sim/overload_test.go
+++ b/internal/sim/overload_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 )
 
 // At once, twice and five times what the targets' places can do, useful answers stay
@@ -33,7 +33,7 @@
 					switch {
 					case o.Status < 300 && o.Err == "":
 						by[o.Path]++
-					case o.Code == face.BusyNotRun:
+					case o.Code == httpapi.BusyNotRun:
 						slow, retry = max(slow, o.Done.Sub(o.Sent)), max(retry, o.Retry)
 					}
 				}
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/passage"
 	"walkrudder/internal/registry"
 	"walkrudder/tools/stand"
@@ -128,7 +128,7 @@
 func (t *Target) Beat(ctx context.Context) (r registry.BeatTold, leaving, ok bool) {
 	t.mu.Lock()
 	t.seq++
-	b := face.Beat{ID: t.ID, Service: t.Service, Zone: t.Zone, Addr: t.Addr, Capacity: capacity, Leaving: t.leaving, Seq: t.seq, Inc: t.inc, EveryMS: int(beatEvery.Milliseconds())}
+	b := httpapi.Beat{ID: t.ID, Service: t.Service, Zone: t.Zone, Addr: t.Addr, Capacity: capacity, Leaving: t.leaving, Seq: t.seq, Inc: t.inc, EveryMS: int(beatEvery.Milliseconds())}
 	t.mu.Unlock()
 	for range 2 {
 		if r, ok = t.beat(ctx, b); ok {
@@ -138,7 +138,7 @@
 	return r, b.Leaving, ok
 }
 
-func (t *Target) beat(ctx context.Context, b face.Beat) (r registry.BeatTold, ok bool) {
+func (t *Target) beat(ctx context.Context, b httpapi.Beat) (r registry.BeatTold, ok bool) {
 	ms := t.w.Of("controller")
 	n := ms[t.w.Draw("beat "+t.ID, len(ms))]
 	m, up := n.Controller(), n.Host.up()
@@ -308,14 +308,14 @@
 		<-run.Done()
 		return nil
 	}
-	if s.Req.URI[:min(len(s.Req.URI), len(face.ProbePath))] == face.ProbePath {
+	if s.Req.URI[:min(len(s.Req.URI), len(httpapi.ProbePath))] == httpapi.ProbePath {
 		var n uint64
 		_, _ = fmt.Sscanf(s.Number, "p%d", &n)
 		body := fmt.Sprintf(`{"id":%q,"service":%q,"incarnation":%d,"seq":%d,"leaving":%v}`, t.ID, t.Service, inc, n, leaving)
 		return &passage.Answer{Status: 200, Body: []byte(body), Whole: true}
 	}
 	order := orderOf(s.Req)
-	st := face.Stamp{ID: t.ID, Service: t.Service, Inc: inc, Request: s.Number}
+	st := httpapi.Stamp{ID: t.ID, Service: t.Service, Inc: inc, Request: s.Number}
 	if mode == stand.Refusing {
 		return &passage.Answer{Status: 503, NotRun: true, Whole: true, Stamp: st.String()}
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -17,9 +17,9 @@
 
 	"walkrudder/internal/commands"
 	"walkrudder/internal/controller"
-	"walkrudder/internal/face"
 	"walkrudder/internal/fault"
 	"walkrudder/internal/gateway"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/passage"
 	"walkrudder/internal/shell"
 	"walkrudder/internal/spec"
@@ -537,7 +537,7 @@
 	o := w.call(k, order, "")
 	for i := 0; i < 3 && !k.Repeatable && (o.Status >= 300 || o.Err != ""); i++ {
 		time.Sleep(w.pause("again", 10, 1500))
-		if o = w.call(k, order, ""); o.Code == face.AlreadyRun {
+		if o = w.call(k, order, ""); o.Code == httpapi.AlreadyRun {
 			return
 		}
 	}
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -18,7 +18,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/samber/lo"
 
-	"walkrudder/internal/chart"
+	"walkrudder/internal/topology"
 )
 
 // Version is the program's version.
@@ -49,7 +49,7 @@
 	Node `yaml:",inline"`
 	Map  string `arg:"--map" yaml:"map" help:"GraphViz or GeoJSON file that tells how far zones are apart"`
 	// Chart is what the map says.
-	Chart *chart.Chart `arg:"-" yaml:"-"`
+	Chart *topology.Chart `arg:"-" yaml:"-"`
 }
 
 // Version tells the version for --version.
@@ -197,7 +197,7 @@
 		return fmt.Errorf("door: %s is also the inner address", n.Door)
 	}
 	if f, ok := dest.(*Gateway); ok && f.Map != "" {
-		c, err := chart.Read(f.Map)
+		c, err := topology.Read(f.Map)
 		if err != nil {
 			return fmt.Errorf("map: %w", err)
 		}
--- a/internal/voice/grammar.go
+++ b/internal/statement/grammar.go
@@ -1,6 +1,6 @@
-// Package voice is the small language of queries and commands, spoken over HTTP
+// Package statement is the small language of queries and commands, spoken over HTTP
 // or with `controller say` (design 16).
-package voice
+package statement
 
 import (
 	"fmt"
--- a/internal/voice/grammar_test.go
+++ b/internal/statement/grammar_test.go
@@ -1,4 +1,4 @@
-package voice
+package statement
 
 import (
 	"strings"
--- a/internal/voice/speaker.go
+++ b/internal/statement/speaker.go
@@ -1,4 +1,4 @@
-package voice
+package statement
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/commands"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/link"
 	"walkrudder/internal/membership"
@@ -181,7 +181,7 @@
 	if !ok {
 		return Reply{}, fmt.Errorf("no target %s/%s is known here", svc, id)
 	}
-	if err := s.Drainer.Leave(ctx, face.Beat{ID: id, Service: svc, Inc: t.Inc}); err != nil {
+	if err := s.Drainer.Leave(ctx, httpapi.Beat{ID: id, Service: svc, Inc: t.Inc}); err != nil {
 		return Reply{}, err
 	}
 	_ = s.Asker.House.Mark(ctx, svc, id, t.Inc, func(e *registry.Entry) { e.Beat.Leaving = true })
--- a/internal/chart/chart.go
+++ b/internal/topology/topology.go
@@ -1,6 +1,6 @@
-// Package chart reads how far zones are from each other, from a GraphViz graph or a
+// Package topology reads how far zones are from each other, from a GraphViz graph or a
 // GeoJSON file (design 18).
-package chart
+package topology
 
 import (
 	"fmt"
--- a/internal/chart/chart_test.go
+++ b/internal/topology/topology_test.go
@@ -1,4 +1,4 @@
-package chart
+package topology
 
 import (
 	"math"
--- a/tools/stand/caller.go
+++ b/tools/stand/caller.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 )
 
 // Kind is one kind of call in the mix.
@@ -43,7 +43,7 @@
 
 // Ready asks one node.
 func Ready(door string) bool {
-	r, err := asker.Get("http://" + door + face.ReadyPath)
+	r, err := asker.Get("http://" + door + httpapi.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -144,7 +144,7 @@
 func (c *Callers) Insist(k Kind) {
 	order := fmt.Sprintf("%s-%d", c.Run, c.n.Add(1))
 	o := c.Call(k, order, "")
-	for i := 0; i < 3 && !k.Repeatable && (o.Status >= 300 || o.Err != "") && o.Code != face.AlreadyRun; i++ {
+	for i := 0; i < 3 && !k.Repeatable && (o.Status >= 300 || o.Err != "") && o.Code != httpapi.AlreadyRun; i++ {
 		time.Sleep(time.Duration(100+rand.IntN(1400)) * time.Millisecond)
 		o = c.Call(k, order, "")
 	}
@@ -185,10 +185,10 @@
 	q.GetBody = nil
 	q.Header.Set(OrderField, order)
 	if client != "" {
-		q.Header.Set(face.ClientField, client)
+		q.Header.Set(httpapi.ClientField, client)
 	}
 	if !k.Repeatable {
-		q.Header.Set(face.KeyField, order)
+		q.Header.Set(httpapi.KeyField, order)
 	}
 	r, err := caller.Do(q)
 	if err != nil {
@@ -196,8 +196,8 @@
 		return o
 	}
 	defer r.Body.Close()
-	o.Call = r.Header.Get(face.CallField)
-	o.Status, o.Stamp, o.Retry = r.StatusCode, r.Header.Get(face.StampField), r.Header.Get("Retry-After")
+	o.Call = r.Header.Get(httpapi.CallField)
+	o.Status, o.Stamp, o.Retry = r.StatusCode, r.Header.Get(httpapi.StampField), r.Header.Get("Retry-After")
 	raw, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
 	if err != nil {
 		o.Err = err.Error()
--- a/tools/stand/checker.go
+++ b/tools/stand/checker.go
@@ -11,7 +11,7 @@
 	"github.com/samber/lo"
 
 	"walkrudder/internal/commands"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/spec"
 )
 
@@ -113,15 +113,15 @@
 		return linkClosed
 	case o.Status < 300:
 		return served
-	case o.Code == face.BusyNotRun:
+	case o.Code == httpapi.BusyNotRun:
 		return busy
-	case o.Code == face.AlreadyRun || o.Code == face.Unknown && o.Status == 409:
+	case o.Code == httpapi.AlreadyRun || o.Code == httpapi.Unknown && o.Status == 409:
 		return earlierCall
-	case o.Code == face.Unknown && !o.SentOn:
+	case o.Code == httpapi.Unknown && !o.SentOn:
 		return neverSent
-	case o.Code == face.Unknown:
+	case o.Code == httpapi.Unknown:
 		return mayHaveRun
-	case o.Code == face.BadAnswer:
+	case o.Code == httpapi.BadAnswer:
 		return gaveUp
 	case !o.Proper:
 		return expected
@@ -220,7 +220,7 @@
 }
 
 func (r *Records) success(v *Verdict, o Outcome, ex []Exec) {
-	st, err := face.ReadStamp(o.Stamp)
+	st, err := httpapi.ReadStamp(o.Stamp)
 	switch {
 	case err != nil:
 		v.broke("call %s: success without a target's stamp: %q", o.Order, o.Stamp)
@@ -385,7 +385,7 @@
 	sights := map[string][]sight{}
 	for _, o := range r.Outcomes {
 		gateways[o.Call] = o.Gateway
-		if o.Code == face.NoBinding {
+		if o.Code == httpapi.NoBinding {
 			sights[o.Path] = append(sights[o.Path], sight{"", o.Gateway, o.Sent, o.Done, o.Call})
 		}
 	}
--- a/tools/stand/checker_test.go
+++ b/tools/stand/checker_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"walkrudder/internal/commands"
-	"walkrudder/internal/face"
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/ledger"
 	"walkrudder/internal/queries"
 	"walkrudder/internal/spec"
@@ -52,7 +52,7 @@
 	r.Arrive(Arrival{At: t, Target: target, Inc: 1, Service: svc, Order: o, Number: n + ".1", Path: "/p"})
 	r.Exec(Exec{At: t, Target: target, Service: svc, Inc: 1, Order: o, Number: n + ".1", Path: "/p", Digest: "d" + o})
 	r.Outcome(Outcome{Order: o, Call: n, Path: "/p", Proper: true, Sent: t, Done: t, Gateway: fmt.Sprint("f", i%3), Status: 200, BodyOrder: o, BodyWhole: true,
-		Digest: "d" + o, Stamp: face.Stamp{ID: target, Service: svc, Inc: 1, Request: n + ".1"}.String()})
+		Digest: "d" + o, Stamp: httpapi.Stamp{ID: target, Service: svc, Inc: 1, Request: n + ".1"}.String()})
 }
 
 func TestSuspicionsAreHeldAgainstCrashes(t *testing.T) {
@@ -77,9 +77,9 @@
 			r.Exec(Exec{At: at(20), Target: "t-old", Service: "old", Inc: 1, Order: "o0", Path: "/p"})
 		},
 		"but ran 1 times": func(r *Records) {
-			r.Outcomes[3].Call, r.Outcomes[3].Status, r.Outcomes[3].Code, r.Outcomes[3].Retry = "c", 503, face.BusyNotRun, "1"
+			r.Outcomes[3].Call, r.Outcomes[3].Status, r.Outcomes[3].Code, r.Outcomes[3].Retry = "c", 503, httpapi.BusyNotRun, "1"
 		},
-		"without Retry-After":        func(r *Records) { r.Outcome(Outcome{Order: "x", Proper: true, Status: 503, Code: face.BusyNotRun}) },
+		"without Retry-After":        func(r *Records) { r.Outcome(Outcome{Order: "x", Proper: true, Status: 503, Code: httpapi.BusyNotRun}) },
 		"without a target's stamp":   func(r *Records) { r.Outcomes[5].Stamp = "" },
 		"never ran":                  func(r *Records) { r.Outcomes[5].Stamp = strings.Replace(r.Outcomes[5].Stamp, "n5.", "n6.", 1) },
 		"another body":               func(r *Records) { r.Outcomes[5].Digest = "other" },
@@ -91,7 +91,7 @@
 		"after the change had shown": func(r *Records) { run(r, 92, at(1400), "old", "t-other") },
 		"after its leaving":          func(r *Records) { run(r, 93, at(3150), "old", "t-old") },
 		"proper, and answered 404": func(r *Records) {
-			r.Outcome(Outcome{Order: "w", Path: "/p", Proper: true, Status: 404, Code: face.NoBinding, Sent: at(500), Done: at(500)})
+			r.Outcome(Outcome{Order: "w", Path: "/p", Proper: true, Status: 404, Code: httpapi.NoBinding, Sent: at(500), Done: at(500)})
 		},
 		"version 3: /q still showed": func(r *Records) { // a removal that one gateway never took in
 			r.Orders = append(r.Orders, order("three", 3, 1500, spec.Edit{Op: spec.DropBinding, Name: "q"}))
@@ -99,14 +99,14 @@
 		},
 		`version 3: /q showed "old" at gateway f2 300ms after`: func(r *Records) { // one gateway slips back behind another
 			r.Orders = append(r.Orders, order("three", 3, 1500, spec.Edit{Op: spec.Replace, Sheet: &spec.Sheet{}}))
-			r.Outcome(Outcome{Order: "v", Call: "v", Gateway: "f1", Path: "/q", Status: 404, Code: face.NoBinding, Sent: at(1550), Done: at(1550)})
-			r.Outcome(Outcome{Order: "u", Call: "x", Gateway: "f2", Path: "/q", Status: 502, Code: face.BadAnswer, Sent: at(1850), Done: at(1850)})
+			r.Outcome(Outcome{Order: "v", Call: "v", Gateway: "f1", Path: "/q", Status: 404, Code: httpapi.NoBinding, Sent: at(1550), Done: at(1550)})
+			r.Outcome(Outcome{Order: "u", Call: "x", Gateway: "f2", Path: "/q", Status: 502, Code: httpapi.BadAnswer, Sent: at(1850), Done: at(1850)})
 			r.Arrive(Arrival{At: at(1850), Service: "old", Order: "u", Number: "x.1", Path: "/q"})
 		},
 		`version 4: /q still showed ""`: func(r *Records) { // a roll-back that one gateway never took in
 			r.Orders = append(r.Orders, order("three", 3, 1500, spec.Edit{Op: spec.DropBinding, Name: "q"}), order("four", 4, 2000))
 			r.Orders[3].Back = 2
-			r.Outcome(Outcome{Order: "v", Call: "v", Gateway: "f1", Path: "/q", Status: 404, Code: face.NoBinding, Sent: at(4200), Done: at(4200)})
+			r.Outcome(Outcome{Order: "v", Call: "v", Gateway: "f1", Path: "/q", Status: 404, Code: httpapi.NoBinding, Sent: at(4200), Done: at(4200)})
 		},
 		"made to be refused": func(r *Records) { r.Orders[1].Bad = true },
 		"both told":          func(r *Records) { r.Orders = append(r.Orders, order("three", 2, 1500)) },
@@ -122,7 +122,7 @@
 			for range 90 {
 				r.Arrive(Arrival{At: at(700), Service: "old", Order: "again", Number: "c.1"})
 			}
-			r.Outcome(Outcome{Order: "again", Call: "c", Sent: at(700), Repeatable: true, Status: 502, Code: face.BadAnswer})
+			r.Outcome(Outcome{Order: "again", Call: "c", Sent: at(700), Repeatable: true, Status: 502, Code: httpapi.BadAnswer})
 		},
 		"90 extra sends": func(r *Records) { // each under another number
 			for i := range 91 {
@@ -140,14 +140,14 @@
 	}
 	// Whatever we refuse counts, in whichever words; what was done to a node does not.
 	for what, o := range map[string]Outcome{
-		busy:        {Status: 503, Code: face.BusyNotRun, Retry: "1"},
-		neverSent:   {Status: 503, Code: face.Unknown},
+		busy:        {Status: 503, Code: httpapi.BusyNotRun, Retry: "1"},
+		neverSent:   {Status: 503, Code: httpapi.Unknown},
 		noReady:     {Err: NoNode},
-		gaveUp:      {Status: 502, Code: face.BadAnswer, SentOn: true, Repeatable: true},
+		gaveUp:      {Status: 502, Code: httpapi.BadAnswer, SentOn: true, Repeatable: true},
 		linkClosed:  {Err: "EOF", Gateway: "f2"},
 		nodeLost:    {Err: "connection reset", Gateway: "f1"},
-		earlierCall: {Status: 409, Code: face.Unknown},
-		mayHaveRun:  {Status: 502, Code: face.Unknown, SentOn: true},
+		earlierCall: {Status: 409, Code: httpapi.Unknown},
+		mayHaveRun:  {Status: 502, Code: httpapi.Unknown, SentOn: true},
 	} {
 		r := clean()
 		r.Outs = []Out{{Node: "f1", From: at(900), To: at(1100)}}
@@ -163,7 +163,7 @@
 
 func TestTimelineTellsWhenCallsWereNotServed(t *testing.T) {
 	r := clean()
-	r.Outcome(Outcome{Order: "b", Proper: true, Status: 503, Code: face.BusyNotRun, Retry: "1", Sent: at(2500), Done: at(2500)})
+	r.Outcome(Outcome{Order: "b", Proper: true, Status: 503, Code: httpapi.BusyNotRun, Retry: "1", Sent: at(2500), Done: at(2500)})
 	if l := r.Timeline(); len(l) != 1 || !strings.Contains(l[0], "of 11 calls map["+busy+":1]") {
 		t.Errorf("%q", l)
 	}
