Sight: a planned stop tells what is under way, and names what it could not finish

No change of logic: each request keeps the stage that it is in and, for large answers, what was written and how long its writer waited for the pace; a stop logs the sums when it begins and when it closes its listeners, and each request that it leaves. SIGUSR1 shows them too.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -34,6 +34,14 @@
 	a.head, a.body = nil, nil
 }
 
+// bodySize is how long the body is that goes to the caller.
+func (a *answer) bodySize() int {
+	if a.passing != nil {
+		return a.passing.size
+	}
+	return len(a.body)
+}
+
 // own makes an answer of this node's own. Of retry a caller is told where it is not 0.
 func (n *Node) own(id []byte, status int, retry time.Duration, why string) *answer {
 	a := &answer{status: status, length: -1, head: getBuffer(), body: append(getBuffer(), why...)}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -43,6 +43,8 @@
 	h  fasthttp.RequestHeader
 	// leads is the request that waits for its answer; nil is none.
 	leads atomic.Pointer[exchange]
+	// serves is the request that was read and is not answered yet; nil is none.
+	serves atomic.Pointer[exchange]
 
 	mu    sync.Mutex
 	idle  bool // waits for the first byte of a request
@@ -141,9 +143,12 @@
 		}
 		return c.refuse(why)
 	}
+	c.serves.Store(x)
+	defer c.serves.Store(nil)
 	c.leads.Store(x)
 	a := n.lead(x)
 	c.leads.Store(nil)
+	x.progress.enter(answering)
 	keep := c.write(a, x.noBody, !c.h.ConnectionClose())
 	if a.passing != nil {
 		a.passing.stop()
@@ -366,6 +371,9 @@
 	b = append(b, "\r\n"...)
 	b = append(b, a.head...)
 	length := len(a.body)
+	if x := c.serves.Load(); x != nil {
+		x.progress.size.Store(int64(a.bodySize()))
+	}
 	switch {
 	case a.passing != nil:
 		length = a.passing.size
@@ -428,11 +436,18 @@
 // writeStep writes the next piece of a large body.
 func (c *caller) writeStep(rest []byte, size int) (int, error) {
 	k := min(len(rest), bulkStep)
-	c.n.out.wait(size, k, c.n.clock.Now().Add(writeTime))
-	if err := c.nc.SetWriteDeadline(c.n.clock.Now().Add(writeTime)); err != nil {
+	began := c.n.clock.Now()
+	c.n.out.wait(size, k, began.Add(writeTime))
+	now := c.n.clock.Now()
+	if err := c.nc.SetWriteDeadline(now.Add(writeTime)); err != nil {
 		return 0, err
 	}
-	return c.nc.Write(rest[:k])
+	k, err := c.nc.Write(rest[:k])
+	if x := c.serves.Load(); x != nil {
+		x.progress.paced.Add(int64(now.Sub(began)))
+		x.progress.written.Add(int64(k))
+	}
+	return k, err
 }
 
 // writePassing writes a body while it comes in.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -34,6 +34,8 @@
 	held   int  // bytes reserved
 	shared bool // an attempt of another goroutine may still read the buffers
 
+	progress progress
+
 	mu       sync.Mutex
 	tried    []*endpoint
 	arrivals int  // attempts of which a byte may have left
--- a/internal/proxy/lead.go
+++ b/internal/proxy/lead.go
@@ -17,6 +17,7 @@
 // goroutine of the caller's connection; only an attempt besides has its own.
 func (n *Node) lead(x *exchange) (a *answer) {
 	if x.kind == route.Download {
+		x.progress.enter(queued)
 		if !n.enterBulk(x.deadline.Sub(n.clock.Now()) / 4) {
 			return x.end(n.refusal(x, 3*minRetry, "too many downloads at once"))
 		}
@@ -46,6 +47,7 @@
 			}
 			return x.end(n.refusal(x, minRetry, "no target took it"))
 		}
+		x.progress.enter(choosing)
 		g, retry := x.svc.acquire(x)
 		if g.e == nil {
 			if n.await(x) {
@@ -61,6 +63,7 @@
 			g.e.svc.release(g, withheld, 0, 0)
 			continue
 		}
+		x.progress.enter(asking)
 		o := n.attemptPassing(x, g)
 		if o == unreachable {
 			dials++
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -25,8 +25,9 @@
 	Runs    Runs  `json:"runs"`
 	// Budget is of the services that had a request lately, those with the least left
 	// first.
-	Budget   []Left `json:"budget"`
-	Counters Stats  `json:"counters"`
+	Budget   []Left   `json:"budget"`
+	UnderWay UnderWay `json:"under_way"`
+	Counters Stats    `json:"counters"`
 }
 
 // Runs counts the runs known.
@@ -92,7 +93,7 @@
 	now := n.clock.Now()
 	v := n.view.Load()
 	r := Report{Ready: n.Ready(), Synced: n.synced.Load(), Stopping: n.stopping.Load(), Routes: v.table.Len(), Services: len(v.services),
-		Gateways: n.gateways.Load(), GatewaysNear: n.gatewaysNear.Load(), ProbeMS: n.rhythm.interval().Milliseconds(), Budget: []Left{}, Counters: n.Stats()}
+		Gateways: n.gateways.Load(), GatewaysNear: n.gatewaysNear.Load(), ProbeMS: n.rhythm.interval().Milliseconds(), Budget: []Left{}, UnderWay: n.underWay(), Counters: n.Stats()}
 	for _, s := range n.all() {
 		if s.count(&r.Runs, now) {
 			r.Budget = append(r.Budget, Left{s.name, s.acct.Left()})
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -14,6 +14,8 @@
 	stopMargin = 300 * time.Millisecond
 	// acceptPause is waited where no connection can be taken in for want of files.
 	acceptPause = 20 * time.Millisecond
+	// mostNamed is how many requests a stop names that it could not finish.
+	mostNamed = 20
 )
 
 // Serve takes callers in from ln until a planned stop closes it.
@@ -79,6 +81,7 @@
 		return nil
 	}
 	begun := n.clock.Now()
+	n.log.Info("a planned stop begins", "step", "stop", "under_way", n.underWay())
 	if err := n.clock.Sleep(ctx, min(n.set.Linger, n.set.Grace/2)); err != nil {
 		return steperr.At("stop", "", err)
 	}
@@ -92,6 +95,7 @@
 		c.release()
 	}
 	n.cm.Unlock()
+	n.log.Info("no more callers are taken", "step", "stop", "under_way", n.underWay())
 	done := make(chan struct{})
 	go func() {
 		n.wg.Wait()
@@ -103,8 +107,17 @@
 	case <-done:
 		return nil
 	case <-c:
+		n.logUnfinished()
 		return steperr.New("stop", "", "%d requests were not answered in the grace", n.stats.inside.Load())
 	case <-ctx.Done():
 		return steperr.At("stop", "", ctx.Err())
 	}
 }
+
+// logUnfinished names requests that a planned stop leaves without an answer.
+func (n *Node) logUnfinished() {
+	list := n.unfinished()
+	for _, u := range list[:min(len(list), mostNamed)] {
+		n.log.Warn("a request was not answered in the grace", "step", "stop", "request", u)
+	}
+}
