--- a/internal/sim/day/day_test.go
+++ b/internal/sim/day/day_test.go
@@ -1,6 +1,7 @@
 package day
 
 import (
+	"fmt"
 	"os"
 	"runtime/debug"
 	"testing"
@@ -73,3 +74,13 @@
 		At(16*time.Second, NodeCut(1, true, 3*time.Second)),
 		At(20*time.Second, Rolled(500*time.Millisecond)))
 }
+
+// Planned stops cut no download off, though the links carry all that they can.
+func TestStopsUnderHeavyDownloads(t *testing.T) {
+	t.Parallel()
+	for seed := range lo.Ternary(raced, uint64(1), 3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play(t, 51+seed, Heavy(), 40*time.Second, 0.6, At(6*time.Second, Rolled(200*time.Millisecond)))
+		})
+	}
+}
--- a/internal/sim/day/world.go
+++ b/internal/sim/day/world.go
@@ -81,6 +81,19 @@
 	return s
 }
 
+// Heavy is the small deployment on narrow links to some of which more downloads come than they can
+// carry, for callers that wait long enough to see it.
+func Heavy() Shape {
+	s := Narrow()
+	s.Streams = slices.Clone(s.Streams)
+	for i := range s.Streams {
+		if s.Streams[i].Repeat == route.Download {
+			s.Streams[i].Rate, s.Streams[i].Body, s.Streams[i].Deadline = 10, 160<<10, 10*time.Second
+		}
+	}
+	return s
+}
+
 // Large is a deployment with six machines that have a disk, of which two may be lost.
 func Large() Shape {
 	s := Small()
