A download starts only if a planned stop could still write its answer

A download's place was given back when its body had come in, at up to the link's width; written out it was at 0.6 of it. Where downloads came faster than that, answers piled up, and a stop, which also starts new downloads for 2.5 s and lets them wait 2.5 s more for a place, ended before they were written.

Change: what is owed to callers is counted, and a download starts only while it can be written in half the time of a stop; in a stop only if it will be answered by its end, and others are told at once; the whole link for large bodies once no more callers are taken; nothing is sent to a target in the last 0.5 s, and who was sent to none is refused.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -23,6 +23,8 @@
 	held int // bytes reserved
 	// passing is the body of an answer that still comes in; nil is one that is held whole.
 	passing *passing
+	// owed is the delivery of a large body on a narrow link.
+	owed *delivery
 }
 
 func (a *answer) free() {
--- a/internal/proxy/bulk_test.go
+++ b/internal/proxy/bulk_test.go
@@ -68,37 +68,3 @@
 		}
 	})
 }
-
-// TestBulkGate: on a narrow link so many downloads are under way at once and no more; who
-// waits in vain is told so in time.
-func TestBulkGate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		if newBulkGate(0) != nil || newBulkGate(wideMbps) != nil || cap(newBulkGate(1)) != 2 || cap(newBulkGate(16)) != 10 {
-			t.Error("places")
-		}
-		n := &Node{clock: clock.Wall{}, gate: newBulkGate(3.2)}
-		for range 2 {
-			if !n.enterBulk(0) {
-				t.Fatal("no place")
-			}
-		}
-		began := time.Now()
-		if n.enterBulk(300*time.Millisecond) || time.Since(began) != 300*time.Millisecond {
-			t.Errorf("a third after %v", time.Since(began))
-		}
-		go func() {
-			time.Sleep(100 * time.Millisecond)
-			n.leaveBulk()
-		}()
-		if began = time.Now(); !n.enterBulk(300*time.Millisecond) || time.Since(began) != 100*time.Millisecond {
-			t.Errorf("not handed on after %v", time.Since(began))
-		}
-		wide := &Node{clock: clock.Wall{}}
-		for range 100 {
-			if !wide.enterBulk(0) {
-				t.Fatal("a wide link has a gate")
-			}
-		}
-		wide.leaveBulk()
-	})
-}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -153,6 +153,7 @@
 	if a.passing != nil {
 		a.passing.stop()
 	}
+	n.downs.over(a)
 	n.mem.give(a.held)
 	a.free()
 	x.free()
@@ -370,6 +371,7 @@
 	b = append(b, fasthttp.StatusMessage(a.status)...)
 	b = append(b, "\r\n"...)
 	b = append(b, a.head...)
+	c.n.downs.deliver(a)
 	length := len(a.body)
 	if x := c.serves.Load(); x != nil {
 		x.progress.size.Store(int64(a.bodySize()))
@@ -398,14 +400,14 @@
 	if err = c.nc.SetWriteDeadline(c.n.clock.Now().Add(writeTime)); err == nil {
 		switch {
 		case a.passing != nil:
-			err = c.writePassing(b, a.passing)
+			err = c.writePassing(b, a)
 		case noBody || a.bare || len(a.body) == 0:
 			_, err = c.nc.Write(b)
 		case len(a.body) <= together:
 			b = append(b, a.body...)
 			_, err = c.nc.Write(b)
 		default:
-			err = c.writeLarge(b, a.body)
+			err = c.writeLarge(b, a)
 		}
 	}
 	putBuffer(b)
@@ -414,8 +416,9 @@
 
 // writeLarge writes a large body piece by piece, so that others get their turn on a
 // narrow link. The time for writing begins anew with each piece that was taken.
-func (c *caller) writeLarge(head, body []byte) error {
-	if c.n.out.lim == nil || len(body) < bulkFrom {
+func (c *caller) writeLarge(head []byte, a *answer) error {
+	body := a.body
+	if a.owed == nil {
 		bs := net.Buffers{head, body}
 		_, err := bs.WriteTo(c.nc)
 		return err
@@ -424,7 +427,7 @@
 		return err
 	}
 	for rest := body; len(rest) > 0; {
-		k, err := c.writeStep(rest, len(body))
+		k, err := c.writeStep(rest, len(body), a.owed)
 		if err != nil {
 			return err
 		}
@@ -434,7 +437,7 @@
 }
 
 // writeStep writes the next piece of a large body.
-func (c *caller) writeStep(rest []byte, size int) (int, error) {
+func (c *caller) writeStep(rest []byte, size int, d *delivery) (int, error) {
 	k := min(len(rest), bulkStep)
 	began := c.n.clock.Now()
 	c.n.out.wait(size, k, began.Add(writeTime))
@@ -442,7 +445,9 @@
 	if err := c.nc.SetWriteDeadline(now.Add(writeTime)); err != nil {
 		return 0, err
 	}
+	c.n.downs.write(d, now)
 	k, err := c.nc.Write(rest[:k])
+	c.n.downs.wrote(d, k)
 	if x := c.serves.Load(); x != nil {
 		x.progress.paced.Add(int64(now.Sub(began)))
 		x.progress.written.Add(int64(k))
@@ -451,7 +456,8 @@
 }
 
 // writePassing writes a body while it comes in.
-func (c *caller) writePassing(head []byte, p *passing) error {
+func (c *caller) writePassing(head []byte, a *answer) error {
+	p := a.passing
 	if _, err := c.nc.Write(head); err != nil {
 		return err
 	}
@@ -460,7 +466,7 @@
 		if len(b) == 0 {
 			return err
 		}
-		k, err := c.writeStep(b, p.size)
+		k, err := c.writeStep(b, p.size, a.owed)
 		if err != nil {
 			return err
 		}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -63,7 +63,7 @@
 func (x *exchange) enter(c *conn) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.won != nil || x.left || x.arrivals >= x.attempts || x.once && x.loose > 0 || !x.pay() {
+	if x.won != nil || x.left || x.n.lastCalled() || x.arrivals >= x.attempts || x.once && x.loose > 0 || !x.pay() {
 		return false
 	}
 	x.paid = false
--- a/internal/proxy/lead.go
+++ b/internal/proxy/lead.go
@@ -18,15 +18,16 @@
 func (n *Node) lead(x *exchange) (a *answer) {
 	if x.kind == route.Download {
 		x.progress.enter(queued)
-		if !n.enterBulk(x.deadline.Sub(n.clock.Now()) / 4) {
+		if !n.downs.start(x.deadline.Sub(n.clock.Now())/4, 2*x.svc.usualWork()) {
 			return x.end(n.refusal(x, 3*minRetry, "too many downloads at once"))
 		}
 		defer func() {
+			n.downs.answered(a)
 			if a.passing == nil {
-				n.leaveBulk()
+				n.downs.end()
 			}
 		}()
-		if n.gate != nil {
+		if n.downs != nil {
 			x.passed, x.shared = make(chan struct{}), true
 		}
 		if w := n.reroute(x); w != nil {
@@ -38,6 +39,12 @@
 		if a := x.answer(); a != nil {
 			return a
 		}
+		if n.lastCalled() {
+			if n.await(x) {
+				continue
+			}
+			return x.end(n.refusal(x, minRetry, "this node is stopping"))
+		}
 		if x.deadline.Sub(n.clock.Now()) < minLeft {
 			return x.end(n.late(x))
 		}
@@ -123,7 +130,7 @@
 	passed := x.reader == g.e
 	x.mu.Unlock()
 	if passed {
-		n.leaveBulk()
+		n.downs.end()
 	}
 }
 
@@ -137,6 +144,16 @@
 	return true
 }
 
+// lastCalled tells whether a planned stop is so near its end that nothing is sent any more.
+func (n *Node) lastCalled() bool {
+	select {
+	case <-n.lastCall:
+		return true
+	default:
+		return false
+	}
+}
+
 // refusal is the final answer where no target gave one in time: only what has not run,
 // and never will, is told to come back.
 func (n *Node) refusal(x *exchange, retry time.Duration, why string) *answer {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -57,9 +57,9 @@
 	call   func(ctx context.Context, addr string) (net.Conn, error)
 	pauses *liveness.Pauses
 	rhythm rhythm
-	in     bulk // large bodies from targets
-	out    bulk // and to callers
-	gate   chan struct{}
+	in     bulk       // large bodies from targets
+	out    bulk       // and to callers
+	downs  *downloads // nil on a wide link
 
 	view         atomic.Pointer[view]
 	gateways     atomic.Int64
@@ -67,8 +67,9 @@
 	synced       atomic.Bool
 	asOf         atomic.Pointer[time.Time] // until when all changes are known
 	stopping     atomic.Bool
-	leaving      atomic.Bool // idle callers are closed
-	ended        atomic.Bool // the listener is closed on purpose
+	leaving      atomic.Bool   // idle callers are closed
+	ended        atomic.Bool   // the listener is closed on purpose
+	lastCall     chan struct{} // closed near the end of a planned stop: nothing is sent any more
 	warned       atomic.Int64
 	maxCallers   int64
 	// noStandIn and noFates leave an extension of the detector out, for measurement.
@@ -109,12 +110,13 @@
 		pauses:     liveness.NewPausesEvery(p.Clock, pauseTick),
 		maxCallers: int64(s.MaxFiles) * 5 / 8,
 		items:      item.NewSet(), services: map[string]*service{}, runs: map[string]*known{},
-		callers: map[*caller]struct{}{},
+		callers: map[*caller]struct{}{}, lastCall: make(chan struct{}),
 	}
 	if n.log == nil {
 		n.log = log.New(io.Discard)
 	}
-	n.in, n.out, n.gate = newBulk(n, s.LinkMbps), newBulk(n, s.LinkMbps), newBulkGate(s.LinkMbps)
+	n.in, n.out = newBulk(n, s.LinkMbps), newBulk(n, s.LinkMbps)
+	n.downs = newDownloads(n.clock, s.LinkMbps, s.stopTime())
 	n.rhythm.base, n.rhythm.free = s.ProbeEvery, s.FreeProbes
 	n.rhythm.every.Store(int64(s.ProbeEvery))
 	n.gateways.Store(unknownGateways)
--- a/internal/proxy/passing_test.go
+++ b/internal/proxy/passing_test.go
@@ -80,7 +80,7 @@
 				}
 			}
 			synctest.Wait()
-			if s := l.node.Stats(); s.MemoryUsed != 0 || s.Answered != 2 || (s.Passed == 2) != passes || s.Dials != 1 || len(l.node.gate) != 0 {
+			if s := l.node.Stats(); s.MemoryUsed != 0 || s.Answered != 2 || (s.Passed == 2) != passes || s.Dials != 1 || l.node.downs.taken() != 0 {
 				t.Errorf("%v Mbit/s: %+v", mbps, s)
 			}
 			l.close()
@@ -104,7 +104,7 @@
 			t.Errorf("%d bytes after %v, %v", size, last, err)
 		}
 		synctest.Wait()
-		if s := l.node.Stats(); s.MemoryUsed != 0 || s.Spoilt != 1 || s.Inside != 0 || s.Callers != 0 || len(l.arrivals()) != 1 || len(l.node.gate) != 0 {
+		if s := l.node.Stats(); s.MemoryUsed != 0 || s.Spoilt != 1 || s.Inside != 0 || s.Callers != 0 || len(l.arrivals()) != 1 || l.node.downs.taken() != 0 {
 			t.Errorf("%+v, %d arrivals", s, len(l.arrivals()))
 		}
 		if e := l.node.all()[0].all["one"]; e.fails != 1 {
@@ -131,7 +131,7 @@
 		time.Sleep(500 * time.Millisecond)
 		synctest.Wait()
 		s := l.node.Stats()
-		if s.MemoryUsed != 0 || s.Inside != 0 || s.Callers != 0 || s.Withheld != 1 || s.Spoilt+s.Mute+s.Reset+s.CutShort != 0 || len(l.node.gate) != 0 {
+		if s.MemoryUsed != 0 || s.Inside != 0 || s.Callers != 0 || s.Withheld != 1 || s.Spoilt+s.Mute+s.Reset+s.CutShort != 0 || l.node.downs.taken() != 0 {
 			t.Errorf("%+v", s)
 		}
 		if e := l.node.all()[0].all["one"]; e.fails != 0 || len(e.starts) != 0 || e.open != 0 {
@@ -155,8 +155,8 @@
 		}
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
-		if took == 0 || took > time.Second || len(l.node.gate) != 0 || len(l.node.all()[0].all["one"].starts) != 0 {
-			t.Errorf("the target was held for %v, %d places taken", took, len(l.node.gate))
+		if took == 0 || took > time.Second || l.node.downs.taken() != 0 || len(l.node.all()[0].all["one"].starts) != 0 {
+			t.Errorf("the target was held for %v, %d places taken", took, l.node.downs.taken())
 		}
 		if _, _, size, err := c.arrivalOf(time.Now()); err != nil || size != bundle {
 			t.Errorf("%d bytes, %v", size, err)
@@ -189,7 +189,7 @@
 			t.Errorf("%d bytes after %v, %v", size, last, err)
 		}
 		synctest.Wait()
-		if s := l.node.Stats(); s.Hedges != 1 || s.Passed != 1 || s.MemoryUsed != 0 || len(l.node.gate) != 0 {
+		if s := l.node.Stats(); s.Hedges != 1 || s.Passed != 1 || s.MemoryUsed != 0 || l.node.downs.taken() != 0 {
 			t.Errorf("%+v", s)
 		}
 		l.close()
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -12,6 +12,9 @@
 const (
 	// stopMargin is kept free at the end of a planned stop.
 	stopMargin = 300 * time.Millisecond
+	// lastCallTime is how long before the end of a planned stop the last request is sent to a target:
+	// who still waits for one then is told so while the answer can still leave.
+	lastCallTime = 500 * time.Millisecond
 	// acceptPause is waited where no connection can be taken in for want of files.
 	acceptPause = 20 * time.Millisecond
 	// mostNamed is how many requests a stop names that it could not finish.
@@ -72,46 +75,68 @@
 	}()
 }
 
-// Stop ends the node in order. At once it is not ready and tells callers to close; for
-// a while it takes in those who have yet to notice; then it closes the listeners and
-// the idle callers, and returns when all inside is answered, or the grace is over.
-// Nothing is answered in place of a target that is at work.
+// Stop ends the node in order. At once it is not ready, tells callers to close, and starts no download
+// that it could not finish; for a while it takes in those who have yet to notice; then it closes the
+// listeners and the idle callers, gives large answers the whole link, and returns when all inside is
+// answered, or the grace is over. Nothing is answered in place of a target that is at work; what was
+// sent to none shortly before the end is refused.
 func (n *Node) Stop(ctx context.Context) error {
 	if n.stopping.Swap(true) {
 		return nil
 	}
-	begun := n.clock.Now()
+	end := n.clock.Now().Add(n.set.stopTime())
 	n.log.Info("a planned stop begins", "step", "stop", "under_way", n.underWay())
+	n.downs.stop(end)
 	if err := n.clock.Sleep(ctx, min(n.set.Linger, n.set.Grace/2)); err != nil {
 		return steperr.At("stop", "", err)
 	}
+	n.closeDoors()
+	n.log.Info("no more callers are taken", "step", "stop", "under_way", n.underWay())
+	done := make(chan struct{})
+	go func() {
+		n.wg.Wait()
+		close(done)
+	}()
+	if n.ends(ctx, done, end.Add(-lastCallTime)) {
+		return nil
+	}
+	close(n.lastCall)
+	if n.ends(ctx, done, end) {
+		return nil
+	}
+	if err := ctx.Err(); err != nil {
+		return steperr.At("stop", "", err)
+	}
+	n.logUnfinished()
+	return steperr.New("stop", "", "%d requests were not answered in the grace", n.stats.inside.Load())
+}
+
+// closeDoors closes the listeners and the idle callers.
+func (n *Node) closeDoors() {
 	n.ended.Store(true)
 	n.leaving.Store(true)
 	n.cm.Lock()
+	defer n.cm.Unlock()
 	for _, ln := range n.lns {
 		_ = ln.Close()
 	}
 	for c := range n.callers {
 		c.release()
 	}
-	n.cm.Unlock()
-	n.log.Info("no more callers are taken", "step", "stop", "under_way", n.underWay())
-	done := make(chan struct{})
-	go func() {
-		n.wg.Wait()
-		close(done)
-	}()
-	c, stop := n.clock.After(max(0, n.set.Grace-stopMargin-n.clock.Now().Sub(begun)))
+	n.out.widen(n.set.LinkMbps)
+}
+
+// ends waits until all inside is answered, and tells whether it was before at.
+func (n *Node) ends(ctx context.Context, done <-chan struct{}, at time.Time) bool {
+	c, stop := n.clock.After(max(0, at.Sub(n.clock.Now())))
 	defer stop()
 	select {
 	case <-done:
-		return nil
+		return true
 	case <-c:
-		n.logUnfinished()
-		return steperr.New("stop", "", "%d requests were not answered in the grace", n.stats.inside.Load())
 	case <-ctx.Done():
-		return steperr.At("stop", "", ctx.Err())
 	}
+	return false
 }
 
 // logUnfinished names requests that a planned stop leaves without an answer.
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -84,6 +84,13 @@
 
 func (s *service) usual() time.Duration { return cmp.Or(s.took, unknownTime) }
 
+// usualWork is how long an answer of the service takes of late.
+func (s *service) usualWork() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usual()
+}
+
 // maxOpen is how many connections this node may have to one run.
 func (s *service) maxOpen() int {
 	if s.def.MaxConns <= 0 {
@@ -357,6 +364,8 @@
 	case g = <-w.got:
 		stop()
 	case <-c:
+	case <-s.n.lastCall:
+		stop()
 	}
 	if g.e != nil {
 		return g, 0
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -79,6 +79,9 @@
 	return s
 }
 
+// stopTime is how long a planned stop may take before the process must be on its way out.
+func (s Settings) stopTime() time.Duration { return max(0, s.Grace-stopMargin) }
+
 func def[T comparable](v *T, d T) {
 	var zero T
 	if *v == zero {
