--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -101,6 +101,7 @@
 		return nil
 	}
 	close(n.lastCall)
+	n.log.Info("the last call", "step", "stop", "under_way", n.underWay(), "requests", n.named())
 	if n.ends(ctx, done, end) {
 		return nil
 	}
@@ -139,10 +140,15 @@
 	return false
 }
 
+// named lists some of the requests under way.
+func (n *Node) named() []Unfinished {
+	list := n.unfinished()
+	return list[:min(len(list), mostNamed)]
+}
+
 // logUnfinished names requests that a planned stop leaves without an answer.
 func (n *Node) logUnfinished() {
-	list := n.unfinished()
-	for _, u := range list[:min(len(list), mostNamed)] {
+	for _, u := range n.named() {
 		n.log.Warn("a request was not answered in the grace", "step", "stop", "request", u)
 	}
 }
