--- a/internal/proxy/lead.go
+++ b/internal/proxy/lead.go
@@ -14,26 +14,44 @@
 )
 
 // lead brings a request to a target and returns its final answer. It runs in the
-// goroutine of the caller's connection; only an attempt besides has its own.
-func (n *Node) lead(x *exchange) (a *answer) {
-	if x.kind == route.Download {
-		x.progress.enter(queued)
-		if !n.downs.start(x.deadline.Sub(n.clock.Now())/4, 2*x.svc.usualWork()) {
-			return x.end(n.refusal(x, 3*minRetry, "too many downloads at once"))
-		}
-		defer func() {
-			n.downs.answered(a)
-			if a.passing == nil {
-				n.downs.end()
-			}
-		}()
-		if n.downs != nil {
-			x.passed, x.shared = make(chan struct{}), true
-		}
-		if w := n.reroute(x); w != nil {
-			return x.end(n.own(x.id, w.status, w.retry, w.why))
-		}
+// goroutine of the caller's connection; only an attempt besides has its own. On a narrow link a
+// download, and a request whose like had large answers of late, first waits for its start.
+func (n *Node) lead(x *exchange) *answer {
+	if n.downs == nil {
+		return n.seek(x)
+	}
+	svc, kind := x.svc, x.kind
+	if kind != route.Download && !svc.large(kind) {
+		a := n.seek(x)
+		svc.noteSize(kind, a)
+		return a
+	}
+	x.progress.enter(queued)
+	if !n.downs.start(x.deadline.Sub(n.clock.Now())/4, 2*svc.usualWork()) {
+		return x.end(n.refusal(x, 3*minRetry, "too many downloads at once"))
 	}
+	if kind == route.Download {
+		x.passed, x.shared = make(chan struct{}), true
+	}
+	a := n.seekAfterWait(x)
+	svc.noteSize(kind, a)
+	n.downs.answered(a)
+	if a.passing == nil {
+		n.downs.end()
+	}
+	return a
+}
+
+// seekAfterWait goes by what the routes say after a wait, and finds the request its answer.
+func (n *Node) seekAfterWait(x *exchange) *answer {
+	if w := n.reroute(x); w != nil {
+		return x.end(n.own(x.id, w.status, w.retry, w.why))
+	}
+	return n.seek(x)
+}
+
+// seek asks one target after the other until there is a final answer.
+func (n *Node) seek(x *exchange) *answer {
 	dials := 0
 	for {
 		if a := x.answer(); a != nil {
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -55,6 +55,8 @@
 	name string
 	n    *Node
 	acct *budget.Account
+	// sizes are those of answers of late, by kind of request.
+	sizes sizes
 
 	mu      sync.Mutex
 	def     route.Service
@@ -79,7 +81,7 @@
 }
 
 func newService(n *Node, name string) *service {
-	return &service{name: name, n: n, acct: n.budget.Of(name), all: map[string]*endpoint{}, queue: waiting{most: queueMost}, runs: mostRuns, busy: mostRuns / runsEach}
+	return &service{name: name, n: n, acct: n.budget.Of(name), all: map[string]*endpoint{}, queue: waiting{most: queueMost}, sizes: newSizes(), runs: mostRuns, busy: mostRuns / runsEach}
 }
 
 func (s *service) usual() time.Duration { return cmp.Or(s.took, unknownTime) }
--- a/internal/sim/day/mix_test.go
+++ b/internal/sim/day/mix_test.go
@@ -129,12 +129,26 @@
 	return s, length, out
 }
 
-func playMix(t *testing.T, seed uint64, narrow bool) {
-	t.Run(fmt.Sprintf("seed %d, narrow links: %v", seed, narrow), func(t *testing.T) {
+// links are those that a day of mixed troubles is played on.
+type links int
+
+const (
+	wide   links = iota
+	narrow       // with downloads that they carry
+	heavy        // with more downloads than some of them carry
+)
+
+func (l links) String() string { return [...]string{"wide", "narrow", "narrow with many downloads"}[l] }
+
+func playMix(t *testing.T, seed uint64, l links) {
+	t.Run(fmt.Sprintf("seed %d, links: %v", seed, l), func(t *testing.T) {
 		t.Parallel()
 		s, length, xs := mix(t, seed)
-		if narrow {
+		switch l {
+		case narrow:
 			s.LinkMbps, s.Streams = Narrow().LinkMbps, Narrow().Streams
+		case heavy:
+			s.LinkMbps, s.Streams = Heavy().LinkMbps, Heavy().Streams
 		}
 		play(t, seed, s, length, .1, xs...)
 	})
@@ -143,10 +157,13 @@
 // Days with several troubles by chance break no rule either.
 func TestMixes(t *testing.T) {
 	for seed := range lo.Ternary(raced, uint64(2), 10) {
-		playMix(t, 1+seed, false)
+		playMix(t, 1+seed, wide)
 	}
 	for seed := range lo.Ternary(raced, uint64(1), 4) {
-		playMix(t, 101+seed, true)
+		playMix(t, 101+seed, narrow)
+	}
+	for seed := range lo.Ternary(raced, uint64(1), 3) {
+		playMix(t, 201+seed, heavy)
 	}
 }
 
@@ -158,6 +175,6 @@
 	}
 	for i := range *days {
 		seed := *firstSeed + uint64(i)
-		playMix(t, seed, seed%4 == 3)
+		playMix(t, seed, links(max(0, int(seed%4)-1)))
 	}
 }
