The model tells answers apart by the request that they are to

Cause: two answers of one node to one asker, to the same kind of question and of one actor, that come about in one step (a sync under way ended both; a question that arrived twice) had no order of their own; which of the two was first was up to the order of goroutines. Now an answer has the number of its request's event and of the arrival, and questions that are alike else are ordered by what they ask.

--- a/internal/sim/model/event.go
+++ b/internal/sim/model/event.go
@@ -17,11 +17,18 @@
 	to    string
 	what  string
 	actor string // at whose call it came about
-	fire  func()
-	lose  func() // nil where it can't be lost
-	again func() // nil where it can't happen twice
+	// question is what a request asks, and origin the request that an answer is to: they tell events apart
+	// that are alike else.
+	question any
+	origin   origin
+	fire     func()
+	lose     func() // nil where it can't be lost
+	again    func() // nil where it can't happen twice
 }
 
+// origin names a request, and which of its arrivals, from 0.
+type origin struct{ id, arrival int }
+
 type eventKind uint8
 
 // The kinds of events.
@@ -44,8 +51,21 @@
 // order sorts the events that one step brought about, so that a schedule means the same in every
 // play whatever the order of goroutines was.
 func order(a, b *event) int {
-	return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to),
-		cmp.Compare(a.owner, b.owner), cmp.Compare(a.what, b.what), cmp.Compare(a.actor, b.actor))
+	c := cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to),
+		cmp.Compare(a.owner, b.owner), cmp.Compare(a.what, b.what), cmp.Compare(a.actor, b.actor),
+		cmp.Compare(a.origin.id, b.origin.id), cmp.Compare(a.origin.arrival, b.origin.arrival))
+	if c == 0 {
+		return compareQuestions(a.question, b.question)
+	}
+	return c
+}
+
+// compareQuestions orders questions by their contents, which are read only where all else is equal.
+func compareQuestions(a, b any) int {
+	if a == nil || b == nil {
+		return 0
+	}
+	return cmp.Compare(fmt.Sprintf("%v", a), fmt.Sprintf("%v", b))
 }
 
 // add lets an event wait; it gets its place after the step.
--- a/internal/sim/model/network.go
+++ b/internal/sim/model/network.go
@@ -35,9 +35,16 @@
 	what := reflect.TypeOf(ask).Name()
 	lost := func() { tell(result{err: errLost}) }
 	actor := actorOf(ctx)
-	serve := func() { go p.w.serve(p.n.id, to, actor, ask, tell) }
-	p.w.add(&event{kind: requestEvent, owner: p.n.id, from: p.n.id, to: to, what: what, actor: actorOf(ctx), fire: serve, lose: lost,
-		again: func() { go p.w.serve(p.n.id, to, actor, ask, func(result) {}) }})
+	request := &event{kind: requestEvent, owner: p.n.id, from: p.n.id, to: to, what: what, actor: actor, question: ask, lose: lost}
+	arrivals := 0
+	arrive := func(tell func(result)) {
+		m := message{p.n.id, to, actor, ask, origin{request.id, arrivals}}
+		arrivals++
+		go p.w.serve(m, tell)
+	}
+	request.fire = func() { arrive(tell) }
+	request.again = func() { arrive(func(result) {}) }
+	p.w.add(request)
 	select {
 	case r := <-back:
 		return r.answer, r.err
@@ -48,38 +55,41 @@
 	}
 }
 
+// message is a question on its way.
+type message struct {
+	from, to, actor string
+	ask             any
+	origin          origin
+}
+
 // serve has the node at an address answer a question that has arrived.
-func (w *World) serve(from, to, actor string, ask any, tell func(result)) {
-	p := w.nodes[to].now.Load()
-	if p == nil || w.cut(from, to) {
-		tell(result{err: errLost})
-		return
-	}
-	if w.keepBack(lateMessage{from, to, actor, ask}) {
+func (w *World) serve(m message, tell func(result)) {
+	p := w.nodes[m.to].now.Load()
+	if p == nil || w.cut(m.from, m.to) || w.keepBack(m) {
 		tell(result{err: errLost})
 		return
 	}
 	if w.Tamper != nil {
-		changed, answer, answered := w.Tamper(from, to, ask)
+		changed, answer, answered := w.Tamper(m.from, m.to, m.ask)
 		if answered {
-			w.reply(from, to, actor, ask, result{answer: answer}, tell)
+			w.reply(m, result{answer: answer}, tell)
 			return
 		}
-		ask = changed
+		m.ask = changed
 	}
-	answer, err := p.control.Desk.Answer(byActor(p.ctx, actor), link.Who{ID: from, Kind: "controller"}, ask)
+	answer, err := p.control.Desk.Answer(byActor(p.ctx, m.actor), link.Who{ID: m.from, Kind: "controller"}, m.ask)
 	if p.ctx.Err() != nil {
 		tell(result{err: errLost})
 		return
 	}
-	w.reply(from, to, actor, ask, result{answer, err}, tell)
+	w.reply(m, result{answer, err}, tell)
 }
 
-// reply sends an answer back.
-func (w *World) reply(from, to, actor string, ask any, r result, tell func(result)) {
-	what := reflect.TypeOf(ask).Name()
-	w.add(&event{kind: replyEvent, owner: to, from: to, to: from, what: what, actor: actor, fire: func() {
-		if w.cut(to, from) {
+// reply sends the answer to a question back.
+func (w *World) reply(m message, r result, tell func(result)) {
+	what := reflect.TypeOf(m.ask).Name()
+	w.add(&event{kind: replyEvent, owner: m.to, from: m.to, to: m.from, what: what, actor: m.actor, origin: m.origin, fire: func() {
+		if w.cut(m.to, m.from) {
 			r = result{err: errLost}
 		}
 		tell(r)
@@ -93,14 +103,8 @@
 	return w.cuts[[2]string{from, to}]
 }
 
-// lateMessage is a question that the network keeps back.
-type lateMessage struct {
-	from, to, actor string
-	ask             any
-}
-
 // keepBack tells whether a question is kept back, and keeps it.
-func (w *World) keepBack(m lateMessage) bool {
+func (w *World) keepBack(m message) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.scenario.KeepBack == nil || w.ending || w.arrived || !w.scenario.KeepBack(m.from, m.to, m.ask) {
@@ -119,7 +123,7 @@
 		w.mu.Unlock()
 		for _, m := range kept {
 			if wanted(m.to, m.ask) {
-				go w.serve(m.from, m.to, m.actor, m.ask, func(result) {})
+				go w.serve(m, func(result) {})
 			}
 		}
 	})
--- a/internal/sim/model/world.go
+++ b/internal/sim/model/world.go
@@ -79,7 +79,7 @@
 	Tamper Tamper
 
 	mu      sync.Mutex
-	kept    []lateMessage
+	kept    []message
 	arrived bool // what was kept back
 	now     time.Time
 	events  []*event
