--- a/internal/sim/day/alone_test.go
+++ b/internal/sim/day/alone_test.go
@@ -52,6 +52,8 @@
 	"core cut":                              {30 * s, .95, Together(CoreCut(10*s), Changes(6, 2*s), ScaleIn("orders", .2))},
 	"core split for 20 s":                   {40 * s, .9, Together(CoreSplit(20*s), RaceOneVersion(10), AcksLost(.5, 15*s), Reads(25, s))},
 	"core machines not heard for 20 s":      {40 * s, .8, Together(CoreNotHeard(20*s), RaceOneVersion(10), Changes(6, 2*s), Reads(25, s), ScaleIn("orders", .2))},
+	"core connections reset":                {30 * s, .8, Together(CoreReset(500), RaceOneVersion(10), Changes(10, s), AcksLost(.3, 10*s), Reads(25, s), ScaleIn("orders", .2))},
+	"controllers roll over and over":        {60 * s, .6, Together(ControllersRolled(12, 200*time.Millisecond), RaceOneVersion(10), Changes(20, 2*s), Reads(40, s), ScaleInUnsaid("orders", .3))},
 	"core cut and restarted":                {45 * s, .6, Together(CoreCutAndRestarted(20*s), RaceOneVersion(8), Reads(25, s))},
 	"core cut and relieved":                 {45 * s, .6, Together(CoreRelieved(20*s), Reads(25, s), AcksLost(.5, 15*s))},
 	"core behind, a disk lost":              {45 * s, .5, Together(CoreBehind(10*s), Reads(25, s))},
--- a/internal/sim/day/mix_test.go
+++ b/internal/sim/day/mix_test.go
@@ -19,11 +19,11 @@
 type named struct {
 	name  string
 	what  Trouble
-	wipes bool // it loses a disk
+	wipes bool // it takes a disk away, for good or until the end of the day
 }
 
-// catalogue are the troubles of which mixed days are made. wipes says that one loses a
-// disk: of these a day has one at most, for no more may be lost at once.
+// catalogue are the troubles of which mixed days are made. wipes says that one may take a disk
+// away for good, or until the end: of these a day has one at most, for no more may be lost at once.
 func catalogue(r *rand.Rand, wipes bool) []named {
 	d := time.Second + time.Duration(r.Int64N(int64(8*time.Second)))
 	part := .2 + .4*r.Float64()
@@ -69,7 +69,6 @@
 		{name: "lossy machines", what: Lossy(n, .02+.2*r.Float64(), d)},
 		{name: "machines reset", what: Again(3, time.Second, MachinesReset(n))},
 		{name: "seeds", what: Again(n, d, SeedTurnover)},
-		{name: "cut off until the end", what: Together(Lasting(CutOffNodes(n, r.IntN(2) == 0)), Changes(4, d/4))},
 		{name: "changes", what: Changes(8, d/4)},
 		{name: "race", what: Race(6)},
 		{name: "one version", what: Together(RaceOneVersion(6), Reads(8, d/4))},
@@ -78,6 +77,7 @@
 		{name: "long core cut", what: Together(CoreCut(20*time.Second), RaceOneVersion(4), Reads(10, d/4))},
 		{name: "core split", what: Together(CoreSplit(20*time.Second), RaceOneVersion(4), Reads(10, d/4))},
 		{name: "core not heard", what: Together(CoreNotHeard(20*time.Second), RaceOneVersion(4), Reads(10, d/4))},
+		{name: "core reset", what: Together(CoreReset(int(d/(30*time.Millisecond))), RaceOneVersion(6), Changes(8, d/8), Reads(10, d/10))},
 		{name: "core restarted", what: CoreCutAndRestarted(3 * d)},
 		{name: "core relieved", what: CoreRelieved(3 * d)},
 		{name: "core lured", what: CoreLured(svc, min(part, .3), 3*d)},
@@ -94,7 +94,7 @@
 		{name: "abuse", what: Together(Abuse(d), Burst(2.5, d))},
 	}
 	if wipes {
-		out = append(out, named{"core behind", CoreBehind(2 * d), true}, named{"disk after an acknowledgement", AfterAck(true, d/2), true}, named{"cut off, told, and lost", CutAndLost(d/2, d/2), true})
+		out = append(out, named{"cut off until the end", Together(Lasting(CutOffNodes(n, r.IntN(2) == 0)), Changes(4, d/4)), true}, named{"core behind", CoreBehind(2 * d), true}, named{"disk after an acknowledgement", AfterAck(true, d/2), true}, named{"cut off, told, and lost", CutAndLost(d/2, d/2), true})
 	}
 	return out
 }
--- a/internal/sim/day/operator.go
+++ b/internal/sim/day/operator.go
@@ -32,11 +32,15 @@
 	return w.version
 }
 
+// pressTime is for how long an operator sends the same: longer than any day's troubles. A core that
+// acknowledges nothing for so long has the day end and be judged.
+const pressTime = 2 * time.Minute
+
 // send has a change acknowledged or refused: at one controller after the other, unchanged, until
-// one of them says a clear word or the day is over. It tells which did.
+// one of them says a clear word, or for pressTime. It tells which did.
 func (o *operator) send(c control.Change, valid bool) (*Order, *Machine) {
 	order := o.begin(c, valid)
-	return order, o.press(order, c, o.w.controllers(), 1<<62)
+	return order, o.press(order, c, o.w.controllers(), o.w.now()+pressTime)
 }
 
 // begin notes an order before its first call.
--- a/internal/sim/day/trouble_cores.go
+++ b/internal/sim/day/trouble_cores.go
@@ -32,6 +32,25 @@
 	})
 }
 
+// CoreReset resets the connections of core machines, one or all, again and again: changes and reads are
+// struck at every moment.
+func CoreReset(times int) Trouble {
+	return func(w *World) {
+		for range times {
+			struck := w.core()
+			if w.chance(3) > 0 {
+				struck = []*Machine{pick(w, struck)}
+			}
+			for _, m := range struck {
+				over := w.trouble(m, Links)
+				m.host.Reset()
+				over()
+			}
+			time.Sleep(w.within(60 * time.Millisecond))
+		}
+	}
+}
+
 // CoreNotHeard lets nobody hear some of the core machines, which hear all others.
 func CoreNotHeard(d time.Duration) Trouble {
 	return For(d, func(w *World) func() {
--- a/internal/sim/day/trouble_machines.go
+++ b/internal/sim/day/trouble_machines.go
@@ -115,6 +115,31 @@
 	}
 }
 
+// ControllersRolled stops and starts controllers in series that overlap: the next stop comes after a
+// pause, whether the one before has come back or not, but no more of a core are away than may be lost.
+func ControllersRolled(times int, pause time.Duration) Trouble {
+	return func(w *World) {
+		var wg sync.WaitGroup
+		away := make(chan struct{}, w.Shape.Bear)
+		for i := range times {
+			of := w.controllers()
+			m := of[i%len(of)]
+			wg.Go(func() {
+				if m.disk != nil {
+					away <- struct{}{}
+					defer func() { <-away }()
+				}
+				over := w.trouble(m, Planned)
+				m.stop()
+				m.bootAll()
+				over()
+			})
+			time.Sleep(pause/2 + w.within(pause))
+		}
+		wg.Wait()
+	}
+}
+
 // dark takes the power of a machine for a time, and its disk with it where that is lost.
 func (w *World) dark(m *Machine, diskLost bool, d time.Duration) {
 	over := w.trouble(m, Down)
@@ -164,7 +189,7 @@
 		over := w.trouble(m, Down)
 		o.watch(name)
 		if !order.settled() {
-			o.press(order, c, w.controllers(), 1<<62)
+			o.press(order, c, w.controllers(), w.now()+pressTime)
 		}
 		time.Sleep(d)
 		m.host.Dark(false)
--- a/internal/sim/day/trouble_operators.go
+++ b/internal/sim/day/trouble_operators.go
@@ -58,7 +58,7 @@
 				c := control.Change{Routes: []route.Route{x}}
 				order := o.begin(c, true)
 				w.note(func(*Record) { order.Contested = true })
-				wg.Go(func() { o.press(order, c, w.controllers(), 1<<62) })
+				wg.Go(func() { o.press(order, c, w.controllers(), w.now()+pressTime) })
 			}
 			wg.Wait()
 			time.Sleep(w.within(time.Second))
--- a/internal/sim/simnet/conn.go
+++ b/internal/sim/simnet/conn.go
@@ -10,6 +10,8 @@
 	"time"
 )
 
+var errReset = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+
 var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 
 // window is how much a connection takes in before its reader has read.
--- a/internal/sim/simnet/host.go
+++ b/internal/sim/simnet/host.go
@@ -17,11 +17,12 @@
 	dark  bool          // without power: nothing answers, not even a refusal
 	slow  time.Duration // added to every way from or to it
 	loss  float64
+	reset chan struct{} // closed at the next reset of its connections
 }
 
 // Host adds a machine.
 func (n *Net) Host(id, zone string) *Host {
-	h := &Host{ID: id, Zone: zone, net: n, procs: map[string]*Proc{}}
+	h := &Host{ID: id, Zone: zone, net: n, procs: map[string]*Proc{}, reset: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.hosts[id] = h
@@ -86,9 +87,19 @@
 	}
 }
 
-// Reset resets all connections of the host.
+// nextReset is closed when the host's connections are reset next.
+func (h *Host) nextReset() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reset
+}
+
+// Reset resets all connections of the host, those of questions under way among them: who asked is told
+// so at once, and a question that had arrived may have been carried out.
 func (h *Host) Reset() {
 	h.mu.Lock()
+	close(h.reset)
+	h.reset = make(chan struct{})
 	ps := make([]*Proc, 0, len(h.procs))
 	for _, p := range h.procs {
 		ps = append(ps, p)
--- a/internal/sim/simnet/net.go
+++ b/internal/sim/simnet/net.go
@@ -153,6 +153,10 @@
 	}
 	n := from.Host.net
 	back := make(chan told, 1)
+	own, peer := from.Host.nextReset(), (<-chan struct{})(nil)
+	if _, h := n.proc(addr); h != nil {
+		peer = h.nextReset()
+	}
 	go func() {
 		_, h := n.proc(addr)
 		if h == nil {
@@ -202,6 +206,12 @@
 	case <-lost.C:
 		from.Awake()
 		return zero, context.DeadlineExceeded
+	case <-own:
+		from.Awake()
+		return zero, errReset
+	case <-peer:
+		from.Awake()
+		return zero, errReset
 	case <-from.ctx.Done():
 		return zero, from.ctx.Err()
 	}
