--- a/internal/sim/day/operator.go
+++ b/internal/sim/day/operator.go
@@ -207,7 +207,8 @@
 }
 
 // readBack reads what stands, from one controller after the other until one answers; who is
-// silent is left after a second.
+// silent is left after a second. Then it asks every controller once more, for the contact time in all: each
+// answer must be the newest, too (rule "history").
 func (w *World) readBack() {
 	o := w.operator("reader")
 	defer o.p.Kill()
@@ -224,7 +225,11 @@
 			continue
 		}
 		w.note(func(r *Record) { r.Read = got })
-		return
+		break
+	}
+	for _, m := range turn {
+		o.ask(m)
+		time.Sleep(w.Shape.Bounds.Contact / time.Duration(len(turn)))
 	}
 }
 
