The model's bootstrapping actor does not ask a process that has ended

Cause: after a look that its process did not outlive, the actor asked that process's memory whether it knew a core; whether the voter had put it there before it ended was up to the order of goroutines. Ruled out: time-outs at one moment (the two plays part at the crash, before any).

--- a/internal/sim/model/forming.go
+++ b/internal/sim/model/forming.go
@@ -29,7 +29,8 @@
 				continue
 			}
 			p.boots.Step(byActor(p.ctx, "bootstrap at "+id))
-			if p.control.Prop.Core().Epoch > 0 {
+			// What a process that ended meanwhile had in memory counts for nothing.
+			if p.ctx.Err() == nil && p.control.Prop.Core().Epoch > 0 {
 				return
 			}
 		}
