--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -214,16 +214,6 @@
 	}
 }
 
-// runs tells whether the process has not ended.
-func (p *process) runs() bool {
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
 func (m *machine) processes() (out []*process) {
 	for _, p := range []*process{m.controller, m.gateway} {
 		if p != nil {
