--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -42,27 +44,38 @@
 type machine struct {
 	name, zone, ip string
 	disk           bool
+	lost           int // how many disks it lost
 	gateway        *process
 	controller     *process
 }
 
 // plan says what a deployment looks like.
 type plan struct {
-	zones      []string // one machine with a disk in each
-	plain      int      // machines without a disk in each zone
+	zones      []string
+	disks      int // machines with a disk in each zone
+	plain      int // and without
 	memoryMB   int
 	drainMS    int
 	beatMS     int
 	applyMS    int
-	tolerance  int
 	controlPer int // controllers in each zone
+	// regions are those of the zones, by name; all are in one where there are none. seedZones are the
+	// zones whose first machines are the seeds.
+	regions   map[string]string
+	seedZones []string
+	// tolerance is what may be lost at once.
+	tolerance struct{ machines, zones, regions int }
 }
 
 // small is like the small deployments of the users' pages.
 func small() plan {
-	return plan{zones: []string{"za", "zb", "zc"}, plain: 1, memoryMB: 284, drainMS: 2000, beatMS: 1500, applyMS: 2000, tolerance: 1, controlPer: 2}
+	p := plan{zones: []string{"za", "zb", "zc"}, disks: 1, plain: 1, memoryMB: 284, drainMS: 2000, beatMS: 1500, applyMS: 2000, controlPer: 2}
+	p.seedZones, p.tolerance.machines = p.zones, 1
+	return p
 }
 
+func (p plan) region(zone string) string { return cmp.Or(p.regions[zone], "region") }
+
 type fleet struct {
 	plan
 	rec      *record
@@ -92,8 +105,8 @@
 		}
 	}
 	for z, zone := range p.zones {
-		for i := range 1 + p.plain {
-			m := &machine{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("127.%d.%d.%d", f.net, z+1, i+1), disk: i == 0}
+		for i := range p.disks + p.plain {
+			m := &machine{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("127.%d.%d.%d", f.net, z+1, i+1), disk: i < p.disks}
 			f.machines = append(f.machines, m)
 		}
 	}
@@ -148,31 +161,24 @@
 	if p.role == "controller" {
 		served = `"control"`
 	}
-	line("node_name = %q\nrole = %q\nmachine_class = \"edge\"\nserved_planes = [%s]\nip_address = %q\nzone_id = %q\nregion_id = \"region\"", m.name, p.role, served, m.ip, m.zone)
+	line("node_name = %q\nrole = %q\nmachine_class = \"edge\"\nserved_planes = [%s]\nip_address = %q\nzone_id = %q\nregion_id = %q", m.name, p.role, served, m.ip, m.zone, f.region(m.zone))
 	line("internal_ports = [%d,%d]", f.port, f.port+15)
 	var seeds []string
-	for _, s := range f.machines {
-		if s.disk && len(seeds) < 3 {
-			seeds = append(seeds, fmt.Sprintf("%q", f.at(s.ip, portControl)))
-		}
-	}
-	if len(seeds) == 0 { // the machines are not all known yet
-		for z := range f.zones {
-			if z < 3 {
-				seeds = append(seeds, fmt.Sprintf("%q", f.at(fmt.Sprintf("127.%d.%d.1", f.net, z+1), portControl)))
-			}
+	for z, zone := range f.zones {
+		if slices.Contains(f.seedZones, zone) {
+			seeds = append(seeds, fmt.Sprintf("%q", f.at(fmt.Sprintf("127.%d.%d.1", f.net, z+1), portControl)))
 		}
 	}
 	line("seed_nodes = [%s]\ninitial_start = %v\ncounted = %v", strings.Join(seeds, ","), first, m.disk)
 	if m.disk {
-		data := filepath.Join(f.dir, "data-"+m.name+"-"+p.role)
+		data := filepath.Join(f.dir, fmt.Sprintf("data-%s-%s-%d", m.name, p.role, m.lost))
 		_ = os.MkdirAll(data, 0o755)
 		line("data_dir = %q", data)
 	}
 	line("discovery_source = \"self_registration\"\nentry_kind = \"virtual_ip\"\nheartbeat_ms = %d\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"pressure\"]\nconfig_mode = \"parts\"", f.beatMS)
 	line("[zones]")
 	for _, z := range f.zones {
-		line("%s = \"region\"", z)
+		line("%s = %q", z, f.region(z))
 	}
 	line("[listen_addrs]")
 	if p.role == "gateway" {
@@ -181,7 +187,7 @@
 		line("control_plane = %q", f.at(m.ip, portControl))
 	}
 	line("[limits]\ncpu_share = 0.56\ncores = 1\nmemory_mb = %d\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 64", f.memoryMB)
-	line("[tolerance]\nmachines = %d\nzones = 0\nregions = 0", f.tolerance)
+	line("[tolerance]\nmachines = %d\nzones = %d\nregions = %d", f.tolerance.machines, f.tolerance.zones, f.tolerance.regions)
 	line("[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4\ndrain_ms = %d\ngrace_s = 6\nloss_slack_ms = 200\nconfig_apply_ms = %d\nrevert_slack_ms = 250\nstretch_max_ms = 5000\nretry_budget_ratio = 0.2\nretry_window_s = 10\nretry_slack = 66\nrecovery_s = 15", f.drainMS, f.applyMS)
 	_ = os.WriteFile(p.settings, b.Bytes(), 0o644)
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,8 @@
 	"refused": refused,
 	"places":  places,
 	"slow":    slow,
+	"memory":  memory,
+	"region":  region,
 }
 
 func main() { os.Exit(int(run())) }
--- a/review/stand/operator.go
+++ b/review/stand/operator.go
@@ -73,7 +73,7 @@
 			return status
 		}
 		time.Sleep(pause)
-		pause *= 2
+		pause = min(2*pause, 500*time.Millisecond)
 	}
 	return status
 }
