Where the seats of the core stand, and what they bear, is told

Cause: nothing told an operator which loss the core bears. Placement, number of seats and recovery could not be told apart as causes.

Change: a seat carries its region beside its zone; the tolerance of the settings reaches the control plane in its three parts and not as one number. `quorum.Tolerance` judges seats: by how many the worst loss that it allows exceeds what a core bears. `controller show ADDR core`, five counters and the step `core` in the log tell it; the loss of the core's majority is logged with the silent nodes. Which seats are chosen is as before.

--- a/cmd/controller/show.go
+++ b/cmd/controller/show.go
@@ -24,16 +24,17 @@
 	items    = "items"
 	runs     = "runs"
 	members  = "members"
+	core     = "core"
 	disk     = "disk"
 	counters = "counters"
 )
 
-var lists = []string{items, runs, members, disk, counters}
+var lists = []string{items, runs, members, core, disk, counters}
 
 // showing is what `controller show` takes.
 type showing struct {
 	Node    string        `arg:"positional,required" placeholder:"NODE-ADDRESS" help:"inner address of a controller on the platform, IP:port"`
-	List    string        `arg:"positional,required" placeholder:"LIST" help:"items, runs, members, disk or counters"`
+	List    string        `arg:"positional,required" placeholder:"LIST" help:"items, runs, members, core, disk or counters"`
 	Service string        `arg:"--service" placeholder:"S" help:"runs of this service only"`
 	Prefix  string        `arg:"--prefix" placeholder:"P" help:"what begins so: items by name, or by host and path; runs by ID; counters by name"`
 	After   string        `arg:"--after" placeholder:"KEY" help:"the page past this key; an answer that was cut names it"`
@@ -61,7 +62,7 @@
 		return fmt.Errorf("LIST: %q is none of %s", a.List, strings.Join(lists, ", "))
 	case a.Service != "" && a.List != runs:
 		return errors.New("--service: goes with runs alone")
-	case a.Prefix != "" && (a.List == members || a.List == disk):
+	case a.Prefix != "" && (a.List == members || a.List == core || a.List == disk):
 		return fmt.Errorf("--prefix: does not go with %s", a.List)
 	case a.Most < 0 || a.Most > 1000:
 		return fmt.Errorf("--most: %d is not from 1 to 1000", a.Most)
@@ -108,6 +109,8 @@
 		err = rows[control.RunRow](ctx, a, l, control.RunsAsk{Page: p, Service: a.Service, Prefix: a.Prefix}, out)
 	case members:
 		err = rows[control.MemberRow](ctx, a, l, control.MembersAsk{Page: p}, out)
+	case core:
+		err = rows[control.SeatRow](ctx, a, l, control.CoreAsk{Page: p}, out)
 	case disk:
 		err = rows[control.DiskRow](ctx, a, l, control.DiskAsk{Page: p}, out)
 	case counters:
--- a/internal/control/change_test.go
+++ b/internal/control/change_test.go
@@ -141,7 +141,7 @@
 		}
 	}},
 	{"as many disks lost as can be borne", func(w *world) {
-		for _, m := range mixed(w, disked(w.controllers))[:w.bear] {
+		for _, m := range mixed(w, disked(w.controllers))[:w.tolerance.Machines] {
 			m.kill()
 			m.disk.wipe()
 		}
@@ -150,7 +150,7 @@
 		for _, m := range w.controllers {
 			m.kill()
 		}
-		for _, m := range mixed(w, disked(w.controllers))[:w.bear] {
+		for _, m := range mixed(w, disked(w.controllers))[:w.tolerance.Machines] {
 			m.disk.wipe()
 		}
 	}},
@@ -191,7 +191,7 @@
 func TestSeedsAreExchanged(t *testing.T) {
 	for seed := range *seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			play(t, uint64(seed), shape{zones: 3, disks: 3, others: 3, gateways: 6, bear: 1}, func(w *world) {
+			play(t, uint64(seed), shape{zones: 3, disks: 3, others: 3, gateways: 6, tolerance: quorum.Tolerance{Machines: 1}}, func(w *world) {
 				w.order(base(10), w.controllers)
 				old := append([]*controllerHost(nil), w.controllers[:3]...)
 				for i, o := range old {
@@ -440,7 +440,7 @@
 // In calm nothing but long polls is sent: a controller sends and answers some twenty messages a
 // second, a gateway sends one or two.
 func TestCalmCostsFewMessages(t *testing.T) {
-	play(t, 6, shape{zones: 4, disks: 4, others: 2, gateways: 13, bear: 1}, func(w *world) {
+	play(t, 6, shape{zones: 4, disks: 4, others: 2, gateways: 13, tolerance: quorum.Tolerance{Machines: 1}}, func(w *world) {
 		w.order(base(50), w.controllers)
 		time.Sleep(20 * time.Second)
 		count := func() (asks, bytes int) {
--- a/internal/control/home_test.go
+++ b/internal/control/home_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/target"
 )
 
@@ -15,7 +16,7 @@
 func TestMovesToTheHomeMakeNoSuspicion(t *testing.T) {
 	for _, gap := range []time.Duration{time.Second, 1500 * time.Millisecond, 1900 * time.Millisecond} {
 		t.Run(gap.String(), func(t *testing.T) {
-			play(t, 8, shape{zones: 3, disks: 3, gateways: 2, bear: 1}, func(w *world) {
+			play(t, 8, shape{zones: 3, disks: 3, gateways: 2, tolerance: quorum.Tolerance{Machines: 1}}, func(w *world) {
 				w.order(base(1), w.controllers)
 				stop, over := map[int]bool{}, false
 				for i := range 100 {
@@ -79,7 +80,7 @@
 // TestHomesFollowWhoIsNear: who is near is looked up seldom, for beats are many, but a controller
 // that stops names another at once.
 func TestHomesFollowWhoIsNear(t *testing.T) {
-	play(t, 9, shape{zones: 3, disks: 3, gateways: 1, bear: 1}, func(w *world) {
+	play(t, 9, shape{zones: 3, disks: 3, gateways: 1, tolerance: quorum.Tolerance{Machines: 1}}, func(w *world) {
 		w.order(base(1), w.controllers)
 		m := w.controllers[0].control()
 		time.Sleep(time.Second)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -37,14 +37,18 @@
 
 // Settings are what a node is told at its start.
 type Settings struct {
-	ID    string `validate:"required,max=64"`
-	Zone  string `validate:"required,max=64"`
-	Inner string `validate:"required,max=256"` // address for other nodes
-	Door  string `validate:"max=256"`          // address for targets and operators
+	ID   string `validate:"required,max=64"`
+	Zone string `validate:"required,max=64"`
+	// Region is the wider failure domain of the zone, "" where the deployment has none.
+	Region string `validate:"max=256"`
+	Inner  string `validate:"required,max=256"` // address for other nodes
+	Door   string `validate:"max=256"`          // address for targets and operators
 	// Seeds are inner addresses of controllers.
 	Seeds []string `validate:"required,min=1,max=64,dive,required"`
-	// FaultsTolerated is how many of the machines with a disk may be lost at once.
-	FaultsTolerated int `validate:"min=0,max=16"`
+	// Tolerance is what may be lost at once of the machines with a disk.
+	Tolerance quorum.Tolerance
+	// Zones are the regions of all zones of the deployment, by zone; empty where they are not known.
+	Zones map[string]string `validate:"max=256"`
 	// First says that the whole system starts for the first time, so that a core may
 	// be formed.
 	First bool
@@ -126,7 +130,7 @@
 		}
 	}
 	if p.Disk != nil {
-		v, err := quorum.NewVoter(quorum.Seat{ID: p.ID, Addr: p.Inner, Zone: p.Zone}, p.Disk, p.Fresh, p.Line, p.Faults, p.OnBad)
+		v, err := quorum.NewVoter(quorum.Seat{ID: p.ID, Addr: p.Inner, Zone: p.Zone, Region: p.Region}, p.Disk, p.Fresh, p.Line, p.Faults, p.OnBad)
 		if err != nil {
 			return nil, err
 		}
@@ -138,7 +142,7 @@
 	if p.Notes != nil {
 		n.recall()
 	}
-	n.bootstrapper = &quorum.Bootstrapper{Seeds: p.Seeds, Self: p.Inner, Size: 2*p.FaultsTolerated + 1, Line: p.Line, Clock: p.Clock, Prop: n.Prop, Voter: n.Voter, Later: !p.First}
+	n.bootstrapper = &quorum.Bootstrapper{Seeds: p.Seeds, Self: p.Inner, Size: 2*p.Tolerance.Most() + 1, Line: p.Line, Clock: p.Clock, Prop: n.Prop, Voter: n.Voter, Later: !p.First}
 	n.bootstrapper.Serve(n.Desk)
 	n.Mesh = &watch.Mesh{Me: n.me, Line: p.Line, Clock: p.Clock, Board: n.Board, Core: n.core, Learn: func(c quorum.Core) { n.Prop.Learn(c) }, Votes: n.votes}
 	n.SetSeeds(p.Seeds)
@@ -187,7 +191,7 @@
 
 // Run works until ctx ends, then waits for its parts.
 func (n *Node) Run(ctx context.Context) {
-	runs := []func(context.Context){n.seek, n.Mesh.Run, n.pause.Run, n.tend, n.forgetDepartures}
+	runs := []func(context.Context){n.seek, n.Mesh.Run, n.pause.Run, n.tend, n.forgetDepartures, n.watchCore}
 	if n.Voter != nil {
 		runs = append(runs, n.Voter.Run, n.reconfigurer.Run)
 	}
--- a/internal/control/query.go
+++ b/internal/control/query.go
@@ -21,6 +21,7 @@
 	link.Pair[RunsAsk, Answer[RunRow]]()
 	link.Pair[MembersAsk, Answer[MemberRow]]()
 	link.Pair[DiskAsk, Answer[DiskRow]]()
+	link.Pair[CoreAsk, Answer[SeatRow]]()
 	link.Pair[CountersAsk, Answer[CounterRow]]()
 }
 
@@ -30,6 +31,7 @@
 	query(n, n.runs)
 	query(n, n.memberRows)
 	query(n, n.disks)
+	query(n, n.coreRows)
 	query(n, n.counters)
 }
 
--- a/internal/control/querycounters.go
+++ b/internal/control/querycounters.go
@@ -31,6 +31,13 @@
 		add(c.name+"_failed", c.failed.Load())
 		add(c.name+"_refused", c.refused.Load())
 	}
+	core, seats := n.coreSeats()
+	exposed := n.Tolerance.Expose(seats)
+	add("core_epoch", core.Epoch)
+	add("core_seats", uint64(len(seats)))
+	add("core_exposed_machines", uint64(exposed.Machines))
+	add("core_exposed_zones", uint64(exposed.Zones))
+	add("core_exposed_regions", uint64(exposed.Regions))
 	end, u := n.Board.End(), usage.Now()
 	add("asks", n.teller.Asks())
 	add("item_merges", end.Items)
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -17,6 +17,7 @@
 
 	"walkrudder/internal/item"
 	"walkrudder/internal/link"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/route"
 	"walkrudder/internal/sim/simnet"
 	"walkrudder/internal/target"
@@ -63,7 +64,8 @@
 	net         *network
 	controllers []*controllerHost
 	gateways    []*gatewayHost
-	bear        int
+	tolerance   quorum.Tolerance
+	regions     map[string]string // by zone; nil where the deployment has none
 	first       bool
 
 	mu    sync.Mutex
@@ -73,10 +75,17 @@
 }
 
 // shape says how many of everything a world has.
-type shape struct{ zones, disks, others, gateways, bear int }
+type shape struct {
+	zones, disks, others, gateways int
+	tolerance                      quorum.Tolerance
+	// layout gives the zone of each disk and regions the region of each zone, where they are not
+	// dealt out in turn.
+	layout  []string
+	regions map[string]string
+}
 
-var small = shape{zones: 3, disks: 3, others: 3, gateways: 6, bear: 1}
-var large = shape{zones: 4, disks: 5, others: 3, gateways: 8, bear: 2}
+var small = shape{zones: 3, disks: 3, others: 3, gateways: 6, tolerance: quorum.Tolerance{Machines: 1}}
+var large = shape{zones: 4, disks: 5, others: 3, gateways: 8, tolerance: quorum.Tolerance{Machines: 2}}
 
 // play runs f in a world in which a core is formed and every gateway is synced.
 func play(t *testing.T, seed uint64, s shape, f func(w *world)) {
@@ -87,7 +96,7 @@
 func playOn(t *testing.T, seed uint64, s shape, prepare, f func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
-		w := &world{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), bear: s.bear, first: true, acked: map[item.Key]item.Item{}}
+		w := &world{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 1)), tolerance: s.tolerance, regions: s.regions, first: true, acked: map[item.Key]item.Item{}}
 		w.net = newNetwork(seed)
 		defer func() {
 			for _, m := range w.controllers {
@@ -101,7 +110,11 @@
 			time.Sleep(10 * time.Second)
 		}()
 		for i := range s.disks + s.others {
-			m := w.addController(fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%s.zones), i < s.disks)
+			zone := fmt.Sprintf("z%d", i%s.zones)
+			if i < len(s.layout) {
+				zone = s.layout[i]
+			}
+			m := w.addController(fmt.Sprintf("m%d", i), zone, i < s.disks)
 			if i < 3 {
 				w.seeds = append(w.seeds, m.addr)
 			}
@@ -151,7 +164,7 @@
 func (m *controllerHost) boot() {
 	proc := m.Start(m.w.ctx, "")
 	m.inc += 1 + uint64(m.w.chance(1000))
-	p := Parts{Settings: Settings{ID: m.id, Zone: m.zone, Inner: m.addr, Seeds: m.w.seedList(), FaultsTolerated: m.w.bear, First: m.w.first, BeatEvery: time.Second},
+	p := Parts{Settings: Settings{ID: m.id, Zone: m.zone, Region: m.w.regions[m.zone], Zones: m.w.regions, Inner: m.addr, Seeds: m.w.seedList(), Tolerance: m.w.tolerance, First: m.w.first, BeatEvery: time.Second},
 		Inc: m.inc, Fresh: fmt.Sprintf("%s-%d", m.id, m.inc), Line: simnet.Line{P: proc}, Clock: simnet.Clock{P: proc}, Log: quietLog(), OnBad: func(error) { proc.Kill() }}
 	var h *simnet.Handle
 	if m.disk != nil {
--- /dev/null
+++ b/internal/quorum/placement_test.go
@@ -0,0 +1,94 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// drawnLayout draws a tolerance and machines with a disk: uneven zones, uneven regions, zones without any disk.
+func drawnLayout(r *rand.Rand) (t Tolerance, all []Seat) {
+	t = Tolerance{Machines: r.IntN(3), Zones: r.IntN(3), Regions: r.IntN(2)}
+	zones := 1 + r.IntN(6)
+	regions := 1 + r.IntN(4)
+	for z := range zones {
+		region := fmt.Sprintf("r%d", r.IntN(regions))
+		for range r.IntN(4) {
+			all = append(all, Seat{ID: fmt.Sprintf("m%02d", len(all)), Zone: fmt.Sprintf("z%d", z), Region: region})
+		}
+	}
+	return t, all
+}
+
+// least tries all choices of n machines.
+func (t Tolerance) least(all, taken []Seat, n int) int {
+	if n == 0 {
+		return t.Expose(taken).Total()
+	}
+	best := mostSeats * mostSeats
+	for i := 0; i+n <= len(all); i++ {
+		best = min(best, t.least(all[i+1:], append(taken, all[i]), n-1))
+	}
+	return best
+}
+
+// The seats that a first core takes are exposed to no more loss than the best choice of machines is: two seats
+// in one region were lost at once with the configuration.
+func TestChosenSeatsBearWhatTheMachinesAllow(t *testing.T) {
+	tried := 0
+	for seed := range uint64(4000) {
+		r := rand.New(rand.NewPCG(seed, 34))
+		tol, all := drawnLayout(r)
+		n := min(tol.Seats(nil), len(all))
+		if n == 0 || len(all) > 12 {
+			continue
+		}
+		tried++
+		got := tol.Choose(all, n)
+		if len(got) != n {
+			t.Fatalf("seed %d: %d seats chosen, want %d", seed, len(got), n)
+		}
+		if e, want := tol.Expose(got).Total(), tol.least(all, nil, n); e != want {
+			t.Errorf("seed %d: %+v of %v: chosen %v exposed by %d, the best choice by %d", seed, tol, all, got, e, want)
+		}
+	}
+	t.Logf("%d layouts", tried)
+}
+
+// From any seats, moves one at a time lead to a core that bears as much as the machines allow, each move raises
+// the exposure to no kind of loss, and they come to an end.
+func TestSeatsAreMovedUntilTheCoreBearsWhatTheMachinesAllow(t *testing.T) {
+	most := 0
+	for seed := range uint64(4000) {
+		r := rand.New(rand.NewPCG(seed, 35))
+		tol, all := drawnLayout(r)
+		n := min(tol.Seats(nil), len(all))
+		if n == 0 || len(all) > 12 {
+			continue
+		}
+		seats := make([]Seat, n)
+		for i, k := range r.Perm(len(all))[:n] {
+			seats[i] = all[k]
+		}
+		moves := 0
+		for tol.Expose(seats).Total() > 0 {
+			m, found := tol.improve(seats, without(all, seats))
+			if !found {
+				break
+			}
+			if next := m.apply(seats); tol.Expose(next).Within(tol.Expose(seats)) {
+				seats = next
+			} else {
+				t.Fatalf("seed %d: the move %v exposes more", seed, m)
+			}
+			if moves++; moves > n {
+				t.Fatalf("seed %d: %d moves of %d seats", seed, moves, n)
+			}
+		}
+		most = max(most, moves)
+		if e, want := tol.Expose(seats).Total(), tol.least(all, nil, n); e != want {
+			t.Errorf("seed %d: %+v of %v: exposed by %d, the best choice by %d", seed, tol, all, e, want)
+		}
+	}
+	t.Logf("%d moves at most", most)
+}
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -34,8 +34,11 @@
 type Seat struct {
 	ID   string
 	Addr string
-	Zone string
-	Disk string
+	// Zone and Region are the failure domains of the machine, the narrower one first; "" where a
+	// deployment does not tell.
+	Zone   string
+	Region string `json:",omitempty"`
+	Disk   string
 }
 
 // Core is the set of voters of one epoch.
--- a/internal/sim/model/node.go
+++ b/internal/sim/model/node.go
@@ -70,7 +70,7 @@
 	clk := modelClock{n.w, n, p.ctx}
 	n.disk.calm = true
 	c, err := control.New(control.Parts{
-		Settings: control.Settings{ID: n.id, Zone: "z", Inner: n.id, Seeds: []string{n.id}, FaultsTolerated: n.w.tolerated(), First: n.first(), BeatEvery: time.Second},
+		Settings: control.Settings{ID: n.id, Zone: "z", Inner: n.id, Seeds: []string{n.id}, Tolerance: quorum.Tolerance{Machines: n.w.tolerated()}, First: n.first(), BeatEvery: time.Second},
 		Inc:      uint64(n.lives), Fresh: fresh, Line: line, Clock: clk,
 		Disk: &handle{n.disk, n.w, n, p.ctx}, Notes: &notes{n.notes}, Log: quiet(), OnBad: func(error) {}})
 	if err != nil {
