A region lost with its disks no longer takes the configuration with it

Cause: the core took its tolerance for a number of machines. Seats were spread over zones and knew no region; the first core was formed of the first three disks heard; a silent seat was lent to any zone; and nothing ever moved a seat back.

Change (design 4.6): seats are chosen so that the worst loss allowed leaves a majority; a first core waits up to 3 s for the domains it takes; a silent seat passes on only where no kind of loss takes more than before, since its disk may come back; a seat of a machine that is well moves where the core then bears more. The number of seats follows from the zones. With a tolerance in machines alone every choice is the one made before.

--- a/internal/control/domain_test.go
+++ b/internal/control/domain_test.go
@@ -1,13 +1,25 @@
 package control
 
 import (
+	"fmt"
+	"slices"
+	"testing"
 	"time"
 
+	"github.com/samber/lo"
+
 	"walkrudder/internal/quorum"
+	"walkrudder/internal/route"
 )
 
-// catchUp is how long a machine that is back still counts as lost.
-const catchUp = 4 * time.Second
+const (
+	// catchUp is how long a machine that is back still counts as lost, and downTime for how long a
+	// domain is down.
+	catchUp  = 4 * time.Second
+	downTime = 2 * time.Second
+	// lossPairs is how many pairs of losses a test draws for each seed.
+	lossPairs = 3
+)
 
 // Deployments that are to bear the loss of a whole failure domain. The first three machines are the seeds.
 var domainShapes = map[string]shape{
@@ -24,3 +36,115 @@
 	"two zones of five": {zones: 5, disks: 7, gateways: 3, tolerance: quorum.Tolerance{Zones: 2},
 		layout: []string{"za", "za", "za", "zb", "zc", "zd", "ze"}},
 }
+
+// eachDomainShape plays f in worlds of each shape.
+func eachDomainShape(t *testing.T, f func(w *world)) {
+	for name, s := range domainShapes {
+		for seed := range (*seeds + len(domainShapes) - 1) / len(domainShapes) {
+			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) { play(t, uint64(seed), s, f) })
+		}
+	}
+}
+
+// losable are the sets of machines that the tolerance allows to be lost at once, those of whole domains.
+func (w *world) losable() (sets [][]*controllerHost) {
+	domain := func(label func(*controllerHost) string, most int) {
+		names := lo.Uniq(lo.Map(w.controllers, func(m *controllerHost, _ int) string { return label(m) }))
+		for i := range names {
+			lost := names[i:min(i+most, len(names))]
+			if most > 0 {
+				sets = append(sets, lo.Filter(w.controllers, func(m *controllerHost, _ int) bool { return slices.Contains(lost, label(m)) }))
+			}
+		}
+	}
+	domain(func(m *controllerHost) string { return m.zone }, w.tolerance.Zones)
+	domain(func(m *controllerHost) string { return w.regions[m.zone] }, w.tolerance.Regions)
+	return sets
+}
+
+// down ends machines at one moment, with their disks where that is said, and tells how they come back.
+func (w *world) down(lost []*controllerHost, disks bool) (back func()) {
+	for _, m := range lost {
+		m.kill()
+		if disks && m.disk != nil {
+			m.disk.wipe()
+		}
+	}
+	return func() {
+		for _, m := range lost {
+			m.boot()
+		}
+	}
+}
+
+// changed is a change of one route.
+func changed(v uint64) Change {
+	return Change{Routes: []route.Route{routeTo("r0", v, lo.Ternary(v%2 == 0, "a", "b"))}}
+}
+
+// Guards against the loss of one failure domain taking the configuration with it: with one region to be lost at once
+// two of three voters stood in one region, and no node read anything back after its loss.
+func TestTheConfigurationOutlivesEachDomain(t *testing.T) {
+	eachDomainShape(t, func(w *world) {
+		w.order(base(5), w.controllers)
+		time.Sleep(catchUp)
+		for i, lost := range w.losable() {
+			w.order(changed(uint64(2*i+2)), mixed(w, w.controllers))
+			back := w.down(lost, true)
+			time.Sleep(downTime)
+			w.order(changed(uint64(2*i+3)), mixed(w, w.alive()))
+			back()
+			time.Sleep(catchUp)
+			w.readBack(w.controllers)
+		}
+		time.Sleep(bound)
+		w.known(lo.Values(w.acked), w.gateways)
+	})
+}
+
+// Guards against a seat that was lent while its own domain was down standing where the next loss takes it: the seat
+// of a zone that was down for some seconds went to another zone and never came back.
+func TestADomainIsLostAfterAnotherWasDown(t *testing.T) {
+	eachDomainShape(t, func(w *world) {
+		w.order(base(5), w.controllers)
+		time.Sleep(catchUp)
+		version := uint64(1)
+		for range lossPairs {
+			first, second := pick(w, w.losable()), pick(w, w.losable())
+			back := w.down(first, false)
+			time.Sleep(5 * time.Second)
+			version++
+			w.order(changed(version), mixed(w, w.alive()))
+			back()
+			time.Sleep(catchUp)
+			back = w.down(second, true)
+			time.Sleep(downTime)
+			back()
+			time.Sleep(catchUp)
+			w.readBack(w.controllers)
+		}
+	})
+}
+
+// Losses overlap beyond the tolerance, and no more disks are lost than it allows: service may rest, and nothing
+// acknowledged is gone when all are back.
+func TestDisksOfADomainAreLostWhileAnotherIsDown(t *testing.T) {
+	eachDomainShape(t, func(w *world) {
+		w.order(base(5), w.controllers)
+		time.Sleep(catchUp)
+		version := uint64(1)
+		for range lossPairs {
+			first, second := pick(w, w.losable()), pick(w, w.losable())
+			back := w.down(first, false)
+			time.Sleep(5 * time.Second)
+			version++
+			w.order(changed(version), mixed(w, w.alive()))
+			alsoBack := w.down(lo.Without(second, first...), true)
+			time.Sleep(downTime)
+			back()
+			alsoBack()
+			time.Sleep(2 * catchUp)
+			w.readBack(w.controllers)
+		}
+	})
+}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -142,7 +142,12 @@
 	if p.Notes != nil {
 		n.recall()
 	}
-	n.bootstrapper = &quorum.Bootstrapper{Seeds: p.Seeds, Self: p.Inner, Size: 2*p.Tolerance.Most() + 1, Line: p.Line, Clock: p.Clock, Prop: n.Prop, Voter: n.Voter, Later: !p.First}
+	size := p.Tolerance.Seats(p.Zones)
+	attainable := p.Tolerance.Attainable(p.Zones, size)
+	if attainable.Total() > 0 {
+		p.Log.Warn("no placement in the zones of this deployment bears what is to be tolerated", "step", "core", "tolerance", p.Tolerance, "exposed", attainable)
+	}
+	n.bootstrapper = &quorum.Bootstrapper{Seeds: p.Seeds, Self: p.Inner, Size: size, Tolerance: p.Tolerance, Attainable: attainable, Line: p.Line, Clock: p.Clock, Prop: n.Prop, Voter: n.Voter, Later: !p.First}
 	n.bootstrapper.Serve(n.Desk)
 	n.Mesh = &watch.Mesh{Me: n.me, Line: p.Line, Clock: p.Clock, Board: n.Board, Core: n.core, Learn: func(c quorum.Core) { n.Prop.Learn(c) }, Votes: n.votes}
 	n.SetSeeds(p.Seeds)
@@ -151,7 +156,7 @@
 	n.teller.Serve(n.Desk)
 	n.serveQueries()
 	if n.Voter != nil {
-		n.reconfigurer = &quorum.Reconfigurer{Heard: n.Mesh.Heard, Prop: n.Prop, Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}
+		n.reconfigurer = &quorum.Reconfigurer{Heard: n.Mesh.Heard, Tolerance: p.Tolerance, Prop: n.Prop, Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}
 	}
 	return n, nil
 }
--- a/internal/quorum/bootstrapper.go
+++ b/internal/quorum/bootstrapper.go
@@ -31,9 +31,9 @@
 // Bootstrapper finds the core, or takes part in forming the first one (design 4.5).
 //
 // A first core is formed only if every seed answers that it knows none. The disk
-// node with the lowest ID among those heard of proposes Size seats spread over
-// zones, or, once all seeds answered so for 3 s and there are fewer disks, the
-// largest odd number that there are. Every seed must consent, with a seat or
+// node with the lowest ID among those heard of proposes Size seats that bear what
+// is to be tolerated, or, once all seeds answered so for 3 s, what there is: the seats
+// that bear most, and where there are fewer disks, the largest odd number of them. Every seed must consent, with a seat or
 // without, with a disk or without: two formations would both need all of them, so
 // one at most is ever sealed, however many disk nodes there are and whichever of
 // them know each other. Then all seats consent, or after those 3 s a majority of
@@ -42,6 +42,10 @@
 	Seeds []string // inner addresses
 	Self  string   // own inner address
 	Size  int      // seats of a first core
+	// Tolerance is what a first core is to bear, and Attainable the exposure that the zones of the
+	// deployment leave at best.
+	Tolerance  Tolerance
+	Attainable Exposure
 	// Later says that this is not the first start of the whole system: this node
 	// neither proposes nor consents to a first core.
 	Later bool
--- a/internal/quorum/bootstrapper_test.go
+++ b/internal/quorum/bootstrapper_test.go
@@ -27,6 +27,8 @@
 	seeds   []string
 	size    int
 	formers map[string]*Bootstrapper
+	// tolerance is what the first core is to bear.
+	tolerance Tolerance
 }
 
 func newForming(ctx context.Context, t *testing.T, size int, seeds ...string) *forming {
@@ -37,7 +39,7 @@
 
 // begin starts one node's former, on a disk if it has one.
 func (g *forming) begin(p plan, m *mem) {
-	f := &Bootstrapper{Seeds: g.seeds, Self: p.id, Size: g.size, Later: p.later, Line: port{g.city, p.id}, Clock: ice{n: &node{}}}
+	f := &Bootstrapper{Seeds: g.seeds, Self: p.id, Size: g.size, Tolerance: g.tolerance, Later: p.later, Line: port{g.city, p.id}, Clock: ice{n: &node{}}}
 	ctx := g.ctx
 	var d *link.Desk
 	if p.disk {
--- a/internal/quorum/formation.go
+++ b/internal/quorum/formation.go
@@ -1,7 +1,6 @@
 package quorum
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -93,7 +92,11 @@
 	for i, k := range all {
 		seats[i] = k.s
 	}
-	return form{me, Core{Epoch: 1, Seats: spread(seats, n)}}, true, true
+	chosen := f.Tolerance.Choose(seats, n)
+	if !late && !f.Tolerance.Expose(chosen).Within(f.Attainable) {
+		return form{}, false, false
+	}
+	return form{me, Core{Epoch: 1, Seats: chosen}}, true, true
 }
 
 // tell asks all of addrs and yields the disks of those that grant; lower says that
@@ -120,19 +123,3 @@
 	wg.Wait()
 	return disks, lower
 }
-
-// spread takes n seats, one from each zone while there are zones left.
-func spread(all []Seat, n int) []Seat {
-	var out []Seat
-	zones := map[string]int{}
-	for round := 1; len(out) < n && round <= n; round++ {
-		for _, s := range all {
-			if len(out) < n && zones[s.Zone] < round && !slices.Contains(out, s) {
-				zones[s.Zone]++
-				out = append(out, s)
-			}
-		}
-	}
-	slices.SortFunc(out, func(a, b Seat) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
--- a/internal/quorum/placement.go
+++ b/internal/quorum/placement.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/samber/lo"
 )
 
 // placement is how good a set of seats is: the less the better, in this order.
@@ -66,6 +68,25 @@
 	return best, found
 }
 
+// StandBy picks the machine that is to have the seat of out: one of spares with which the core bears no less
+// than with out, whose disk may come back. Where several do, it stands where the fewest of the other seats do.
+func (t Tolerance) StandBy(seats []Seat, out Seat, spares []Seat) (Seat, bool) {
+	now := t.Expose(seats)
+	after := func(in Seat) Exposure { return t.Expose(move{out, in}.apply(seats)) }
+	fit := lo.Filter(spares, func(in Seat, _ int) bool { return after(in).Within(now) })
+	if len(fit) == 0 {
+		return Seat{}, false
+	}
+	labels := []func(Seat) string{zoneOf}
+	if t.Regions > 0 {
+		labels = []func(Seat) string{regionOf, zoneOf}
+	}
+	stay := without(seats, []Seat{out})
+	return slices.MinFunc(fit, func(a, b Seat) int {
+		return cmp.Or(cmp.Compare(after(a).Total(), after(b).Total()), fewer(stay, a, b, labels))
+	}), true
+}
+
 // Choose takes n of all machines so that the core bears what the tolerance asks, as far as
 // these machines allow.
 func (t Tolerance) Choose(all []Seat, n int) []Seat {
--- a/internal/quorum/reconfigurer.go
+++ b/internal/quorum/reconfigurer.go
@@ -58,11 +58,14 @@
 	// Missing is how long a seat must be silent before it passes on to another
 	// node; 0 means 1.5 s.
 	Missing time.Duration
-	Prop    *Proposer
-	Line    link.Line
-	Clock   clock.Clock
-	Faults  *fault.Set
-	Log     *log.Logger
+	// Tolerance is what the core is to bear: no seat passes on to where that lowers what is borne, and
+	// seats that stand too many in one failure domain are moved.
+	Tolerance Tolerance
+	Prop      *Proposer
+	Line      link.Line
+	Clock     clock.Clock
+	Faults    *fault.Set
+	Log       *log.Logger
 	// Shuffle orders those from whom a joiner may pull; nil is by chance.
 	Shuffle func(n int, swap func(i, j int))
 
--- a/internal/quorum/reconfigurerview.go
+++ b/internal/quorum/reconfigurerview.go
@@ -89,37 +89,53 @@
 			return s, h.Seat, true
 		}
 	}
+	seats, spares := v.located(), v.spares()
 	for _, s := range v.core.Seats {
 		since, open := w.open[s.Disk]
 		if w.silence(v, s) < w.missing() && !(open && v.now.Sub(since) > joinPatience) {
 			continue
 		}
-		if in, ok := standBy(v, s); ok {
+		if in, ok := w.Tolerance.StandBy(seats, s, spares); ok {
 			return s, in, true
 		}
 	}
-	return out, in, false
+	return w.repair(v, seats, spares)
 }
 
-// standBy picks a disk without a seat, in the zone that has the fewest of the seats
-// that stay.
-func standBy(v view, out Seat) (Seat, bool) {
-	zones := map[string]int{}
-	for _, s := range v.core.Seats {
-		if s != out {
-			zones[s.Zone]++
-		}
-	}
-	var all []Seat
+// spares are the machines with a disk and without a seat that were heard lately, by ID.
+func (v view) spares() (spares []Seat) {
 	for id, h := range v.nodes {
 		if _, has := v.core.Seat(id); !has && h.Ago < recent {
-			all = append(all, h.Seat)
+			spares = append(spares, h.Seat)
 		}
 	}
-	if len(all) == 0 {
-		return Seat{}, false
+	slices.SortFunc(spares, byID)
+	return spares
+}
+
+// located are the seats of the core where their machines stand now.
+func (v view) located() []Seat {
+	heard := make([]Heard, 0, len(v.nodes))
+	for _, h := range v.nodes {
+		heard = append(heard, h)
+	}
+	return Located(v.core.Seats, heard)
+}
+
+// repair moves the seat of a machine that is well, where the core bears less than it is to and less than it could.
+// The seats that stay must be a majority by themselves: the one that joins may fail.
+func (w *Reconfigurer) repair(v view, seats, spares []Seat) (out, in Seat, ok bool) {
+	if w.Tolerance.Expose(seats).Total() == 0 {
+		return out, in, false
+	}
+	m, found := w.Tolerance.improve(seats, spares)
+	if !found {
+		return out, in, false
+	}
+	out, _ = v.core.Seat(m.out.ID)
+	stay := v.seats
+	if v.heard(out, recent) {
+		stay--
 	}
-	return slices.MinFunc(all, func(a, b Seat) int {
-		return cmp.Or(cmp.Compare(zones[a.Zone], zones[b.Zone]), cmp.Compare(a.ID, b.ID))
-	}), true
+	return out, m.in, stay >= v.core.Quorum()
 }
--- a/internal/quorum/tolerance.go
+++ b/internal/quorum/tolerance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 )
 
@@ -51,18 +52,27 @@
 func (t Tolerance) Seats(zones map[string]string) int {
 	least := 2*t.Most() + 1
 	for n := least; n <= mostSeats && len(zones) > 0; n += 2 {
-		if t.Expose(t.Choose(everywhere(zones, n), n)).Total() == 0 {
+		if t.Attainable(zones, n).Total() == 0 {
 			return n
 		}
 	}
 	return least
 }
 
+// Attainable is the least exposure of n seats where machines with a disk stand in all of zones; none
+// where the zones are not known.
+func (t Tolerance) Attainable(zones map[string]string, n int) Exposure {
+	if len(zones) == 0 {
+		return Exposure{}
+	}
+	return t.Expose(t.Choose(everywhere(zones, n), n))
+}
+
 // everywhere lists n machines in each zone.
 func everywhere(zones map[string]string, n int) (all []Seat) {
 	for zone, region := range zones {
 		for i := range n {
-			all = append(all, Seat{ID: zone + string(rune('a'+i)), Zone: zone, Region: region})
+			all = append(all, Seat{ID: fmt.Sprintf("%s-%02d", zone, i), Zone: zone, Region: region})
 		}
 	}
 	slices.SortFunc(all, byID)
