The older warden gives a silent seat to a disk of the zone that has fewest

What operators saw: with two disks a zone, the seat of a machine that was gone for 6 s went to whichever disk stood by first, so that one zone held two of three voters while a disk of the seat's own zone stood by.

Cause: commands.Warden took the first of the disks without a seat. Change: it picks by quorum.Tolerance.StandBy, as the reconfigurer of the platform does; this interface has no tolerance in zones, so nothing is refused.

--- a/internal/commands/warden.go
+++ b/internal/commands/warden.go
@@ -187,14 +187,14 @@
 		return err
 	}
 	disks := map[string]membership.Member{}
-	var spare []membership.Member
+	var spare []quorum.Seat
 	for _, m := range w.Tenant.Kind("controller") {
 		if m.Disk.Disk == "" {
 			continue
 		}
 		disks[m.Disk.Disk] = m
 		if _, in := core.Seat(m.ID); !in {
-			spare = append(spare, m)
+			spare = append(spare, m.Disk)
 		}
 	}
 	now := w.Clock.Now()
@@ -212,8 +212,11 @@
 				return w.swap(ctx, core, s, m.Disk)
 			}
 		}
-		if len(spare) > 0 && now.Sub(w.absent[s.Disk]) > missing {
-			return w.swap(ctx, core, s, spare[0].Disk)
+		if now.Sub(w.absent[s.Disk]) <= missing {
+			continue
+		}
+		if in, ok := (quorum.Tolerance{}).StandBy(core.Seats, s, spare); ok {
+			return w.swap(ctx, core, s, in)
 		}
 	}
 	return w.wished(ctx, core, disks)
--- a/internal/sim/orders_test.go
+++ b/internal/sim/orders_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"walkrudder/internal/commands"
 	"walkrudder/internal/ledger"
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/spec"
 	"walkrudder/tools/stand"
 )
@@ -286,6 +288,43 @@
 	})
 }
 
+// Guards against a seat that passes on to a zone which has one already while a disk of its own zone stands by: the
+// first disk that was known got it.
+func TestASilentSeatStaysInItsZone(t *testing.T) {
+	t.Parallel()
+	raisedAs(t, Shape{Zones: 3, Disks: 6, Controllers: 6, Gateways: 3, Targets: map[string]int{"orders": 2}}, func(_ context.Context, w *World) {
+		// core is the newest that a controller knows.
+		core := func() (core quorum.Core) {
+			for _, n := range w.Disks() {
+				if m := n.Controller(); m != nil && m.Prop.Core().Epoch > core.Epoch {
+					core = m.Prop.Core()
+				}
+			}
+			return core
+		}
+		zones := func() (zones []string) {
+			for _, s := range core().Seats {
+				zones = append(zones, s.Zone)
+			}
+			slices.Sort(zones)
+			return slices.Compact(zones)
+		}
+		if len(zones()) != 3 {
+			t.Fatalf("a core in %v", zones())
+		}
+		for _, s := range core().Seats {
+			w.Node(s.ID).Kill()
+			time.Sleep(20 * time.Second)
+			now := core()
+			if _, has := now.Seat(s.ID); has || len(zones()) != 3 {
+				t.Errorf("after %s of %s was gone: %+v", s.ID, s.Zone, now.Seats)
+			}
+			w.Node(s.ID).Start()
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
 // What is older than decisions are kept goes; what stands stays, also for controllers that
 // fold it anew.
 func TestOldDecisionsGo(t *testing.T) {
