A core that was formed of fewer seats than it is to have grows

What operators would see: at the first start only some of the disks were there within 3 s, a core of one seat (or of three in place of five) was formed, and it kept that size for good. The loss of one disk then took everything, with all others standing by.

Cause: a swap exchanges one seat for one; nothing ever added one. Change: while the core is exposed (Tolerance.Expose) and smaller than the number of seats that the tolerance asks for, with all its seats heard, it grows to the next odd number by the same steps as a swap: decided in the register of the old epoch, sealed at N-Q+1, joined.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -156,7 +156,7 @@
 	n.teller.Serve(n.Desk)
 	n.serveQueries()
 	if n.Voter != nil {
-		n.reconfigurer = &quorum.Reconfigurer{Heard: n.Mesh.Heard, Tolerance: p.Tolerance, Prop: n.Prop, Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}
+		n.reconfigurer = &quorum.Reconfigurer{Heard: n.Mesh.Heard, Tolerance: p.Tolerance, Size: size, Prop: n.Prop, Line: p.Line, Clock: p.Clock, Faults: p.Faults, Log: p.Log}
 	}
 	return n, nil
 }
--- a/internal/quorum/city_test.go
+++ b/internal/quorum/city_test.go
@@ -75,8 +75,9 @@
 	asked map[string]int    // questions by sender
 	addrs map[string]string // of nodes that answer elsewhere than at their ID
 	deaf  bool              // nodes learn of each other by their formers alone
-	// tolerance is what reconfigurers go by.
+	// tolerance and size are what reconfigurers go by.
 	tolerance Tolerance
+	size      int
 }
 
 func newCity(ctx context.Context, t *testing.T) *city {
@@ -185,7 +186,7 @@
 	}
 	n.p = NewProposer(fresh, port{c, id}, ice{n: n})
 	n.f = &Bootstrapper{Seeds: []string{id}, Self: id, Line: port{c, id}, Clock: ice{n: n}, Prop: n.p, Voter: v}
-	n.w = &Reconfigurer{Heard: n.listen, Tolerance: c.tolerance, Prop: n.p, Line: port{c, id}, Clock: ice{n: n}, Faults: n.fault}
+	n.w = &Reconfigurer{Heard: n.listen, Tolerance: c.tolerance, Size: c.size, Prop: n.p, Line: port{c, id}, Clock: ice{n: n}, Faults: n.fault}
 	d := link.NewDesk()
 	v.Serve(d)
 	n.f.Serve(d)
--- a/internal/quorum/domain_test.go
+++ b/internal/quorum/domain_test.go
@@ -121,11 +121,11 @@
 		return v
 	}
 	w := &Reconfigurer{Tolerance: Tolerance{Zones: 1}}
-	repair := func(v view) (out, in Seat, ok bool) { return w.repair(v, v.located(), v.spares()) }
-	if out, in, ok := repair(v("")); !ok || in.ID != "c1" || out.Zone != "a" {
-		t.Errorf("all well: %v for %v, %v", in, out, ok)
+	repair := func(v view) (m move, ok bool) { return w.repair(v, v.located(), v.spares()) }
+	if m, ok := repair(v("")); !ok || m.in.ID != "c1" || m.out.Zone != "a" {
+		t.Errorf("all well: %v, %v", m, ok)
 	}
-	if _, _, ok := repair(v("b1")); ok {
+	if _, ok := repair(v("b1")); ok {
 		t.Error("a seat of a is moved while b is silent")
 	}
 }
@@ -160,3 +160,51 @@
 		})
 	}
 }
+
+// Guards against a core that stays too small for good: formed of the disks that were there at first, it bore no loss
+// after the others had come.
+func TestACoreThatWasFormedSmallGrows(t *testing.T) {
+	for name, x := range map[string]struct {
+		tolerance Tolerance
+		size      int
+		seats     int
+		ids, want []string
+	}{
+		"one seat of three":          {Tolerance{Machines: 1}, 3, 1, []string{"a1", "b1", "c1", "a2"}, []string{"a1", "b1", "c1"}},
+		"one seat and one disk more": {Tolerance{Machines: 1}, 3, 1, []string{"a1", "b1"}, []string{"a1"}},
+		"two seats of three":         {Tolerance{Machines: 1}, 3, 2, []string{"a1", "b1", "c1"}, []string{"a1", "b1", "c1"}},
+		"three seats of five":        {Tolerance{Machines: 2}, 5, 3, []string{"a1", "b1", "c1", "d1", "e1", "f1"}, []string{"a1", "b1", "c1", "d1", "e1"}},
+		"one seat of five":           {Tolerance{Zones: 2}, 5, 1, []string{"a1", "a2", "b1", "c1", "d1", "e1"}, []string{"a1", "b1", "c1", "d1", "e1"}},
+		"it bears what it is to":     {Tolerance{Machines: 1}, 3, 3, []string{"a1", "b1", "c1", "d1", "e1"}, []string{"a1", "b1", "c1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(ctx context.Context, t *testing.T) {
+				c := newCity(ctx, t)
+				c.tolerance, c.size = x.tolerance, x.size
+				for _, id := range x.ids {
+					c.start(id, id[:1], nil)
+				}
+				c.found(x.ids[:x.seats]...)
+				its := items(20)
+				c.merge("a1", its...)
+				time.Sleep(2 * catchUp)
+				got := c.seatIDs()
+				slices.Sort(got)
+				if !slices.Equal(got, x.want) {
+					t.Fatalf("%v vote, want %v", got, x.want)
+				}
+				epoch := c.core().Epoch
+				time.Sleep(time.Minute)
+				c.epochIs(epoch, "a minute later")
+				c.kept("after it has grown", its...)
+				// It bears the loss of a machine's disk, whichever it is.
+				for _, id := range x.want[:len(x.want)/2] {
+					c.kill(id)
+					c.start(id, id[:1], nil)
+					time.Sleep(2 * catchUp)
+					c.kept("after the loss of "+id, its...)
+				}
+			})
+		})
+	}
+}
--- a/internal/quorum/placement.go
+++ b/internal/quorum/placement.go
@@ -87,6 +87,21 @@
 	}), true
 }
 
+// add picks n machines of spares to have seats beside those given, or none where there are fewer.
+func (t Tolerance) add(seats, spares []Seat, n int) (added []Seat) {
+	if len(spares) < n {
+		return nil
+	}
+	for range n {
+		all := slices.Concat(seats, added)
+		best := slices.MinFunc(without(spares, added), func(a, b Seat) int {
+			return cmp.Or(t.place(append(slices.Clone(all), a)).compare(t.place(append(slices.Clone(all), b))), fewer(all, a, b, []func(Seat) string{zoneOf}))
+		})
+		added = append(added, best)
+	}
+	return added
+}
+
 // Choose takes n of all machines so that the core bears what the tolerance asks, as far as
 // these machines allow.
 func (t Tolerance) Choose(all []Seat, n int) []Seat {
--- a/internal/quorum/reconfigurer.go
+++ b/internal/quorum/reconfigurer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -61,11 +62,14 @@
 	// Tolerance is what the core is to bear: no seat passes on to where that lowers what is borne, and
 	// seats that stand too many in one failure domain are moved.
 	Tolerance Tolerance
-	Prop      *Proposer
-	Line      link.Line
-	Clock     clock.Clock
-	Faults    *fault.Set
-	Log       *log.Logger
+	// Size is how many seats the core is to have at last: one that was formed of fewer grows. 0 means that
+	// it stays as it is.
+	Size   int
+	Prop   *Proposer
+	Line   link.Line
+	Clock  clock.Clock
+	Faults *fault.Set
+	Log    *log.Logger
 	// Shuffle orders those from whom a joiner may pull; nil is by chance.
 	Shuffle func(n int, swap func(i, j int))
 
@@ -107,7 +111,7 @@
 	if w.well.IsZero() {
 		w.well = v.now
 	}
-	out, in, swap := w.choose(v)
+	next, swap := w.choose(v)
 	silent := lo.SomeBy(v.core.Seats, func(s Seat) bool { return w.silence(v, s) >= w.missing() })
 	w.doubt = w.doubt || silent
 	back := lo.SomeBy(v.core.Seats, func(s Seat) bool { _, open := w.open[s.Disk]; return open && v.heard(s, recent) })
@@ -123,7 +127,7 @@
 	}
 	err := w.settle(ctx, v, swap)
 	if err == nil && swap && w.Prop.Core().Epoch == v.core.Epoch {
-		err = w.swap(ctx, v, out, in)
+		err = w.swap(ctx, v, next)
 	}
 	w.tried = w.Clock.Now()
 	if w.Prop.Core().Epoch > v.core.Epoch {
@@ -173,29 +177,30 @@
 // decided already, by whom ever, is carried out in place of this swap, if a majority of its seats
 // is there. Else it is given up for this swap: the register's later ballot has a majority refuse
 // to be sealed for it (design 4.4).
-func (w *Reconfigurer) swap(ctx context.Context, v view, out, in Seat) error {
-	next := Core{Epoch: v.core.Epoch + 1, After: v.core.Epoch, Before: v.core.Seats}
-	for _, s := range v.core.Seats {
-		if s == out {
-			s = in
-		}
-		next.Seats = append(next.Seats, s)
-	}
+func (w *Reconfigurer) swap(ctx context.Context, v view, seats []Seat) error {
+	next := Core{Epoch: v.core.Epoch + 1, After: v.core.Epoch, Before: v.core.Seats, Seats: seats}
+	joins, leaves := nodesWithout(next.Seats, v.core.Seats), nodesWithout(v.core.Seats, next.Seats)
 	cx, end := context.WithTimeout(ctx, decideTime)
 	defer end()
 	held, err := w.Prop.ChangeIn(cx, v.core, coreRegister, func(old []byte) ([]byte, error) { return w.decideAfter(v, old, next) })
 	if err != nil {
-		return steperr.At("decide swap", in.ID, err)
+		return steperr.At("decide swap", joins, err)
 	}
 	if next, err = chosenCore(held); err != nil {
-		return steperr.At("decide swap", in.ID, err)
+		return steperr.At("decide swap", joins, err)
 	}
 	if w.Log != nil {
-		w.Log.Info("seat passes on", "step", "swap", "peer", in.ID, "out", out.ID, "epoch", next.Epoch)
+		w.Log.Info("seat passes on", "step", "swap", "peer", joins, "out", leaves, "epoch", next.Epoch, "seats", len(next.Seats))
 	}
 	return w.carry(ctx, v, next)
 }
 
+// nodesWithout names the nodes of those seats that are not among others.
+func nodesWithout(seats, others []Seat) string {
+	left, _ := lo.Difference(seats, others)
+	return strings.Join(lo.Map(left, func(s Seat, _ int) string { return s.ID }), " ")
+}
+
 // decideAfter tells what the register is to hold after old.
 func (w *Reconfigurer) decideAfter(v view, old []byte, next Core) ([]byte, error) {
 	if len(old) > 0 {
--- a/internal/quorum/reconfigurer_test.go
+++ b/internal/quorum/reconfigurer_test.go
@@ -215,7 +215,7 @@
 				out, _ := core.Seat(p.out)
 				w := c.node(p.by).w
 				v := w.view()
-				go func() { _ = w.swap(ctx, v, out, c.node(p.in).seat) }()
+				go func() { _ = w.swap(ctx, v, move{out, c.node(p.in).seat}.apply(v.core.Seats)) }()
 				time.Sleep(gap)
 			}
 			time.Sleep(5 * time.Second)
@@ -384,7 +384,7 @@
 		w := c.node("b").w
 		cx, end := context.WithTimeout(ctx, 3*time.Second)
 		defer end()
-		_ = w.swap(cx, w.view(), core.Seats[2], c.node("x").seat)
+		_ = w.swap(cx, w.view(), move{core.Seats[2], c.node("x").seat}.apply(core.Seats))
 		if a, b := c.node("a").v.Core().Epoch, c.node("b").v.Core().Epoch; a != 2 || b != 1 {
 			t.Fatalf("a stands at epoch %d, b at %d", a, b)
 		}
--- a/internal/quorum/reconfigurerview.go
+++ b/internal/quorum/reconfigurerview.go
@@ -79,14 +79,15 @@
 	return v.now.Sub(w.noted[s.Disk])
 }
 
-// choose finds a seat to pass on, and to which disk.
-func (w *Reconfigurer) choose(v view) (out, in Seat, ok bool) {
+// choose finds the seats that the next core is to have, if it is to have others than this one: a seat passes on, is
+// moved, or is added.
+func (w *Reconfigurer) choose(v view) (next []Seat, ok bool) {
 	// The same node with an emptied disk, or at another address, is sure to be the
 	// one: nobody else is its node. It takes its own seat at once.
 	for _, s := range v.core.Seats {
 		h, known := v.nodes[s.ID]
 		if known && h.Ago < recent && (h.Seat.Disk != s.Disk || h.Seat.Addr != s.Addr) {
-			return s, h.Seat, true
+			return move{s, h.Seat}.apply(v.core.Seats), true
 		}
 	}
 	seats, spares := v.located(), v.spares()
@@ -96,10 +97,16 @@
 			continue
 		}
 		if in, ok := w.Tolerance.StandBy(seats, s, spares); ok {
-			return s, in, true
+			return move{s, in}.apply(v.core.Seats), true
 		}
 	}
-	return w.repair(v, seats, spares)
+	if w.Tolerance.Expose(seats).Total() == 0 {
+		return nil, false
+	}
+	if m, ok := w.repair(v, seats, spares); ok {
+		return m.apply(v.core.Seats), true
+	}
+	return w.grow(v, seats, spares)
 }
 
 // spares are the machines with a disk and without a seat that were heard lately, by ID.
@@ -124,18 +131,28 @@
 
 // repair moves the seat of a machine that is well, where the core bears less than it is to and less than it could.
 // The seats that stay must be a majority by themselves: the one that joins may fail.
-func (w *Reconfigurer) repair(v view, seats, spares []Seat) (out, in Seat, ok bool) {
-	if w.Tolerance.Expose(seats).Total() == 0 {
-		return out, in, false
-	}
+func (w *Reconfigurer) repair(v view, seats, spares []Seat) (m move, ok bool) {
 	m, found := w.Tolerance.improve(seats, spares)
 	if !found {
-		return out, in, false
+		return m, false
 	}
-	out, _ = v.core.Seat(m.out.ID)
 	stay := v.seats
-	if v.heard(out, recent) {
+	if out, _ := v.core.Seat(m.out.ID); v.heard(out, recent) {
 		stay--
 	}
-	return out, m.in, stay >= v.core.Quorum()
+	return m, stay >= v.core.Quorum()
+}
+
+// grow adds seats to a core that was formed of fewer than it is to have: as many as make the next odd number, since an even
+// one bears no more. All seats must be well, for the ones that join may fail.
+func (w *Reconfigurer) grow(v view, seats, spares []Seat) (next []Seat, ok bool) {
+	n := len(seats)
+	if v.seats < n || n >= w.Size {
+		return nil, false
+	}
+	added := w.Tolerance.add(seats, spares, 1+n%2)
+	if len(added) == 0 || !w.Tolerance.Expose(slices.Concat(seats, added)).Within(w.Tolerance.Expose(seats)) {
+		return nil, false
+	}
+	return slices.Concat(v.core.Seats, added), true
 }
