The model knows zones: whole zones are lost, seats move, cores grow

Change: a scenario has zones, a tolerance and a size; a budget of zones that are lost with all disks at one moment. Two invariants: no core is exposed to more than the one before it (after each step), and once all is well the core bears as much as the machines allow. Four scenarios: a core of one and one of three that grow, a seat that is moved, a zone lost beside a change.

--- a/internal/sim/model/choices.go
+++ b/internal/sim/model/choices.go
@@ -45,6 +45,9 @@
 	for _, n := range w.list {
 		out = append(out, w.troubles(n)...)
 	}
+	if w.left.Zones > 0 {
+		out = append(out, w.zoneLosses()...)
+	}
 	if w.left.Delays > 0 {
 		out = append(out, choice{"time-outs pass", func() { w.left.Delays--; time.Sleep(waitTime) }})
 	}
@@ -96,22 +99,3 @@
 	}
 	return out
 }
-
-// bearsLoss tells whether a disk may be lost now: no more machines may be without what they
-// held than are to be borne at once. A lost disk counts, a seat's or not, until a reconfigurer has
-// looked after the core: the users give a machine some seconds after its return.
-func (w *World) bearsLoss(n *node) bool {
-	without := map[string]bool{n.id: true}
-	core := w.core()
-	for _, s := range core.Seats {
-		if _, votes := w.votes(core, s); !votes {
-			without[s.ID] = true
-		}
-	}
-	for _, o := range w.list {
-		if o.lost.Load() {
-			without[o.id] = true
-		}
-	}
-	return len(without) <= w.tolerated()
-}
--- a/internal/sim/model/node.go
+++ b/internal/sim/model/node.go
@@ -19,6 +19,7 @@
 type node struct {
 	w    *World
 	id   string
+	zone string
 	disk *disk
 	// notes are what its journal holds at each start.
 	notes [][]byte
@@ -70,7 +71,7 @@
 	clk := modelClock{n.w, n, p.ctx}
 	n.disk.calm = true
 	c, err := control.New(control.Parts{
-		Settings: control.Settings{ID: n.id, Zone: "z", Inner: n.id, Seeds: []string{n.id}, Tolerance: quorum.Tolerance{Machines: n.w.tolerated()}, First: n.first(), BeatEvery: time.Second},
+		Settings: control.Settings{ID: n.id, Zone: n.zone, Inner: n.id, Seeds: []string{n.id}, Tolerance: n.w.tolerance(), First: n.first(), BeatEvery: time.Second},
 		Inc:      uint64(n.lives), Fresh: fresh, Line: line, Clock: clk,
 		Disk: &handle{n.disk, n.w, n, p.ctx}, Notes: &notes{n.notes}, Log: quiet(), OnBad: func(error) {}})
 	if err != nil {
@@ -79,7 +80,11 @@
 	n.disk.calm = false
 	p.control = c
 	seat := c.Voter.Seat()
-	p.reconf = &quorum.Reconfigurer{Heard: func() []quorum.Heard { return n.heard(seat) }, Prop: c.Prop, Line: line, Clock: clk, Shuffle: func(int, func(i, j int)) {}}
+	tolerance := n.w.tolerance()
+	if n.w.blind {
+		tolerance = quorum.Tolerance{}
+	}
+	p.reconf = &quorum.Reconfigurer{Tolerance: tolerance, Size: n.w.scenario.Size, Heard: func() []quorum.Heard { return n.heard(seat) }, Prop: c.Prop, Line: line, Clock: clk, Shuffle: func(int, func(i, j int)) {}}
 	p.boots = &quorum.Bootstrapper{Seeds: n.w.seeds(), Self: n.id, Size: n.w.scenario.Seats, Later: !n.first(), Line: line, Clock: clk, Prop: c.Prop, Voter: c.Voter, Draw: func(int) int { return 0 }}
 	go func() {
 		defer close(p.stopped)
--- a/internal/sim/model/planted_test.go
+++ b/internal/sim/model/planted_test.go
@@ -161,6 +161,12 @@
 					return ask, watch.WatchTold{Inc: 1, Seen: a.Seen, Votes: w.core().Epoch, Disk: me.Seat.Disk, Me: me}, true
 				}
 			}, "reads r"},
+		{"a seat is lent to any zone", Scenario{Seats: 3, Spares: 1, Zones: []string{"a", "b", "c", "b"}, Tolerance: quorum.Tolerance{Zones: 1},
+			Actors: []Actor{Script("down", Order("a", To(2, "a", "r"), "n2"), TurnCut("n1"), Reconfigure("n2"))}},
+			func(w *World) { w.blind = true }, "is exposed to more than"},
+		{"a seat is never moved", Scenario{Seats: 3, Spares: 1, Zones: []string{"a", "a", "b", "c"}, Tolerance: quorum.Tolerance{Zones: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n2")}},
+			func(w *World) { w.blind = true }, "need not be"},
 		{"a note is believed over a leaving", Scenario{Seats: 3, Notes: ready, Actors: []Actor{Script("a", Leave("i-1", "n1"), PowerOff(), Read("n2"))}},
 			func(w *World) {
 				for _, n := range w.list {
--- a/internal/sim/model/scenarios.go
+++ b/internal/sim/model/scenarios.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"walkrudder/internal/quorum"
 	"walkrudder/internal/target"
 )
 
@@ -38,5 +39,13 @@
 			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n4"), Order("b", To(2, "b", "r"), "n2", "n3"), Reconfigure("n1"), Reconfigure("n4"), Read("n2")}},
 		{Name: "a leaving beside losses", Seats: 3, Notes: ready, Budget: Budget{Losses: 1, Crashes: 1, PowerOff: 1, Wipes: 1},
 			Actors: []Actor{Leave("i-1", "n1", "n2", "n3"), Read("n2"), Reconfigure("n3"), Read("n3")}},
+		{Name: "a core that grows beside a change", Seats: 1, Spares: 2, Size: 3, Tolerance: quorum.Tolerance{Machines: 1}, Budget: Budget{Losses: 2, Crashes: 1, Cuts: 2, Delays: 2},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Reconfigure("n1"), Order("b", To(3, "b", "r"), "n2", "n3"), Reconfigure("n2"), Read("n3")}},
+		{Name: "a core of three that grows to five", Seats: 3, Spares: 2, Size: 5, Tolerance: quorum.Tolerance{Machines: 2}, Budget: Budget{Losses: 1, Crashes: 1, Cuts: 1, Delays: 1},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n4"), Reconfigure("n1"), Reconfigure("n3"), Read("n5")}},
+		{Name: "a seat moved to another zone beside a race", Seats: 3, Spares: 1, Zones: []string{"a", "a", "b", "c"}, Tolerance: quorum.Tolerance{Zones: 1}, Budget: Budget{Losses: 1, Crashes: 1, Cuts: 2, Delays: 2},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n4"), Order("b", To(2, "b", "r"), "n3", "n4"), Reconfigure("n1"), Reconfigure("n3"), Read("n4")}},
+		{Name: "a zone lost with its disks beside a change", Seats: 3, Spares: 2, Zones: []string{"a", "b", "c", "a", "b"}, Tolerance: quorum.Tolerance{Zones: 1}, Budget: Budget{Losses: 1, Zones: 1, Crashes: 1, Cuts: 2},
+			Actors: []Actor{Order("a", To(2, "a", "r"), "n1", "n2"), Reconfigure("n2"), Reconfigure("n3"), Read("n3"), Reconfigure("n1")}},
 	}
 }
--- a/internal/sim/model/world.go
+++ b/internal/sim/model/world.go
@@ -32,6 +32,7 @@
 	Crashes  int // processes killed, in the middle of a sync or not
 	PowerOff int // times at which all processes end together
 	Wipes    int // disks lost
+	Zones    int // zones lost, with all disks in them
 	Cuts     int // nodes cut off from all others, or joined again
 	OneWay   int // nodes that others no longer hear, or hear again
 	Freezes  int // nodes that stand still, or wake again
@@ -43,6 +44,12 @@
 	Name   string
 	Seats  int // in the first core
 	Spares int // further nodes with a disk
+	// Zones are those of the nodes; all stand in one where there are none.
+	Zones []string
+	// Tolerance is what may be lost at once; where it is empty, as many machines as the seats bear.
+	Tolerance quorum.Tolerance
+	// Size is how many seats the core is to have at last; 0 where it stays as it is.
+	Size   int
 	Budget Budget
 	// Actors do what operators, readers, targets and reconfigurers do; each begins at once, or
 	// by a step of the schedule.
@@ -77,6 +84,10 @@
 	giveUp   context.CancelFunc
 	// Tamper is a planted fault in the network.
 	Tamper Tamper
+	// blind is a planted fault: reconfigurers do not know what the core is to bear.
+	blind bool
+	// exposed is what the newest core seen was exposed to.
+	exposed exposedCore
 
 	mu      sync.Mutex
 	kept    []message
@@ -91,8 +102,6 @@
 	ending  bool
 }
 
-func (w *World) tolerated() int { return (w.scenario.Seats - 1) / 2 }
-
 // play runs one schedule; it is to run in a bubble of testing/synctest. It tells the invariant
 // that was broken, if any, and the steps.
 func play(ctx context.Context, s Scenario, by Chooser) (broken string, steps []string) {
@@ -134,7 +143,7 @@
 // build starts the nodes.
 func (w *World) build() {
 	for i := range w.scenario.Seats + w.scenario.Spares {
-		n := &node{w: w, id: nodeID(i), disk: newDisk()}
+		n := &node{w: w, id: nodeID(i), zone: w.scenario.zone(i), disk: newDisk()}
 		for _, r := range w.scenario.Notes {
 			n.notes = append(n.notes, r.Record())
 		}
@@ -240,6 +249,7 @@
 		}
 	}
 	w.inspect()
+	w.inspectPlacement()
 }
 
 // drive takes the usual steps until all actors are through.
@@ -297,4 +307,5 @@
 	}
 	w.inspectDisks()
 	w.inspectFirstCore()
+	w.inspectExposure()
 }
