--- a/internal/sim/day/machine.go
+++ b/internal/sim/day/machine.go
@@ -91,7 +91,8 @@
 	}
 	p := m.host.Start(w.ctx, controllerPart)
 	inc := m.nextInc()
-	parts := control.Parts{Settings: control.Settings{ID: m.ID, Zone: m.Zone, Inner: m.innerAddr(), Door: m.innerAddr(), Seeds: w.seedList(), Tolerance: quorum.Tolerance{Machines: w.Shape.Bear}, First: w.first, BeatEvery: beatEvery},
+	parts := control.Parts{Settings: control.Settings{ID: m.ID, Zone: m.Zone, Region: w.Shape.region(m.Zone), Zones: w.Shape.regions(), Inner: m.innerAddr(), Door: m.innerAddr(), Seeds: w.seedList(),
+		Tolerance: quorum.Tolerance{Machines: w.Shape.Bear, Zones: w.Shape.BearZones, Regions: w.Shape.BearRegions}, First: w.first, BeatEvery: beatEvery},
 		Inc: inc, Fresh: fmt.Sprintf("%s-%d", m.ID, inc), Line: simnet.Line{P: p}, Clock: simnet.Clock{P: p}, Log: quietLog()}
 	l := &life{p: p, done: make(chan struct{})}
 	parts.OnBad = func(error) { go m.endController(l) }
--- a/internal/sim/day/mix_test.go
+++ b/internal/sim/day/mix_test.go
@@ -100,13 +100,12 @@
 }
 
 // mix draws a day's troubles.
-func mix(t *testing.T, seed uint64) (s Shape, length time.Duration, out []Trouble) {
+func mix(t *testing.T, seed uint64, wipes bool) (s Shape, length time.Duration, out []Trouble) {
 	r := rand.New(rand.NewPCG(seed, 7))
 	s, length = Small(), 30*time.Second
 	if r.IntN(4) == 0 {
 		s = Large()
 	}
-	wipes := true
 	for range 2 + r.IntN(4) {
 		c := catalogue(r, wipes)
 		x := c[r.IntN(len(c))]
@@ -143,7 +142,7 @@
 func playMix(t *testing.T, seed uint64, l links) {
 	t.Run(fmt.Sprintf("seed %d, links: %v", seed, l), func(t *testing.T) {
 		t.Parallel()
-		s, length, xs := mix(t, seed)
+		s, length, xs := mix(t, seed, true)
 		switch l {
 		case narrow:
 			s.LinkMbps, s.Streams = Narrow().LinkMbps, Narrow().Streams
@@ -154,6 +153,37 @@
 	})
 }
 
+// playDomainMix plays a day of mixed troubles in which domains are lost.
+func playDomainMix(t *testing.T, seed uint64) {
+	t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+		t.Parallel()
+		_, length, xs := mix(t, seed, false)
+		r := rand.New(rand.NewPCG(seed, 9))
+		s, d := lo.Ternary(r.IntN(2) == 0, Zoned, Regional)(), time.Second+time.Duration(r.Int64N(int64(5*time.Second)))
+		lost := []Trouble{DomainLost(true, d), DomainsLostInTurn(d), DomainDownBesideDisks(d)}[r.IntN(3)]
+		at := time.Duration(r.Int64N(int64(10 * time.Second)))
+		t.Logf("%d regions, at %v: a domain lost", s.Regions, warmUp+at)
+		play(t, seed, s, length+10*time.Second, .1, append(xs, At(at, lost))...)
+	})
+}
+
+// Days in which domains are lost beside other troubles break no rule.
+func TestDomainMixes(t *testing.T) {
+	for seed := range lo.Ternary(raced, uint64(1), 8) {
+		playDomainMix(t, 301+seed)
+	}
+}
+
+// TestDomainHunt plays as many of them as it is told to, as TestHunt does.
+func TestDomainHunt(t *testing.T) {
+	if *days == 0 {
+		t.Skip("no -days given")
+	}
+	for i := range *days {
+		playDomainMix(t, *firstSeed+uint64(i))
+	}
+}
+
 // Days with several troubles by chance break no rule either.
 func TestMixes(t *testing.T) {
 	for seed := range lo.Ternary(raced, uint64(2), 10) {
--- a/internal/sim/day/record.go
+++ b/internal/sim/day/record.go
@@ -16,7 +16,7 @@
 
 // Bounds are the figures that the rules go by.
 type Bounds struct {
-	Contact, Apply, Revert, StretchMax, Drain, Grace, LossSlack, Ack, Recovery time.Duration
+	Contact, Apply, Revert, StretchMax, Drain, Grace, LossSlack, Ack, Recovery, CatchUp time.Duration
 
 	BudgetRatio  float64
 	BudgetWindow time.Duration
@@ -26,7 +26,7 @@
 // Usual are the bounds of most days.
 func Usual() Bounds {
 	return Bounds{Contact: 3 * time.Second, Apply: 2 * time.Second, Revert: 250 * time.Millisecond, StretchMax: 5 * time.Second, Drain: 2 * time.Second,
-		Grace: 6 * time.Second, LossSlack: 200 * time.Millisecond, Ack: 4 * time.Second, Recovery: 15 * time.Second,
+		Grace: 6 * time.Second, LossSlack: 200 * time.Millisecond, Ack: 4 * time.Second, Recovery: 15 * time.Second, CatchUp: 4 * time.Second,
 		BudgetRatio: 0.2, BudgetWindow: 10 * time.Second, BudgetSlack: 40}
 }
 
--- a/internal/sim/day/world.go
+++ b/internal/sim/day/world.go
@@ -48,10 +48,13 @@
 // Shape is a deployment.
 type Shape struct {
 	Zones, Machines, Disks, Bear int
-	Targets                      map[string]int // by service
-	Slots, Queue, MaxConns       int
-	Streams                      []Stream
-	Bounds                       Bounds
+	// Regions is how many regions the zones stand in; 0 where the deployment has none. BearZones and BearRegions are how
+	// many of each may be lost at once, besides Bear machines.
+	Regions, BearZones, BearRegions int
+	Targets                         map[string]int // by service
+	Slots, Queue, MaxConns          int
+	Streams                         []Stream
+	Bounds                          Bounds
 	// LinkMbps is the width of each machine's link, as its gateway is told it; 0 is wide.
 	LinkMbps float64
 }
