Callers that read slowly keep their answers; `100 Continue` has a bound of its own

Cause: one write deadline for the whole answer. It stood also for the word `100 Continue` of a later request on the same connection.

Change: one writer for all answers.

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -30,10 +30,11 @@
 // caller is one connection of a caller. Its goroutine reads a request, leads it to a
 // target and writes the answer.
 type caller struct {
-	n  *Node
-	nc net.Conn
-	r  *bufio.Reader
-	h  fasthttp.RequestHeader
+	n      *Node
+	nc     net.Conn
+	r      *bufio.Reader
+	h      fasthttp.RequestHeader
+	writer answerWriter // of the answer that is written now
 	// leads is the request that waits for its answer; nil is none.
 	leads atomic.Pointer[exchange]
 	// serves is the request that was read and is not answered yet; nil is none.
@@ -297,7 +298,7 @@
 		return nil
 	}
 	if c.expects {
-		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if _, err := c.writerFor().write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return &refused{}
 		}
 	}
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -58,6 +58,9 @@
 	NewsLost   time.Duration `validate:"gte=0"`
 	// MaxAnswer bounds a target's answer, which is held whole; 0 is 8 MiB.
 	MaxAnswer int `validate:"gte=0"`
+	// LeastRate is how many bytes a second a caller must take of its answer, on average over 10 s, for its connection to be
+	// kept; 0 is 256.
+	LeastRate int `validate:"gte=0,lte=1048576"`
 }
 
 // Check tells what is wrong with the settings.
@@ -75,6 +78,7 @@
 	def(&s.FreeProbes, 2)
 	def(&s.DialTime, 400*time.Millisecond)
 	def(&s.MaxAnswer, 8<<20)
+	def(&s.LeastRate, 256)
 	def(&s.BudgetWindow, 10*time.Second)
 	return s
 }
--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// writeTime bounds the writing of an answer to a caller that reads slowly.
-	writeTime = 10 * time.Second
 	// drainTime and drainMost bound the reading of what a refused caller still sends,
 	// so that the answer is not lost with the connection.
 	drainTime = 500 * time.Millisecond
@@ -78,38 +76,33 @@
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
+	w := c.writerFor()
 	var err error
-	if err = c.nc.SetWriteDeadline(c.n.clock.Now().Add(writeTime)); err == nil {
-		switch {
-		case a.passing != nil:
-			err = c.writePassing(b, a)
-		case noBody || a.bare || len(a.body) == 0:
-			_, err = c.nc.Write(b)
-		case len(a.body) <= together:
-			b = append(b, a.body...)
-			_, err = c.nc.Write(b)
-		default:
-			err = c.writeLarge(b, a)
-		}
+	switch {
+	case a.passing != nil:
+		err = w.passing(b, a)
+	case noBody || a.bare || len(a.body) == 0:
+		_, err = w.write(b)
+	case len(a.body) <= together:
+		b = append(b, a.body...)
+		_, err = w.write(b)
+	default:
+		err = w.large(b, a)
 	}
 	putBuffer(b)
 	return err == nil && keep
 }
 
-// writeLarge writes a large body piece by piece, so that others get their turn on a
-// narrow link. The time for writing begins anew with each piece that was taken.
-func (c *caller) writeLarge(head []byte, a *answer) error {
-	body := a.body
+// large writes a large body, on a narrow link piece by piece, so that others get their turn.
+func (w *answerWriter) large(head []byte, a *answer) error {
 	if a.owed == nil {
-		bs := net.Buffers{head, body}
-		_, err := bs.WriteTo(c.nc)
-		return err
+		return w.writeBoth(head, a.body)
 	}
-	if _, err := c.nc.Write(head); err != nil {
+	if _, err := w.write(head); err != nil {
 		return err
 	}
-	for rest := body; len(rest) > 0; {
-		k, err := c.writeStep(rest, len(body), a.owed)
+	for rest := a.body; len(rest) > 0; {
+		k, err := w.step(rest, len(a.body), a.owed)
 		if err != nil {
 			return err
 		}
@@ -118,37 +111,38 @@
 	return nil
 }
 
-// writeStep writes the next piece of a large body.
-func (c *caller) writeStep(rest []byte, size int, d *delivery) (int, error) {
+// step writes the next piece of a large body.
+func (w *answerWriter) step(rest []byte, size int, d *delivery) (int, error) {
+	n := w.c.n
 	k := min(len(rest), bulkStep)
-	began := c.n.clock.Now()
-	c.n.out.wait(size, k, began.Add(writeTime))
-	now := c.n.clock.Now()
-	if err := c.nc.SetWriteDeadline(now.Add(writeTime)); err != nil {
-		return 0, err
-	}
-	c.n.downs.write(d, now)
-	k, err := c.nc.Write(rest[:k])
-	c.n.downs.wrote(d, k)
-	if x := c.serves.Load(); x != nil {
+	began := n.clock.Now()
+	n.out.wait(size, k, began.Add(writeTime))
+	now := n.clock.Now()
+	w.pause(now.Sub(began))
+	n.downs.write(d, now)
+	k, err := w.write(rest[:k])
+	n.downs.wrote(d, k)
+	if x := w.c.serves.Load(); x != nil {
 		x.progress.paced.Add(int64(now.Sub(began)))
 		x.progress.written.Add(int64(k))
 	}
 	return k, err
 }
 
-// writePassing writes a body while it comes in.
-func (c *caller) writePassing(head []byte, a *answer) error {
+// passing writes a body while it comes in.
+func (w *answerWriter) passing(head []byte, a *answer) error {
 	p := a.passing
-	if _, err := c.nc.Write(head); err != nil {
+	if _, err := w.write(head); err != nil {
 		return err
 	}
 	for at := 0; at < p.size; {
+		waits := w.c.n.clock.Now()
 		b, err := p.from(at)
 		if len(b) == 0 {
 			return err
 		}
-		k, err := c.writeStep(b, p.size, a.owed)
+		w.pause(w.c.n.clock.Now().Sub(waits))
+		k, err := w.step(b, p.size, a.owed)
 		if err != nil {
 			return err
 		}
