A copy of an order whose caller may have given it up is not carried out

Cause: a copy is judged by what stands when it is read, however long it lay in a socket. Change: 503 for a call whose caller has closed its connection (looked at when it is taken and before it is proposed), and for any call taken within 1 s after this process stood still for 0.9 s or more. An equal order given anew is taken. The look at a connection is in internal/peer now, for both planes.

--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -95,11 +96,28 @@
 // one does not slip through, and as many voters as that takes are needed for the change
 // anyway.
 func (n *Node) Apply(ctx context.Context, c Change) (ps []route.Problem, err error) {
+	return n.ApplyFor(ctx, nil, c)
+}
+
+// Caller is whoever waits for the outcome of a change.
+type Caller interface {
+	// Left tells whether it does so no more.
+	Left() bool
+}
+
+// ErrStale says that a change was not carried out since its caller may have given it up and sent it elsewhere.
+var ErrStale = errors.New("the caller may have sent this elsewhere: not carried out here")
+
+// ApplyFor applies a change for a caller that may leave; nil is one that never does.
+func (n *Node) ApplyFor(ctx context.Context, caller Caller, c Change) (ps []route.Problem, err error) {
 	defer func() { n.counts.changes.note(len(ps) > 0 || IsConflict(err), err) }()
 	all, ps := c.items()
 	if len(ps) > 0 || len(all) == 0 {
 		return ps, nil
 	}
+	if n.stale(caller) {
+		return nil, steperr.At("apply", "", ErrStale)
+	}
 	// One after the other, so that two changes taken here can't be valid each by
 	// itself only.
 	select {
@@ -117,6 +135,8 @@
 		return n.refuse(ctx, all, w.problems)
 	case w.stands:
 		return nil, nil
+	case n.stale(caller):
+		return nil, steperr.At("apply", "", ErrStale)
 	}
 	decided, err := n.Prop.Decide(ctx, all)
 	if err != nil {
@@ -125,6 +145,16 @@
 	return nil, n.secure(ctx, append(decided, w.support...))
 }
 
+// wakeTime is for how long after a long pause of this process changes are not carried out: they may have lain in
+// its sockets meanwhile.
+const wakeTime = time.Second
+
+// stale tells whether a change may be a copy that its caller has given up: it was refused elsewhere by
+// now, perhaps, and its cause mended.
+func (n *Node) stale(caller Caller) bool {
+	return n.pause.WokeWithin(wakeTime) || caller != nil && caller.Left()
+}
+
 // IsConflict tells whether a change was refused because another content of the version of
 // one of its items is settled.
 func IsConflict(err error) bool {
--- a/internal/liveness/pauses.go
+++ b/internal/liveness/pauses.go
@@ -13,6 +13,8 @@
 	tick = 50 * time.Millisecond
 	// overdue is how late a look may come before that counts as a pause of the process.
 	overdue = 200 * time.Millisecond
+	// long is from when on a pause is one after which those who wait for this process may have turned to another.
+	long = 900 * time.Millisecond
 )
 
 // Pauses adds up the time that this process itself stood still: frozen, starved
@@ -28,6 +30,7 @@
 type beat struct {
 	last  time.Time
 	total time.Duration
+	woke  time.Time // when the last long pause ended; zero if there was none
 }
 
 // NewPauses starts the count at zero.
@@ -44,7 +47,7 @@
 func (p *Pauses) Run(ctx context.Context) {
 	for {
 		now := p.clock.Now()
-		p.at.Store(&beat{now, p.At(now)})
+		p.at.Store(&beat{last: now, total: p.At(now), woke: p.woke(now)})
 		if p.clock.Sleep(ctx, p.tick) != nil {
 			return
 		}
@@ -63,3 +66,20 @@
 	}
 	return b.total
 }
+
+// WokeWithin tells whether a long pause of this process ended within d, one that the next tick has yet to
+// notice included.
+func (p *Pauses) WokeWithin(d time.Duration) bool {
+	now := p.clock.Now()
+	woke := p.woke(now)
+	return !woke.IsZero() && now.Sub(woke) < d
+}
+
+// woke is when the last long pause ended.
+func (p *Pauses) woke(now time.Time) time.Time {
+	b := p.at.Load()
+	if now.Sub(b.last) > p.tick+long {
+		return now
+	}
+	return b.woke
+}
--- a/internal/liveness/quality_test.go
+++ b/internal/liveness/quality_test.go
@@ -152,7 +152,7 @@
 			}
 		}
 		if t%tick == 0 || h.t.Sub(p.at.Load().last) >= tick {
-			p.at.Store(&beat{h.t, p.At(h.t)})
+			p.at.Store(&beat{last: h.t, total: p.At(h.t)})
 		}
 	}
 	q.mistakes /= end.Hours()
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"walkrudder/internal/peer"
 )
 
 const (
@@ -74,7 +76,7 @@
 	}
 	quiet := false
 	err := c.raw.Read(func(fd uintptr) bool {
-		_, e := peek(fd)
+		_, e := peer.Peek(fd)
 		quiet = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
 		return true
 	})
--- a/internal/proxy/gone.go
+++ b/internal/proxy/gone.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"syscall"
 	"time"
+
+	"walkrudder/internal/peer"
 )
 
 // gonePeriod is how often the connections of callers whose requests are under way are looked at.
@@ -34,7 +33,7 @@
 	n.cm.Unlock()
 	for _, c := range waiting {
 		// A connection that is closed has no later request.
-		if x := c.leads.Load(); x != nil && peerClosed(c.nc) && x.callerLeft() {
+		if x := c.leads.Load(); x != nil && peer.Closed(c.nc) && x.callerLeft() {
 			n.stats.callersGone.Add(1)
 		}
 	}
@@ -54,36 +53,3 @@
 	x.conclude(x.n.own(x.id, 502, 0, "the caller left"))
 	return first
 }
-
-// closeTeller is a connection without a descriptor that knows whether its peer closed it.
-type closeTeller interface{ Gone() bool }
-
-// peerClosed tells, without reading and without waiting, whether the other side has closed or
-// reset a connection. It does not see an end behind bytes that were not read yet.
-func peerClosed(nc net.Conn) bool {
-	if t, ok := nc.(closeTeller); ok {
-		return t.Gone()
-	}
-	s, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	closed := false
-	// Control, for Read would wait for a reader that is under way.
-	err = raw.Control(func(fd uintptr) {
-		got, err := peek(fd)
-		closed = err == nil && got == 0 || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT)
-	})
-	return err == nil && closed
-}
-
-// peek tells how many bytes of one could be read now; 0 without an error is the end.
-func peek(fd uintptr) (int, error) {
-	var b [1]byte
-	got, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return got, err
-}
