--- a/internal/proxy/fates_test.go
+++ b/internal/proxy/fates_test.go
@@ -256,6 +256,7 @@
 			now := n.clock.Now()
 			for _, e := range s.work {
 				e.probed = true
+				e.watch(now)
 				if !known {
 					e.fates = nil
 				}
