Large answers wait for room: a burst of them keeps a gateway within its memory

Cause: on links of 50 Mbit/s and more an answer was taken in whole, past any bound. Change: an answer of 256 KiB or more whose length is told waits, in order, until there is room for all of it among 0.4 of the machine's memory, until its request's deadline; meanwhile it stays at its target. Its buffer is made once. Room comes from golang.org/x/sync/semaphore, which was in go.sum before. Ruled out: passing such answers on while they come in on wide links, for now: their end would have to be trusted before it was seen on all links.

Left: answers in chunks, or of less than 256 KiB, have no bound but the old one; uploads are refused beyond a fifth of the memory, as before.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,7 +21,8 @@
 	length int
 	// bare says that neither body nor length is sent.
 	bare bool
-	held int // bytes reserved
+	held int   // bytes reserved
+	room int64 // of it, in the room of large answers
 	// passing is the body of an answer that still comes in; nil is one that is held whole.
 	passing *passing
 	// owed is the delivery of a large body on a narrow link.
@@ -145,7 +147,7 @@
 		}
 	}
 	if err != nil {
-		n.mem.give(a.held)
+		n.release(a)
 		a.free()
 		return nil, p, err
 	}
@@ -222,8 +224,19 @@
 		// It ends where the connection does, as a broken one would.
 		return errOpen
 	}
+	if size > n.set.MaxAnswer {
+		return errTooLarge
+	}
 	var err error
-	a.body, err = readBody(c.r, size, n.set.MaxAnswer, getBuffer(), func(k int) bool {
+	if a.room, err = n.room.reserve(size, c.hard, n.clock); err != nil {
+		return err
+	}
+	body := getBuffer()
+	if a.room > 0 {
+		// There is room for all of it: it need not grow, which leaves much behind.
+		body = slices.Grow(body, size)
+	}
+	a.body, err = readBody(c.r, size, n.set.MaxAnswer, body, func(k int) bool {
 		n.in.wait(size, k, c.hard)
 		n.mem.force(k)
 		a.held += k
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -134,7 +134,7 @@
 		e.keep(c, p.keep)
 	}
 	if a.passing == nil && (p.notRun || !x.win(a)) {
-		n.mem.give(a.held)
+		n.release(a)
 		a.free()
 	}
 	switch {
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -148,7 +148,7 @@
 		a.passing.stop()
 	}
 	n.downs.over(a)
-	n.mem.give(a.held)
+	n.release(a)
 	a.free()
 	x.free()
 	return keep
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -52,6 +52,7 @@
 	clock  clock.Clock
 	log    *log.Logger
 	mem    memory
+	room   answerRoom
 	stats  stats
 	budget *budget.Budget
 	call   func(ctx context.Context, addr string) (net.Conn, error)
@@ -106,6 +107,7 @@
 	n := &Node{
 		set: s, clock: p.Clock, log: p.Log, call: p.Dial,
 		mem:        memory{most: int64(s.MemoryMB) << 20 / 5},
+		room:       newAnswerRoom(s.MemoryMB),
 		budget:     budget.New(s.BudgetRatio, s.BudgetWindow, s.BudgetSlack, p.Clock),
 		pauses:     liveness.NewPausesEvery(p.Clock, pauseTick),
 		maxCallers: int64(s.MaxFiles) * 5 / 8,
--- /dev/null
+++ b/internal/proxy/room_test.go
@@ -0,0 +1,58 @@
+package proxy
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a burst of large answers taking a node over its memory: each was taken in whole, however many there were.
+func TestABurstOfLargeAnswersStaysInItsRoom(t *testing.T) {
+	const size, burst, megabytes = 2 << 20, 24, 20
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, newPipes(), func(s *Settings) { s.MemoryMB = megabytes })
+		defer l.close()
+		l.routes(2)
+		for i := range 8 {
+			l.stand(fmt.Sprint("t", i), nil, bundleOf(size, 50*time.Millisecond))
+		}
+		done := make(chan struct{})
+		peak := int64(0)
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(time.Millisecond):
+					peak = max(peak, l.node.Stats().MemoryUsed)
+				}
+			}
+		}()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		whole := 0
+		for i := range burst {
+			wg.Go(func() {
+				got, took, err := l.slowly(fmt.Sprint("id-", i), 20*time.Second, 64<<10, 20*time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && got == size {
+					whole++
+				} else if err != nil {
+					t.Errorf("%d: %d bytes after %v: %v", i, got, took, err)
+				}
+			})
+		}
+		wg.Wait()
+		close(done)
+		if most := int64(megabytes) << 20 * 3 / 5; peak > most {
+			t.Errorf("%d bytes held at once, want %d at most", peak, most)
+		}
+		if whole < burst/2 {
+			t.Errorf("%d of %d answers came whole", whole, burst)
+		}
+		t.Logf("%d of %d whole, %d bytes held at once", whole, burst, peak)
+	})
+}
