--- a/internal/sim/day/machine.go
+++ b/internal/sim/day/machine.go
@@ -105,7 +105,10 @@
 	}
 	n, err := control.New(parts)
 	if err != nil {
-		w.t.Errorf("%s can't start: %v", m.ID, err)
+		// On a disk that refuses a process ends at once; the platform starts it again when that is over.
+		if m.disk == nil || !m.disk.Refuses() {
+			w.t.Errorf("%s can't start: %v", m.ID, err)
+		}
 		p.Kill()
 		return
 	}
--- a/internal/sim/day/trouble_cores.go
+++ b/internal/sim/day/trouble_cores.go
@@ -9,7 +9,7 @@
 // divide draws as many core machines as may be lost, and the other ones.
 func (w *World) divide() (few, others []*Machine) {
 	core := w.core()
-	few = some(w, core, max(1, w.Shape.Bear))
+	few = w.losableDisks()
 	others = slices.DeleteFunc(slices.Clone(core), func(m *Machine) bool { return slices.Contains(few, m) })
 	return few, others
 }
--- a/internal/sim/day/trouble_domains.go
+++ b/internal/sim/day/trouble_domains.go
@@ -61,6 +61,15 @@
 	})
 }
 
+// smallerPart draws the core machines of the smaller side of a cut: less than half, and those of one domain where
+// domains may be lost, for machines that are cut off count as lost.
+func (w *World) smallerPart() []*Machine {
+	if w.Shape.BearZones+w.Shape.BearRegions > 0 {
+		return w.losableDisks()
+	}
+	return some(w, w.core(), (len(w.core())-1)/2)
+}
+
 // losableDisks draws the machines whose disks may be lost at once: those of a domain, or so many.
 func (w *World) losableDisks() []*Machine {
 	if w.Shape.BearZones+w.Shape.BearRegions > 0 {
--- a/internal/sim/day/trouble_machines.go
+++ b/internal/sim/day/trouble_machines.go
@@ -159,7 +159,7 @@
 // as troubled.
 func CoreCut(d time.Duration) Trouble {
 	return For(d, func(w *World) func() {
-		small := some(w, w.core(), (len(w.core())-1)/2)
+		small := w.smallerPart()
 		var rest []*Machine
 		for _, m := range w.Machines {
 			switch {
--- a/internal/sim/simnet/disk.go
+++ b/internal/sim/simnet/disk.go
@@ -48,6 +48,13 @@
 	d.fails = on
 }
 
+// Refuses tells whether every sync fails now.
+func (d *Disk) Refuses() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fails
+}
+
 // Wipe empties the disk. No process may be using it.
 func (d *Disk) Wipe() error {
 	d.mu.Lock()
