--- a/internal/quorum/placement_test.go
+++ b/internal/quorum/placement_test.go
@@ -92,3 +92,37 @@
 	}
 	t.Logf("%d moves at most", most)
 }
+
+// The number of seats is the least that bears what is to be borne, and the least there is where none does.
+func TestSeatsOfATolerance(t *testing.T) {
+	zones := func(regions ...int) map[string]string {
+		out := map[string]string{}
+		for r, n := range regions {
+			for z := range n {
+				out[fmt.Sprintf("z%d-%d", r, z)] = fmt.Sprint("r", r)
+			}
+		}
+		return out
+	}
+	for _, x := range []struct {
+		tolerance Tolerance
+		zones     map[string]string
+		want      int
+		bears     bool
+	}{
+		{Tolerance{}, zones(3), 1, true},
+		{Tolerance{Machines: 2}, nil, 5, true},
+		{Tolerance{Machines: 1, Zones: 1}, zones(3), 3, true},
+		{Tolerance{Zones: 1}, zones(2), 3, false},
+		{Tolerance{Machines: 3, Zones: 2}, zones(5), 9, true},
+		{Tolerance{Regions: 1}, zones(3, 3), 3, false},
+		{Tolerance{Regions: 1}, zones(4, 1, 1), 3, true},
+		{Tolerance{Regions: 1}, zones(20, 20), 3, false},
+		{Tolerance{Machines: 16}, zones(3, 3), mostSeats, true},
+	} {
+		got := x.tolerance.Seats(x.zones)
+		if bears := x.tolerance.Attainable(x.zones, got).Total() == 0; got != x.want || bears != x.bears {
+			t.Errorf("%+v in %d zones: %d seats that bear it: %v, want %d, %v", x.tolerance, len(x.zones), got, bears, x.want, x.bears)
+		}
+	}
+}
--- a/internal/quorum/tolerance.go
+++ b/internal/quorum/tolerance.go
@@ -6,8 +6,13 @@
 	"slices"
 )
 
-// mostSeats bounds the seats of a core.
-const mostSeats = 33
+const (
+	// mostSeats bounds the seats of a core.
+	mostSeats = 33
+	// moreSeats is how many times the loss to be borne a core may have seats beyond the least number, where
+	// that many bear a domain that the least number does not.
+	moreSeats = 2
+)
 
 // Tolerance says what may be lost at once with its disks: so many machines, or zones, or
 // regions (design 4.6).
@@ -51,7 +56,7 @@
 // loss of as many machines.
 func (t Tolerance) Seats(zones map[string]string) int {
 	least := 2*t.Most() + 1
-	for n := least; n <= mostSeats && len(zones) > 0; n += 2 {
+	for n := least; n <= min(mostSeats, least+moreSeats*t.Most()) && len(zones) > 0; n += 2 {
 		if t.Attainable(zones, n).Total() == 0 {
 			return n
 		}
