A pause of a process is told only once somebody looks for pauses

Cause: WokeWithin took the time since a Pauses was made for a pause, also where nobody looked yet; in the product that is the time between a node's making and its run. Change: it tells of pauses from the first look on. All twelve planted faults are found again, each in as many schedules as before (1 to 346).

--- a/internal/liveness/pauses.go
+++ b/internal/liveness/pauses.go
@@ -31,6 +31,7 @@
 	last  time.Time
 	total time.Duration
 	woke  time.Time // when the last long pause ended; zero if there was none
+	run   bool      // Run looks; before that nobody could tell a pause from a start
 }
 
 // NewPauses starts the count at zero.
@@ -47,7 +48,7 @@
 func (p *Pauses) Run(ctx context.Context) {
 	for {
 		now := p.clock.Now()
-		p.at.Store(&beat{last: now, total: p.At(now), woke: p.woke(now)})
+		p.at.Store(&beat{last: now, total: p.At(now), woke: p.woke(now), run: true})
 		if p.clock.Sleep(ctx, p.tick) != nil {
 			return
 		}
@@ -78,7 +79,7 @@
 // woke is when the last long pause ended.
 func (p *Pauses) woke(now time.Time) time.Time {
 	b := p.at.Load()
-	if now.Sub(b.last) > p.tick+long {
+	if b.run && now.Sub(b.last) > p.tick+long {
 		return now
 	}
 	return b.woke
