--- a/internal/proxy/room_test.go
+++ b/internal/proxy/room_test.go
@@ -20,7 +20,8 @@
 		}
 		done := make(chan struct{})
 		peak := int64(0)
-		go func() {
+		var watcher sync.WaitGroup
+		watcher.Go(func() {
 			for {
 				select {
 				case <-done:
@@ -29,7 +30,7 @@
 					peak = max(peak, l.node.Stats().MemoryUsed)
 				}
 			}
-		}()
+		})
 		var wg sync.WaitGroup
 		var mu sync.Mutex
 		whole := 0
@@ -47,6 +48,7 @@
 		}
 		wg.Wait()
 		close(done)
+		watcher.Wait()
 		if most := int64(megabytes) << 20 * 3 / 5; peak > most {
 			t.Errorf("%d bytes held at once, want %d at most", peak, most)
 		}
