A line of the head that is no field line makes no response

It also unfolds folded lines. Other control bytes in names it refuses. Change: each line of a head, interim ones included, must end with CR and LF, and be a token, a colon and a value without control bytes but tabs. The first malformed line ends the reading, so a target that keeps its connection open is not waited for.

--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -9,6 +9,7 @@
 var (
 	ErrStatusLine = errors.New("the status line is malformed")
 	ErrUpgrade    = errors.New("the protocol is changed without a request")
+	ErrFieldLine  = errors.New("a field line is malformed")
 	ErrFraming    = errors.New("the body's framing is broken")
 )
 
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -91,6 +91,8 @@
 			return false, ErrStatusLine
 		}
 		return false, c.checkStatusLine(line)
+	case !hasCR:
+		return false, ErrFieldLine
 	case len(line) > 0:
 		return false, c.checkFieldLine(line)
 	}
@@ -131,10 +133,13 @@
 	return nil
 }
 
-// checkFieldLine refuses a second Content-Length: the library uses the last one, other parsers may use the first.
+// checkFieldLine also refuses a second Content-Length: the library uses the last one, other parsers may use the first.
 func (c *headChecker) checkFieldLine(line []byte) error {
-	name, _, ok := bytes.Cut(line, []byte{':'})
-	if ok && bytes.EqualFold(bytes.TrimRight(name, " \t"), []byte("Content-Length")) {
+	name, _, ok := splitField(line)
+	if !ok {
+		return ErrFieldLine
+	}
+	if isName(name, "Content-Length") {
 		if c.lengthSeen {
 			return ErrFraming
 		}
@@ -142,3 +147,8 @@
 	}
 	return nil
 }
+
+// isName reports whether a field name is the given one.
+func isName(name []byte, want string) bool {
+	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
+}
--- a/internal/http1/http1test/samples.go
+++ b/internal/http1/http1test/samples.go
@@ -31,14 +31,20 @@
 }
 
 const (
-	okLine     = "HTTP/1.1 200 OK"
-	lengthLine = "Content-Length: {length}\r\n"
+	okLine      = "HTTP/1.1 200 OK"
+	lengthLine  = "Content-Length: {length}\r\n"
+	fixedAnswer = okLine + "\r\n{fields}" + lengthLine + "\r\n{body}"
 )
 
 func withStatusLine(line string) string {
 	return line + "\r\n{fields}" + lengthLine + "\r\n{body}"
 }
 
+// withFieldLine adds a line, given with its end, before the other field lines.
+func withFieldLine(line string) string {
+	return okLine + "\r\n" + line + "{fields}" + lengthLine + "\r\n{body}"
+}
+
 func samples(prefix string, status int, texts []string, text func(string) string) []Sample {
 	out := make([]Sample, len(texts))
 	for i, t := range texts {
--- a/internal/http1/http1test/wellformed.go
+++ b/internal/http1/http1test/wellformed.go
@@ -7,7 +7,7 @@
 
 // WellFormed returns complete responses that conform to RFC 9112 and RFC 9110, among them unusual ones.
 func WellFormed() []Sample {
-	return wellFormedStatusLines()
+	return slices.Concat(wellFormedStatusLines(), wellFormedFieldLines(), wellFormedInterim())
 }
 
 func wellFormedStatusLines() (out []Sample) {
@@ -22,3 +22,20 @@
 	slices.SortFunc(out, func(a, b Sample) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
+
+func wellFormedFieldLines() []Sample {
+	lines := []string{
+		"", "x: 1\r\n", "!#$%&'*+-.^_`|~09azAZ: 1\r\n", "X-Odd:\r\n", "X-Odd: \r\n", "X-Odd:1\r\n", "X-Odd: \t 1 2\t3 \t \r\n", "X-Odd: \x80\xff\xc3\x96\r\n", "X-Odd: a: b, \"c\"; d={}\r\n",
+		"X-Odd: 1\r\nX-Odd: 2\r\n", "x-odd: 1\r\nX-ODD: 2\r\n", "Content-Type:\r\n", "Server:\r\n", "Set-Cookie: a=b\r\nSet-Cookie: c=d\r\n", "Content-Language: \xc3\x96\r\n",
+		"Trailer: X-Odd\r\n", "Content-Length-Odd: x\r\n", "Transfer-Encodin: gzip\r\n", "Vary: *\r\n", "Connection: keep-alive\r\n", "Connection: x-odd\r\nX-Odd: 1\r\n",
+	}
+	return samples("field line", 200, lines, withFieldLine)
+}
+
+func wellFormedInterim() []Sample {
+	heads := []string{
+		"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 \r\n\r\n", "HTTP/1.1 102 Processing\r\nX-Odd:\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </x>; rel=preload\r\nLink: </y>\r\n\r\n",
+		"HTTP/1.1 199 Unknown\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 103 \xff\r\n!: 1\r\n\r\n",
+	}
+	return samples("after interim", 200, heads, func(h string) string { return h + fixedAnswer })
+}
