A body has one length, and chunks and trailers conform

In internal/passage a second Content-Length won, '5g' or '5 ' was a chunk size, and a trailer was merged into the head: a stamp or Walk-Not-Run in it counted. Chunk extensions with control bytes and malformed trailers passed on both paths. Change: internal/http1 gives the length as it read it: one Content-Length of digits, or 'chunked' alone. Bodies of responses are read there for both paths (proxy's reader, moved): chunk extensions and trailers are checked and discarded. Blanks before ';' of an extension are accepted now, as the grammar has them.

--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -123,3 +123,21 @@
 		})
 	}
 }
+
+// A trailer is no part of the head: what stands in it neither reaches the caller nor changes what the head says.
+func TestDoorTrailersStayApart(t *testing.T) {
+	s := newRawTarget(t, func(c net.Conn, id string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Odd\r\n%sTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-Odd: 1\r\n%s: 1\r\n%s\r\n", stampLine(id, "a", 1, 2), httpapi.NotRunHeader, stampLine(id, "b", 1, 2))
+	})
+	r, b := s.call(t, "POST", "/once/x", strings.NewReader("order"))
+	if r.StatusCode != 503 || b != "hi" || r.Header.Get("X-Odd") != "" || s.requests.Load() != 1 {
+		t.Errorf("%d %q %v after %d sends", r.StatusCode, b, r.Header, s.requests.Load())
+	}
+	// Without a stamp in the head there is no proper answer.
+	s = newRawTarget(t, func(c net.Conn, id string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n%s\r\n", stampLine(id, "a", 1, 2))
+	})
+	if r, b := s.call(t, "POST", "/once/x", strings.NewReader("order")); r.StatusCode != 502 || !strings.Contains(b, httpapi.OutcomeUnknown) {
+		t.Errorf("stamped in the trailer: %d %q", r.StatusCode, b)
+	}
+}
--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -11,6 +11,8 @@
 	ErrUpgrade    = errors.New("the protocol is changed without a request")
 	ErrFieldLine  = errors.New("a field line is malformed")
 	ErrFraming    = errors.New("the body's framing is broken")
+	ErrTooLarge   = errors.New("the body is larger than allowed")
+	ErrMemory     = errors.New("no memory for the body")
 )
 
 // UnexpectedEOF turns io.EOF in the middle of a message into io.ErrUnexpectedEOF.
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -3,15 +3,24 @@
 import (
 	"bufio"
 	"bytes"
+	"math"
 
 	"github.com/valyala/fasthttp"
 )
 
-// Head is what the head of a response says about its status.
+// Head is what the head of a response says about its status and its body.
 type Head struct {
 	Status int
+	// Length is the body's length in bytes, Chunked or Unframed. It doesn't consider that some responses have no body.
+	Length int
 }
 
+// Values of Head.Length for a body whose length the head does not give.
+const (
+	Chunked  = -1 // the body is in chunks
+	Unframed = -2 // the body would end with the connection
+)
+
 // Bounds of the status.
 const (
 	minStatus       = 100
@@ -78,8 +87,9 @@
 
 // headChecker checks the lines of a head in turn.
 type headChecker struct {
-	head       Head
-	lengthSeen bool
+	head                   Head
+	isHTTP10               bool
+	lengthSeen, codingSeen bool
 }
 
 // checkLine checks a line, given without its LF, and reports whether it is the last of the head.
@@ -96,6 +106,9 @@
 	case len(line) > 0:
 		return false, c.checkFieldLine(line)
 	}
+	if !c.lengthSeen && !c.codingSeen {
+		c.head.Length = Unframed
+	}
 	return true, nil
 }
 
@@ -130,20 +143,19 @@
 		return ErrStatusLine
 	}
 	c.head.Status = status
+	c.isHTTP10 = line[statusStart-2] == '0'
 	return nil
 }
 
-// checkFieldLine also refuses a second Content-Length: the library uses the last one, other parsers may use the first.
 func (c *headChecker) checkFieldLine(line []byte) error {
-	name, _, ok := splitField(line)
-	if !ok {
+	name, value, ok := splitField(line)
+	switch {
+	case !ok:
 		return ErrFieldLine
-	}
-	if isName(name, "Content-Length") {
-		if c.lengthSeen {
-			return ErrFraming
-		}
-		c.lengthSeen = true
+	case isName(name, "Content-Length"):
+		return c.checkLength(trimBlanks(value))
+	case isName(name, "Transfer-Encoding"):
+		return c.checkCoding(trimBlanks(value))
 	}
 	return nil
 }
@@ -152,3 +164,32 @@
 func isName(name []byte, want string) bool {
 	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
 }
+
+// checkLength reads a Content-Length. A second one or a Transfer-Encoding beside it is an error: other readers might go by
+// either.
+func (c *headChecker) checkLength(value []byte) error {
+	if c.lengthSeen || c.codingSeen || len(value) == 0 {
+		return ErrFraming
+	}
+	length := 0
+	for _, d := range value {
+		if !isDigit(d) {
+			return ErrFraming
+		}
+		if length > (math.MaxInt-9)/10 {
+			return ErrTooLarge
+		}
+		length = length*10 + int(d-'0')
+	}
+	c.lengthSeen, c.head.Length = true, length
+	return nil
+}
+
+// checkCoding checks a Transfer-Encoding. Only chunks are understood, and none in HTTP/1.0.
+func (c *headChecker) checkCoding(value []byte) error {
+	if c.lengthSeen || c.codingSeen || c.isHTTP10 || !isName(value, "chunked") {
+		return ErrFraming
+	}
+	c.codingSeen, c.head.Length = true, Chunked
+	return nil
+}
--- a/internal/http1/http1test/malformed.go
+++ b/internal/http1/http1test/malformed.go
@@ -4,7 +4,7 @@
 
 // Malformed returns responses that do not conform to RFC 9112 and RFC 9110.
 func Malformed() []Sample {
-	return slices.Concat(malformedStatusLines(), malformedFieldLines(), malformedInterim())
+	return slices.Concat(malformedStatusLines(), malformedFieldLines(), malformedInterim(), malformedFraming(), malformedChunks(), malformedTrailers())
 }
 
 // malformedStatusLines returns responses whose first line is no status line of a final response.
@@ -59,6 +59,44 @@
 	return lines
 }
 
+// malformedFraming returns responses whose fields do not give the length of the body in one way.
+func malformedFraming() []Sample {
+	lengths := []string{"+{length}", "-{length}", "-1", "", "{length}, {length}", "{length},", "{length} {length}", "0x{chunk}", "{length}.0", "{length}x", "x",
+		"99999999999999999999", "18446744073709551617", "\"{length}\""}
+	out := samples("length", 0, lengths, func(v string) string { return withFraming("Content-Length: "+v+"\r\n", "{body}") })
+	lines := []string{lengthLine + lengthLine, "Content-Length: 1\r\n" + lengthLine, lengthLine + "content-length: 0\r\n"}
+	out = append(out, samples("lengths", 0, lines, func(l string) string { return withFraming(l, "{body}") })...)
+	chunked := []string{
+		chunkedLine + lengthLine, lengthLine + chunkedLine, chunkedLine + "Content-Length: 0\r\n", chunkedLine + chunkedLine,
+		"Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: chunked, chunked\r\n", "Transfer-Encoding: identity\r\n",
+		"Transfer-Encoding: identity\r\n" + chunkedLine, chunkedLine + "Transfer-Encoding: identity\r\n", "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunkedx\r\n",
+		"Transfer-Encoding: \"chunked\"\r\n", "Transfer-Encoding:\r\n", "Transfer-Encoding: chunked;q=1\r\n", "Transfer-Encoding: gzip\r\n",
+		"Transfer-Encoding: gzip\r\n" + lengthLine, "Transfer-Encoding: identity\r\n" + lengthLine,
+	}
+	out = append(out, samples("coding", 0, chunked, func(l string) string { return withFraming(l, wholeChunk+"0\r\n\r\n") })...)
+	return append(out, Sample{Name: "chunks in HTTP/1.0", text: "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n{fields}" + chunkedLine + "\r\n" + wholeChunk + "0\r\n\r\n"})
+}
+
+// malformedChunks returns responses with broken chunks.
+func malformedChunks() []Sample {
+	bodies := []string{
+		"{chunk}\n{body}\r\n0\r\n\r\n", "{chunk}\r\n{body}\n0\r\n\r\n", "{chunk}\r\n{body}0\r\n\r\n", "{chunk}\r\n{body}x\r\n0\r\n\r\n", "{chunk}\r\n{body}\r\n0\n\r\n",
+		" {chunk}\r\n{body}\r\n0\r\n\r\n", "{chunk} \r\n{body}\r\n0\r\n\r\n", "0x{chunk}\r\n{body}\r\n0\r\n\r\n", "+{chunk}\r\n{body}\r\n0\r\n\r\n", "-{chunk}\r\n{body}\r\n0\r\n\r\n",
+		"\r\n{body}\r\n0\r\n\r\n", ";a\r\n{body}\r\n0\r\n\r\n", "{chunk}g\r\n{body}\r\n0\r\n\r\n", "{chunk}\r\r\n{body}\r\n0\r\n\r\n", "ffffffffffffffff1\r\n{body}\r\n0\r\n\r\n",
+		"{chunk};\r\n{body}\r\n0\r\n\r\n", "{chunk};a=\r\n{body}\r\n0\r\n\r\n", "{chunk};=b\r\n{body}\r\n0\r\n\r\n", "{chunk};a b\r\n{body}\r\n0\r\n\r\n", "{chunk};a\rb\r\n{body}\r\n0\r\n\r\n",
+		"{chunk};a\x00\r\n{body}\r\n0\r\n\r\n", "{chunk};a=\x01\r\n{body}\r\n0\r\n\r\n", "{chunk};a=\"b\r\n{body}\r\n0\r\n\r\n", "{chunk};a=\"b\x00\"\r\n{body}\r\n0\r\n\r\n",
+		"{chunk};a=\"b\"c\r\n{body}\r\n0\r\n\r\n", "{chunk};a=b,c\r\n{body}\r\n0\r\n\r\n", "{chunk}\r\n{body}\r\n0;\r\n\r\n", "{chunk}\r\n{body}\r\n0 \r\n\r\n", "{chunk}\r\n{body}\r\n00x\r\n\r\n",
+	}
+	return samples("chunk", 0, bodies, func(b string) string { return chunkedStart + b })
+}
+
+// malformedTrailers returns responses whose last chunk is followed by a line that is no field line.
+func malformedTrailers() []Sample {
+	lines := []string{"X Odd: 1\r\n", "X-Odd : 1\r\n", "X\x00Odd: 1\r\n", "X\x01Odd: 1\r\n", "X-Odd: a\x00b\r\n", "X-Odd: a\x1fb\r\n", "X-Odd: a\x7fb\r\n", "X-Odd\r\n", ": 1\r\n",
+		" folded: 1\r\n", "X-Odd: 1\r\n folded\r\n", "X-Odd: 1\n", "\n", "X-Odd: a\rb\r\n", "X-\xc3\x96dd: 1\r\n", "Content-Length : 3\r\n"}
+	return samples("trailer", 0, lines, func(l string) string { return chunkedStart + wholeChunk + "0\r\n" + l + "\r\n" })
+}
+
 // malformedInterim returns sound responses that follow a malformed interim response, or one that switches protocols.
 func malformedInterim() []Sample {
 	heads := []string{
--- a/internal/http1/http1test/samples.go
+++ b/internal/http1/http1test/samples.go
@@ -31,9 +31,12 @@
 }
 
 const (
-	okLine      = "HTTP/1.1 200 OK"
-	lengthLine  = "Content-Length: {length}\r\n"
-	fixedAnswer = okLine + "\r\n{fields}" + lengthLine + "\r\n{body}"
+	okLine       = "HTTP/1.1 200 OK"
+	lengthLine   = "Content-Length: {length}\r\n"
+	chunkedLine  = "Transfer-Encoding: chunked\r\n"
+	wholeChunk   = "{chunk}\r\n{body}\r\n"
+	fixedAnswer  = okLine + "\r\n{fields}" + lengthLine + "\r\n{body}"
+	chunkedStart = okLine + "\r\n{fields}" + chunkedLine + "\r\n"
 )
 
 func withStatusLine(line string) string {
@@ -45,6 +48,11 @@
 	return okLine + "\r\n" + line + "{fields}" + lengthLine + "\r\n{body}"
 }
 
+// withFraming replaces the line that gives the length.
+func withFraming(lines, body string) string {
+	return okLine + "\r\n{fields}" + lines + "\r\n" + body
+}
+
 func samples(prefix string, status int, texts []string, text func(string) string) []Sample {
 	out := make([]Sample, len(texts))
 	for i, t := range texts {
--- a/internal/http1/http1test/wellformed.go
+++ b/internal/http1/http1test/wellformed.go
@@ -7,7 +7,7 @@
 
 // WellFormed returns complete responses that conform to RFC 9112 and RFC 9110, among them unusual ones.
 func WellFormed() []Sample {
-	return slices.Concat(wellFormedStatusLines(), wellFormedFieldLines(), wellFormedInterim())
+	return slices.Concat(wellFormedStatusLines(), wellFormedFieldLines(), wellFormedInterim(), wellFormedFraming(), wellFormedChunks())
 }
 
 func wellFormedStatusLines() (out []Sample) {
@@ -39,3 +39,20 @@
 	}
 	return samples("after interim", 200, heads, func(h string) string { return h + fixedAnswer })
 }
+
+func wellFormedFraming() []Sample {
+	lines := []string{"Content-Length:{length}\r\n", "Content-Length: \t{length} \t\r\n", "Content-Length: 000{length}\r\n", "CONTENT-LENGTH: {length}\r\n"}
+	chunked := []string{"transfer-encoding:CHUNKED\r\n", "Transfer-Encoding: \tchunked \t\r\n"}
+	return slices.Concat(
+		samples("length", 200, lines, func(l string) string { return withFraming(l, "{body}") }),
+		samples("coding", 200, chunked, func(l string) string { return withFraming(l, wholeChunk+"0\r\n\r\n") }),
+	)
+}
+
+func wellFormedChunks() []Sample {
+	bodies := []string{
+		wholeChunk + "0\r\n\r\n", "000{chunk}\r\n{body}\r\n000\r\n\r\n", "{chunk};a\r\n{body}\r\n0\r\n\r\n", "{chunk};a=b;c=d\r\n{body}\r\n0;e\r\n\r\n", "{chunk};a=\"b; \\\"c\\\"\t\xff\"\r\n{body}\r\n0\r\n\r\n",
+		"{chunk} ; a = b\t;\tc\r\n{body}\r\n0\r\n\r\n", wholeChunk + "0\r\nX-Odd: 1\r\n\r\n", wholeChunk + "0\r\nX-Odd:\r\n!#$%&'*+-.^_`|~: \x80\xff\r\n\r\n", wholeChunk + "0\r\nContent-Length: 3\r\n\r\n",
+	}
+	return samples("chunks", 200, bodies, func(b string) string { return chunkedStart + b })
+}
--- a/internal/http1/syntax.go
+++ b/internal/http1/syntax.go
@@ -1,6 +1,9 @@
 package http1
 
-import "strings"
+import (
+	"bytes"
+	"strings"
+)
 
 // byteClass is a set of the roles in which a byte may occur.
 type byteClass uint8
@@ -48,6 +51,9 @@
 	return true
 }
 
+// trimBlanks removes the blanks and tabs around a value.
+func trimBlanks(b []byte) []byte { return bytes.Trim(b, " \t") }
+
 // splitField splits a field line, given without its end, into name and value. ok is false if it is malformed. A folded
 // line starts with a blank, so it has no name.
 func splitField(line []byte) (name, value []byte, ok bool) {
--- a/internal/passage/transport.go
+++ b/internal/passage/transport.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -208,7 +207,7 @@
 	if err != nil {
 		return nil, tc.conn.written.Load() > before, err
 	}
-	response, reusable, err := readResponse(tc.reader, resp, s.Req.Method)
+	response, reusable, err := readResponse(tc.reader, &resp.Header, s.Req.Method)
 	if err != nil {
 		return nil, true, err
 	}
@@ -234,35 +233,35 @@
 	req.SetBodyRaw(s.Req.Body)
 }
 
-// readResponse reads one response; the second result reports whether the connection can be reused.
-func readResponse(reader *bufio.Reader, resp *fasthttp.Response, method string) (*Response, bool, error) {
-	header := &resp.Header
+// readResponse reads one response; the second result reports whether the connection can be reused. A response whose end
+// is not known is incomplete, and its body is not read.
+func readResponse(reader *bufio.Reader, header *fasthttp.ResponseHeader, method string) (*Response, bool, error) {
 	head, err := http1.ReadHead(reader, header)
 	if err != nil {
 		return nil, false, err
 	}
 	response := &Response{Status: head.Status}
-	length := header.ContentLength()
-	noBody := method == fasthttp.MethodHead || response.Status == 204 || response.Status == 304
-	response.Complete = noBody || length >= 0 || length == -1
-	if !noBody {
-		if err := resp.ReadBody(reader, MaxResponse); err != nil {
+	noBody := method == fasthttp.MethodHead || head.Status == fasthttp.StatusNoContent || head.Status == fasthttp.StatusNotModified
+	response.Complete = noBody || head.Length != http1.Unframed
+	if response.Complete && !noBody {
+		response.Body, err = http1.ReadBody(reader, head.Length, MaxResponse, nil, func(int) bool { return true })
+		if err != nil {
 			return nil, false, err
 		}
-		if length == -1 {
-			if err := header.ReadTrailer(reader); err != nil && !errors.Is(err, io.EOF) {
-				return nil, false, err
-			}
-		}
-		response.Body = append([]byte(nil), resp.Body()...)
 	}
+	response.readFields(header, method)
+	return response, response.Complete && !header.ConnectionClose(), nil
+}
+
+// readFields reads the header fields: those about the request, and those that are forwarded.
+func (r *Response) readFields(header *fasthttp.ResponseHeader, method string) {
 	for k, v := range header.All() {
 		field := string(k)
 		switch field {
 		case httpapi.StampHeader:
-			response.Stamp = string(v)
+			r.Stamp = string(v)
 		case httpapi.NotRunHeader:
-			response.NotRun = string(v) == "1"
+			r.NotRun = string(v) == "1"
 		case "Content-Length":
 			// The server writes its own, except for HEAD, where it gives the length of a
 			// body that is not sent.
@@ -271,8 +270,7 @@
 			}
 		}
 		if !httpapi.IsHopByHop(field) {
-			response.Header = append(response.Header, [2]string{field, string(v)})
+			r.Header = append(r.Header, [2]string{field, string(v)})
 		}
 	}
-	return response, response.Complete && !header.ConnectionClose(), nil
 }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -118,7 +118,7 @@
 	a := &answer{status: head.Status, contentLength: -1, head: getBuffer()}
 	p, err := n.readFields(h, a, id)
 	otherRequest := errors.Is(err, errOtherRequest)
-	if size := c.h.ContentLength(); err == nil && allowStream != nil && !noBody && a.status < 300 && size >= largeBodySize && size <= n.settings.MaxAnswerBytes {
+	if size := head.Length; err == nil && allowStream != nil && !noBody && a.status < 300 && size >= largeBodySize && size <= n.settings.MaxAnswerBytes {
 		a.stream = newBodyStream(c, size)
 		if allowStream(a) {
 			reserve := func(k int) {
@@ -133,7 +133,7 @@
 	}
 	if err == nil || otherRequest {
 		// The body of an answer to another request is only consumed.
-		if e := n.readAnswerBody(c, a, noBody && !otherRequest); e != nil {
+		if e := n.readAnswerBody(c, a, head.Length, noBody && !otherRequest); e != nil {
 			err = e
 		}
 	}
@@ -203,9 +203,8 @@
 	return status == 408 || status == 421 || status == 429 || status == 503
 }
 
-// readAnswerBody reads the complete body of an answer into a.body.
-func (n *Node) readAnswerBody(c *conn, a *answer, noBody bool) error {
-	size := c.h.ContentLength()
+// readAnswerBody reads the complete body of an answer, whose head gives its size, into a.body.
+func (n *Node) readAnswerBody(c *conn, a *answer, size int, noBody bool) error {
 	switch {
 	case a.status == 204 || a.status == 304:
 		a.noBodyOrLength = true
@@ -213,12 +212,12 @@
 	case noBody:
 		a.contentLength, a.noBodyOrLength = max(size, -1), true
 		return nil
-	case size < chunkedLength:
+	case size == http1.Unframed:
 		// The body ends where the connection does, and a truncated one would look the same.
 		return errNoFraming
 	}
 	if size > n.settings.MaxAnswerBytes {
-		return errTooLarge
+		return http1.ErrTooLarge
 	}
 	var err error
 	if a.largeReserved, err = n.largeAnswers.reserve(size, c.deadline, n.clock); err != nil {
@@ -229,7 +228,7 @@
 		// Memory for all of it is reserved. Growing the slice would leave garbage behind.
 		body = slices.Grow(body, size)
 	}
-	a.body, err = readBody(c.r, size, n.settings.MaxAnswerBytes, body, func(k int) bool {
+	a.body, err = http1.ReadBody(c.r, size, n.settings.MaxAnswerBytes, body, func(k int) bool {
 		n.inbound.wait(size, k, c.deadline)
 		n.memory.reserve(k)
 		a.reservedBytes += k
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"walkrudder/internal/http1"
 	"walkrudder/internal/route"
 )
 
@@ -290,7 +291,7 @@
 		return overloaded()
 	}
 	x.reservedBytes = requestOverhead
-	if size < chunkedLength {
+	if size < http1.Chunked {
 		return nil
 	}
 	x.hasBody = true
@@ -306,7 +307,7 @@
 		return &rejection{}
 	}
 	var err error
-	x.body, err = readBody(c.r, size, limits.BodyBytes, getBuffer(), func(k int) bool {
+	x.body, err = http1.ReadRequestBody(c.r, size, limits.BodyBytes, getBuffer(), func(k int) bool {
 		if !n.memory.tryReserve(k) {
 			return false
 		}
@@ -317,11 +318,11 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, http1.ErrTooLarge):
 		return &rejection{status: 413, reason: "the body is too large", requestID: x.id}
-	case errors.Is(err, errMemory):
+	case errors.Is(err, http1.ErrMemory):
 		return overloaded()
-	case errors.Is(err, errFraming):
+	case errors.Is(err, http1.ErrFraming):
 		n.stats.malformed.Add(1)
 		return &rejection{status: 400, reason: "the body can't be read", requestID: x.id}
 	case errors.As(err, &ne) && ne.Timeout():
--- a/internal/proxy/largeanswers.go
+++ b/internal/proxy/largeanswers.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"walkrudder/internal/http1"
 )
 
 const (
@@ -39,7 +41,7 @@
 	ctx, end := context.WithTimeout(context.Background(), until.Sub(c.Now()))
 	defer end()
 	if err := r.sem.Acquire(ctx, n); err != nil {
-		return 0, errMemory
+		return 0, http1.ErrMemory
 	}
 	return n, nil
 }
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -228,11 +228,10 @@
 			keep = keepAliveTimeout(v)
 		}
 	}
-	size := h.ContentLength()
-	if size < chunkedLength {
+	if head.Length == http1.Unframed {
 		return false, false, 0
 	}
-	body, err := readBody(c.r, size, readStep, getBuffer(), func(int) bool { return true })
+	body, err := http1.ReadBody(c.r, head.Length, http1.ReadStep, getBuffer(), func(int) bool { return true })
 	putBuffer(body)
 	if err != nil {
 		return false, false, 0
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -4,6 +4,8 @@
 	"io"
 	"slices"
 	"sync"
+
+	"walkrudder/internal/http1"
 )
 
 // bodyStream is the body of a large answer that is forwarded to the caller while it is still
@@ -31,7 +33,7 @@
 // piece is read.
 func (p *bodyStream) fill(r io.Reader, reserve, waitTurn func(int)) error {
 	for at := 0; at < p.size; {
-		k := min(p.size-at, readStep)
+		k := min(p.size-at, http1.ReadStep)
 		reserve(k)
 		p.mu.Lock()
 		p.body = slices.Grow(p.body, k)
@@ -45,7 +47,7 @@
 			p.body = p.body[:at]
 			p.mu.Unlock()
 			if err != nil {
-				return unexpectedEOF(err)
+				return http1.UnexpectedEOF(err)
 			}
 			p.notify()
 		}
