A target that breaks its responses does not look fast

Cause: on the request path that README starts, a response that was malformed, broken off, unstamped or without an end counted with the time in which it came, mostly a short one, and a fast target is given more at once. On the platform's path such an answer counts as a failure already; nothing is changed there. Ruled out: taking the identity proof back (where all targets break some responses, none could be chosen until the next probe). Change: a send without a valid response counts like silence until the expiry; sends that this gateway gave up still don't count. The check of a response is a method of the attempt, made as soon as the response is there.

--- a/internal/passage/attempt.go
+++ b/internal/passage/attempt.go
@@ -1,8 +1,11 @@
 package passage
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
+	"walkrudder/internal/httpapi"
 	"walkrudder/internal/registry"
 	"walkrudder/internal/spec"
 )
@@ -18,19 +21,49 @@
 	Response *Response
 	SentAt   time.Time
 
+	problem      string // why Response is invalid; "" if it is valid
 	limiter      *ServiceLimiter
 	pausedBefore time.Duration // total pauses of this process before the send
 	returned     chan struct{} // closed when the transport has returned
 }
 
-// recordLatency records how long the target took, unless this process itself was
-// suspended in the meantime.
-func (p *Pipeline) recordLatency(attempt *Attempt) {
-	if p.Targets.Pauses.Total() == attempt.pausedBefore {
-		attempt.Target.ObserveLatency(p.Clock.Now().Sub(attempt.SentAt), slowWeight, fastWeight)
+// recordLatency records how long the target took, unless this process itself was suspended in the meantime. A send without
+// a valid response counts like silence until the expiry: that it failed soon does not show that the target is fast.
+func (p *Pipeline) recordLatency(attempt *Attempt, valid bool) {
+	if p.Targets.Pauses.Total() != attempt.pausedBefore {
+		return
+	}
+	took := p.Clock.Now().Sub(attempt.SentAt)
+	if !valid {
+		took = max(took, attempt.Call.Expiry.Sub(attempt.SentAt))
+	}
+	attempt.Target.ObserveLatency(took, slowWeight, fastWeight)
+}
+
+// invalidReason returns why the response is not the target's own complete response to exactly this send, "" if it is.
+func (a *Attempt) invalidReason() string {
+	target, resp := a.Target, a.Response
+	stamp, err := httpapi.ParseStamp(resp.Stamp)
+	switch {
+	case resp.Stamp == "":
+		return "no stamp"
+	case err != nil:
+		return err.Error()
+	case stamp.ID != target.ID || stamp.Service != target.Service || stamp.Inc != target.Inc:
+		return "stamp of another target"
+	case stamp.Request != a.sendID():
+		return "stamp for another request"
+	case !resp.Complete:
+		return "body without a known end"
+	case stamp.Length >= 0 && a.Call.Req.Method != "HEAD" && stamp.Length != len(resp.Body):
+		return fmt.Sprintf("body of %d bytes, stamped %d", len(resp.Body), stamp.Length)
 	}
+	return ""
 }
 
+// sendID identifies this send in the target's stamp.
+func (a *Attempt) sendID() string { return a.Call.ID + "." + strconv.Itoa(a.Num) }
+
 // release removes a send from the counts of sends in flight.
 func (a *Attempt) release() {
 	a.Target.InFlight.Add(-1)
--- a/internal/passage/attempt_test.go
+++ b/internal/passage/attempt_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"walkrudder/internal/http1"
 	"walkrudder/internal/httpapi"
 	"walkrudder/internal/spec"
 )
@@ -144,3 +146,61 @@
 		}
 	})
 }
+
+// failingTargets is a transport on which each target fails at once, in the way that respond gives.
+type failingTargets struct {
+	respond func(s *SendRequest) (*Response, error)
+}
+
+func (f failingTargets) Send(_ context.Context, s *SendRequest) (*Response, bool, error) {
+	if !s.BeforeWrite() {
+		return nil, false, ErrSendCancelled
+	}
+	time.Sleep(time.Millisecond)
+	response, err := f.respond(s)
+	return response, true, err
+}
+
+// A send without a valid response counts against the target like silence, however soon it fails: a target that breaks its
+// responses must not look like a fast one.
+func TestInvalidResponsesDoNotLookFast(t *testing.T) {
+	const expiry = 3 * time.Second
+	stamp := func(s *SendRequest) string {
+		return httpapi.Stamp{ID: "t0", Service: "s", Inc: 1, Request: s.SendID, Length: -1}.String()
+	}
+	for name, c := range map[string]struct {
+		respond func(s *SendRequest) (*Response, error)
+		fast    bool
+	}{
+		"valid": {func(s *SendRequest) (*Response, error) {
+			return &Response{Status: 200, Complete: true, Stamp: stamp(s)}, nil
+		}, true},
+		"malformed":  {func(*SendRequest) (*Response, error) { return nil, http1.ErrStatusLine }, false},
+		"broken off": {func(*SendRequest) (*Response, error) { return nil, io.ErrUnexpectedEOF }, false},
+		"no stamp":   {func(*SendRequest) (*Response, error) { return &Response{Status: 200, Complete: true}, nil }, false},
+		"no end":     {func(s *SendRequest) (*Response, error) { return &Response{Status: 200, Stamp: stamp(s)}, nil }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				p, targets := newTestPipeline(ctx, t, 1)
+				recordArrivals(p, targets, 1, 1, 3)
+				binding := spec.Binding{Name: "b", Service: "s", Methods: []string{"POST"}, Path: "/s", ExpiryMS: int(expiry.Milliseconds())}
+				p.Sheets = fixedSheet{spec.NewTable(1, spec.Sheet{Services: []spec.Service{{Name: "s"}}, Bindings: []spec.Binding{binding}}.Sorted())}
+				p.Transport, p.ID = failingTargets{c.respond}, "f"
+				done := make(chan struct{})
+				go func() { p.Run(ctx); close(done) }()
+				call := p.Handle(ctx, "", "", &Request{Method: "POST", URI: "/s"})
+				if (call.ErrorResponse == nil) != c.fast {
+					t.Errorf("%+v", call.ErrorResponse)
+				}
+				if got := targets[0].MeanLatency(); c.fast != (got < expiry/2) {
+					t.Errorf("the target's latency is taken for %s", got)
+				}
+				cancel()
+				<-done
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/passage/pipeline.go
+++ b/internal/passage/pipeline.go
@@ -417,7 +417,7 @@
 	call, target, binding := attempt.Call, attempt.Target, attempt.Binding
 	service := attempt.Table.Services[binding.Service]
 	send := &SendRequest{Addr: target.Addr, Target: httpapi.TargetName(target.ID, target.Service, target.Inc), Req: call.Req, Expiry: call.Expiry,
-		SendID: call.ID + "." + strconv.Itoa(attempt.Num), NewConn: !binding.Repeatable}
+		SendID: attempt.sendID(), NewConn: !binding.Repeatable}
 	charged, overBudget, writeAllowed := false, false, false
 	send.BeforeWrite = func() bool {
 		p.Faults.Hit(fault.BeforeSend)
@@ -469,10 +469,14 @@
 		call.Tried = lo.Without(call.Tried, target)
 	}
 	call.mu.Unlock()
+	if err == nil {
+		attempt.Response = resp
+		attempt.problem = attempt.invalidReason()
+	}
 	if written && (err == nil || sendCtx.Err() == nil) {
 		// Record a response, or none within the whole time; a cancelled send says nothing
 		// about the target's latency.
-		p.recordLatency(attempt)
+		p.recordLatency(attempt, err == nil && attempt.problem == "")
 	}
 	if written {
 		p.addStep(call, "send", target.Key(), send.SendID)
@@ -482,7 +486,6 @@
 		return
 	}
 	if err == nil {
-		attempt.Response = resp
 		if !p.check.Put(attempt) {
 			p.doCheck(attempt)
 		}
@@ -554,23 +557,7 @@
 // exactly this send, and the body is complete.
 func (p *Pipeline) doCheck(attempt *Attempt) {
 	call, target, resp := attempt.Call, attempt.Target, attempt.Response
-	service := target.Service
-	problem := ""
-	stamp, err := httpapi.ParseStamp(resp.Stamp)
-	switch {
-	case resp.Stamp == "":
-		problem = "no stamp"
-	case err != nil:
-		problem = err.Error()
-	case stamp.ID != target.ID || stamp.Service != target.Service || stamp.Inc != target.Inc:
-		problem = "stamp of another target"
-	case stamp.Request != call.ID+"."+strconv.Itoa(attempt.Num):
-		problem = "stamp for another request"
-	case !resp.Complete:
-		problem = "body without a known end"
-	case stamp.Length >= 0 && call.Req.Method != "HEAD" && stamp.Length != len(resp.Body):
-		problem = fmt.Sprintf("body of %d bytes, stamped %d", len(resp.Body), stamp.Length)
-	}
+	service, problem := target.Service, attempt.problem
 	if problem != "" {
 		p.addStep(call, "check", target.Key(), problem)
 		p.Count("bad-answer", service)
