--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -2,16 +2,23 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"walkrudder/internal/clock"
 	"walkrudder/internal/http1/http1test"
 	"walkrudder/internal/httpapi"
+	"walkrudder/internal/liveness"
+	"walkrudder/internal/passage"
+	"walkrudder/internal/registry"
 )
 
 const sampleBody = "0123456789 body"
@@ -141,3 +148,50 @@
 		t.Errorf("stamped in the trailer: %d %q", r.StatusCode, b)
 	}
 }
+
+// probeOnce lets a gateway probe a target that replies with the sample, and reports whether the reply counted.
+func probeOnce(t *testing.T, sample http1test.Sample) bool {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, sample.Response("", `{"id":"a","service":"svc","incarnation":1,"seq":1}`))
+		_, _ = io.Copy(io.Discard, r)
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	targets := &registry.GatewayTable{Clock: clock.Wall{}, Pauses: liveness.NewPauseMonitor(clock.Wall{}), ProbeInterval: time.Second}
+	targets.Init()
+	go targets.RunWithoutHomes(ctx)
+	if err := targets.MergeEntries(ctx, "svc", []registry.Entry{{Beat: httpapi.Beat{ID: "a", Service: "svc", Addr: ln.Addr().String(), Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
+		t.Fatal(err)
+	}
+	target := targets.Targets("svc")[0]
+	g := &Gateway{Config: Config{Clock: clock.Wall{}, TargetClient: passage.NewHTTPTransport("")}, Targets: targets}
+	g.probe(ctx, target, 1)
+	return targets.ProofAge(target, time.Now()) < passage.MaxProofAge
+}
+
+// A malformed reply to a probe proves nothing; a well-formed one counts by its status.
+func TestProbeReplies(t *testing.T) {
+	for _, sample := range slices.Concat(http1test.Malformed(), http1test.WellFormed()) {
+		t.Run(sample.Name, func(t *testing.T) {
+			t.Parallel()
+			if counted := probeOnce(t, sample); counted != (sample.Status == http.StatusOK) {
+				t.Errorf("status %d: counted is %v", sample.Status, counted)
+			}
+		})
+	}
+}
