A peer's request is not taken for its response

The reader of a connection that calls peers took any envelope with a call's number for the response, also a request. No peer of ours sends one there; nothing was seen of it. Change: what is no response ends the connection, and the calls on it fail, as for any other malformed frame. Peers mark responses since the format has the field. Measured: TestBrokenResponsesFailTheCall failed in 'a request of its own' before (taken, and the connection left open), and passes now. The other nine cases of malformed and foreign responses between nodes were handled already; their tests stay.

--- a/internal/link/tcp.go
+++ b/internal/link/tcp.go
@@ -225,7 +225,7 @@
 	return nil
 }
 
-// readResponses passes responses to the waiting calls until the connection ends.
+// readResponses passes responses to the waiting calls until the connection ends, or sends what is no response.
 func (t *TCP) readResponses(conn *tcpConn) {
 	defer t.closeConn(conn)
 	for {
@@ -233,7 +233,7 @@
 			return
 		}
 		var e envelope
-		if err := conn.framer.read(&e); err != nil {
+		if err := conn.framer.read(&e); err != nil || !e.Reply {
 			return
 		}
 		conn.mu.Lock()
