Simulated targets send malformed answers, and callers check heads strictly

Change: a ninth way draws one of the malformed samples, for answers and, as a fault of its own, for replies to probes. Callers check each head with the strict reader; a malformed one breaks MIXED, also where a target caused it.

--- a/internal/http1/http1test/strict.go
+++ b/internal/http1/http1test/strict.go
@@ -1,6 +1,7 @@
 package http1test
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
@@ -53,31 +54,60 @@
 }
 
 func (s *strictReader) readResponse(noBody bool) (response Response, err error) {
+	head, err := s.readHead()
+	response.Status, response.Fields = head.status, head.fields
+	switch {
+	case err != nil:
+	case noBody || head.status < 200 || head.status == 204 || head.status == 304:
+	case head.chunked:
+		response.Body, response.Trailer, err = s.readChunks()
+	case head.length < 0:
+		err = fmt.Errorf("%w: a body without a length", ErrNotStrict)
+	default:
+		response.Body, err = s.take(head.length)
+	}
+	return response, err
+}
+
+// head is the head of a response.
+type head struct {
+	status  int
+	fields  [][2]string
+	length  int // of the body; -1 if none is given
+	chunked bool
+}
+
+func (s *strictReader) readHead() (h head, err error) {
 	line, err := s.readLine()
 	if err != nil {
-		return response, err
+		return h, err
 	}
 	parts := statusLinePattern.FindStringSubmatch(line)
 	if parts == nil {
-		return response, fmt.Errorf("%w: status line %q", ErrNotStrict, line)
+		return h, fmt.Errorf("%w: status line %q", ErrNotStrict, line)
 	}
-	response.Status, _ = strconv.Atoi(parts[2])
-	if response.Fields, err = s.readFields(); err != nil {
-		return response, err
+	h.status, _ = strconv.Atoi(parts[2])
+	if h.fields, err = s.readFields(); err != nil {
+		return h, err
 	}
-	lengths, codings := fieldValues(response.Fields, "Content-Length"), fieldValues(response.Fields, "Transfer-Encoding")
-	length, chunked, err := framing(lengths, codings, parts[1] == "0")
-	switch {
-	case err != nil:
-	case noBody || response.Status < 200 || response.Status == 204 || response.Status == 304:
-	case chunked:
-		response.Body, response.Trailer, err = s.readChunks()
-	case length < 0:
-		err = fmt.Errorf("%w: a body without a length", ErrNotStrict)
-	default:
-		response.Body, err = s.take(length)
+	isHTTP10 := parts[1] == "0"
+	h.length, h.chunked, err = framing(fieldValues(h.fields, "Content-Length"), fieldValues(h.fields, "Transfer-Encoding"), isHTTP10)
+	return h, err
+}
+
+// CheckHead checks the head of the response that r is at, without consuming it. What ends before its head does, or does
+// not fit into the buffer of r, is not checked.
+func CheckHead(r *bufio.Reader) error {
+	for want := 1; ; want = r.Buffered() + 1 {
+		if _, err := r.Peek(want); err != nil {
+			return nil
+		}
+		buffered, _ := r.Peek(r.Buffered())
+		_, err := (&strictReader{rest: buffered}).readHead()
+		if err != io.ErrUnexpectedEOF {
+			return err
+		}
 	}
-	return response, err
 }
 
 // framing returns the length of a body, -1 if none is given, or that it is chunked.
--- a/internal/sim/day/answers.go
+++ b/internal/sim/day/answers.go
@@ -22,6 +22,9 @@
 		if q.UnsolicitedBytes {
 			report("received bytes that no request was waiting for")
 		}
+		if q.MalformedHead {
+			report("the head of the response is malformed")
+		}
 		if q.Status == 0 {
 			// A response that ends before its declared length does not look complete. That is permitted
 			// where responses are forwarded while they are still being received.
--- a/internal/sim/day/caller_conn.go
+++ b/internal/sim/day/caller_conn.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"walkrudder/internal/http1/http1test"
 	"walkrudder/internal/sim/simnet"
 )
 
@@ -88,6 +89,7 @@
 	if _, err := s.reader.Peek(1); err != nil {
 		return fail(err, false)
 	}
+	got.MalformedHead = http1test.CheckHead(s.reader) != nil
 	p, err := http.ReadResponse(s.reader, &http.Request{Method: q.Method})
 	if err != nil {
 		return fail(err, true)
--- a/internal/sim/day/record.go
+++ b/internal/sim/day/record.go
@@ -60,6 +60,8 @@
 	RetryAfter time.Duration
 	// BadResponse reports that a response began and ended early, or was not valid HTTP.
 	BadResponse bool
+	// MalformedHead reports that the head of a response does not conform to the grammar.
+	MalformedHead bool
 	// Truncated qualifies BadResponse: the response began correctly and ended before its declared
 	// length, so that the caller can see that it is incomplete.
 	Truncated bool
--- a/internal/sim/day/rules_test.go
+++ b/internal/sim/day/rules_test.go
@@ -79,8 +79,13 @@
 		"another's answer":     {"MIXED", func(r *Record) { r.Requests[0].ResponseID = "q2" }},
 		"a failure as success": {"MIXED", func(r *Record) { r.Arrivals[0].Status = 500 }},
 		"another's failure":    {"MIXED", func(r *Record) { r.Requests[0].Status, r.Requests[0].ResponseID = 503, "q2" }},
-		"surplus":              {"MIXED", func(r *Record) { r.Requests[0].UnsolicitedBytes = true }},
-		"no answer at all":     {"MIXED", func(r *Record) { r.Requests[0].Status, r.Requests[0].BadResponse = 0, true }},
+		"a malformed head":     {"MIXED", func(r *Record) { r.Requests[0].MalformedHead = true }},
+		"a malformed head, by a target": {"MIXED", func(r *Record) {
+			r.Requests[0].MalformedHead, r.Requests[0].BadResponse, r.Requests[0].Status, r.Arrivals[0].ResponseFault = true, true, 0, true
+		}},
+		"a malformed answer as success": {"MIXED", func(r *Record) { r.Arrivals[0].Status, r.Arrivals[0].ResponseFault = 0, true }},
+		"surplus":                       {"MIXED", func(r *Record) { r.Requests[0].UnsolicitedBytes = true }},
+		"no answer at all":              {"MIXED", func(r *Record) { r.Requests[0].Status, r.Requests[0].BadResponse = 0, true }},
 		"short where answers are held whole": {"MIXED", func(r *Record) {
 			r.Requests[0].Status, r.Requests[0].BadResponse, r.Requests[0].Truncated = 0, true, true
 		}},
--- a/internal/sim/day/single_scenario_test.go
+++ b/internal/sim/day/single_scenario_test.go
@@ -95,6 +95,8 @@
 	"unsealed answers":                      {20 * sec, .8, FaultyTargets("orders", .4, TargetFault{Corrupt: .4, Corruption: Unsealed}, 8*sec)},
 	"answers without an end":                {20 * sec, .8, FaultyTargets("orders", .4, TargetFault{Corrupt: .4, Corruption: EndsEarlyUnframed}, 8*sec)},
 	"false promises":                        {20 * sec, .8, FaultyTargets("orders", .4, TargetFault{Corrupt: .4, Corruption: FalseUnavailable}, 8*sec)},
+	"malformed answers":                     {20 * sec, .8, FaultyTargets("orders", .4, TargetFault{Corrupt: .4, Corruption: Malformed}, 8*sec)},
+	"malformed answers, and from probes":    {20 * sec, .8, FaultyTargets("archive", .4, TargetFault{Corrupt: .2, Corruption: Malformed, MalformedHealth: .6}, 8*sec)},
 	"cut off, told, and lost":               {30 * sec, .9, LoseIsolatedMachine(3*sec, 4*sec)},
 	"cut off at the end":                    {20 * sec, .8, Parallel(UntilFinalRead(BeginIsolation(2, true)), ApplyChanges(12, sec))},
 	"cut off one way at the end":            {20 * sec, .8, Parallel(UntilFinalRead(BeginIsolation(2, false)), ApplyChanges(12, sec))},
--- a/internal/sim/day/target_fault.go
+++ b/internal/sim/day/target_fault.go
@@ -10,6 +10,7 @@
 	WorkFactor        float64 // multiplies the work time; 0 is 1
 	Full              bool    // rejects all requests
 	FullByReset       bool    // rejects them by a connection reset
+	MalformedHealth   float64 // share of health checks that get a malformed response
 	HealthFails       bool    // health checks are answered with 503 although the target serves
 	AnswersOnlyHealth bool    // health checks are answered with 200 although nothing else is answered
 	ClosesIdleEarly   bool    // closes idle connections before the announced timeout
@@ -28,5 +29,6 @@
 	Unsealed                                // a success without the target's seal
 	EndsEarlyUnframed                       // delimited by the end of the connection, which comes early
 	FalseUnavailable                        // status 503 although the request ran, without the header that says it did not run
+	Malformed                               // its status line, field lines, framing or trailer are malformed
 	corruptionKinds
 )
--- a/internal/sim/day/target_request.go
+++ b/internal/sim/day/target_request.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"walkrudder/internal/http1/http1test"
 	"walkrudder/internal/sim/simnet"
 	"walkrudder/internal/target"
 )
@@ -244,6 +245,9 @@
 	if g == Unsealed {
 		return write(x.formatResponse(200, x.arrival.ID, "", body[1:]))
 	}
+	if g == Malformed {
+		return write(x.drawMalformed().Response(x.formatFields(x.arrival.ID, sealed), body))
+	}
 	if g == EndsEarlyUnframed {
 		write(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", headerNames.RequestID, x.arrival.ID, sealed, body[:len(body)/2]))
 		return false
@@ -253,16 +257,24 @@
 	return write(x.previous + whole)
 }
 
+// drawMalformed draws a malformed response.
+func (x *targetRequest) drawMalformed() http1test.Sample {
+	samples := http1test.Malformed()
+	return samples[x.target.world.randIntN(len(samples))]
+}
+
 // formatResponse returns a response as sent on the connection.
 func (x *targetRequest) formatResponse(status int, id, more, body string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n%s: %s\r\n%sContent-Length: %d\r\nKeep-Alive: timeout=%d\r\n", status, http.StatusText(status), headerNames.RequestID, id, more, len(body), x.target.idleSeconds)
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), x.formatFields(id, more), len(body), body)
+}
+
+// formatFields returns the field lines of a response, without the one that gives its length.
+func (x *targetRequest) formatFields(id, more string) string {
+	fields := fmt.Sprintf("%s: %s\r\n%sKeep-Alive: timeout=%d\r\n", headerNames.RequestID, id, more, x.target.idleSeconds)
 	if x.target.currentState() != target.Ready {
-		b.WriteString("Connection: close\r\n")
+		fields += "Connection: close\r\n"
 	}
-	b.WriteString("\r\n")
-	b.WriteString(body)
-	return b.String()
+	return fields
 }
 
 // respond sends a response and reports whether the connection stays open.
@@ -289,7 +301,12 @@
 	if f.HealthFails || t.currentState() != target.Ready {
 		status = 503
 	}
-	_, err := fmt.Fprintf(x.conn, "HTTP/1.1 %d %s\r\n%s: %s\r\nContent-Length: 0\r\nKeep-Alive: timeout=%d\r\n\r\n", status, http.StatusText(status), headerNames.Instance, t.ID, t.idleSeconds)
+	fields := fmt.Sprintf("%s: %s\r\nKeep-Alive: timeout=%d\r\n", headerNames.Instance, t.ID, t.idleSeconds)
+	response := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), fields)
+	if t.world.randFloat() < f.MalformedHealth {
+		response = x.drawMalformed().Response(fields, "well")
+	}
+	_, err := io.WriteString(x.conn, response)
 	return err == nil
 }
 
