Stand-in targets of the fleet and of internal/sim answer malformed, too

In the simulator the bytes go through the gateway's own reader. A success by such an answer is a violation.

--- a/internal/passage/transport.go
+++ b/internal/passage/transport.go
@@ -207,7 +207,7 @@
 	if err != nil {
 		return nil, tc.conn.written.Load() > before, err
 	}
-	response, reusable, err := readResponse(tc.reader, &resp.Header, s.Req.Method)
+	response, reusable, err := ReadResponse(tc.reader, &resp.Header, s.Req.Method)
 	if err != nil {
 		return nil, true, err
 	}
@@ -233,9 +233,9 @@
 	req.SetBodyRaw(s.Req.Body)
 }
 
-// readResponse reads one response; the second result reports whether the connection can be reused. A response whose end
-// is not known is incomplete, and its body is not read.
-func readResponse(reader *bufio.Reader, header *fasthttp.ResponseHeader, method string) (*Response, bool, error) {
+// ReadResponse reads one response, with its head into header; the second result reports whether the connection can be
+// reused. A response whose end is not known is incomplete, and its body is not read.
+func ReadResponse(reader *bufio.Reader, header *fasthttp.ResponseHeader, method string) (*Response, bool, error) {
 	head, err := http1.ReadHead(reader, header)
 	if err != nil {
 		return nil, false, err
--- a/internal/sim/chaos.go
+++ b/internal/sim/chaos.go
@@ -495,7 +495,7 @@
 func (w *World) makeTargetMisbehave() bool {
 	live := w.liveTargets()
 	t := live[w.FailureRandN(len(live))]
-	m := []stand.Mode{stand.Slow, stand.Silent, stand.ClosingAfterRun, stand.BadStamp, stand.Truncating, stand.Refusing, stand.Swapping, stand.Unresponsive}[w.FailureRandN(8)]
+	m := []stand.Mode{stand.Slow, stand.Silent, stand.ClosingAfterRun, stand.BadStamp, stand.Truncating, stand.Refusing, stand.Swapping, stand.Unresponsive, stand.Malformed}[w.FailureRandN(9)]
 	w.logf("%s misbehaves: mode %d", t.ID, m)
 	t.SetMode(m)
 	w.after(w.failureDelay(500, 3000), func() { t.SetMode(stand.Healthy) })
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -1,13 +1,18 @@
 package sim
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"walkrudder/internal/http1/http1test"
 	"walkrudder/internal/httpapi"
 	"walkrudder/internal/passage"
 	"walkrudder/internal/registry"
@@ -326,7 +331,7 @@
 	case <-run.Done():
 		return nil
 	}
-	t.world.Records.RecordExec(stand.Exec{At: time.Now(), Target: t.ID, Service: t.Service, Inc: inc, Order: order, SendID: s.SendID, Path: s.Req.URI, IntendedTarget: s.Target, Digest: stand.Digest([]byte(order + "."))})
+	t.world.Records.RecordExec(stand.Exec{At: time.Now(), Target: t.ID, Service: t.Service, Inc: inc, Order: order, SendID: s.SendID, Path: s.Req.URI, IntendedTarget: s.Target, Digest: stand.Digest([]byte(order + ".")), Malformed: mode == stand.Malformed})
 	if mode == stand.Slow {
 		work *= 10
 	}
@@ -351,6 +356,8 @@
 	case stand.BadStamp:
 		st.Inc++
 		a.Stamp = st.String()
+	case stand.Malformed:
+		return t.malformedResponse(s, st, body)
 	case stand.Truncating:
 		a.Body = a.Body[:len(a.Body)/2]
 	case stand.Swapping:
@@ -364,3 +371,19 @@
 	}
 	return a
 }
+
+// malformedResponse returns what the gateway's own reader makes of a malformed response: nil if it refuses it, which ends
+// the connection.
+func (t *Target) malformedResponse(s *passage.SendRequest, stamp httpapi.Stamp, body string) *passage.Response {
+	samples := http1test.Malformed()
+	t.mu.Lock()
+	sample := samples[t.rng.IntN(len(samples))]
+	t.mu.Unlock()
+	raw := sample.Response(httpapi.StampHeader+": "+stamp.String()+"\r\n", body)
+	var header fasthttp.ResponseHeader
+	response, _, err := passage.ReadResponse(bufio.NewReader(strings.NewReader(raw)), &header, s.Req.Method)
+	if err != nil {
+		return nil
+	}
+	return response
+}
--- a/tools/fleet/failures.go
+++ b/tools/fleet/failures.go
@@ -105,7 +105,7 @@
 		},
 		"target misbehaved": func() {
 			x := randomTarget()
-			m := []stand.Mode{stand.Slow, stand.Silent, stand.ClosingAfterRun, stand.BadStamp, stand.Truncating, stand.Refusing, stand.Swapping, stand.Unresponsive}[rnd.IntN(8)]
+			m := []stand.Mode{stand.Slow, stand.Silent, stand.ClosingAfterRun, stand.BadStamp, stand.Truncating, stand.Refusing, stand.Swapping, stand.Unresponsive, stand.Malformed}[rnd.IntN(9)]
 			logf("%s misbehaves: mode %d", x.ID, m)
 			x.SetMode(m, 50)
 			sleep(1000, 4000)
--- a/tools/stand/checker.go
+++ b/tools/stand/checker.go
@@ -244,6 +244,8 @@
 	switch {
 	case !ran:
 		v.addViolation("call %s: success stamped %s, which that target never ran", o.Order, o.Stamp)
+	case e.Malformed:
+		v.addViolation("call %s: success by a malformed answer of target %s", o.Order, e.Target)
 	case e.Digest != o.Digest:
 		v.addViolation("call %s: success with another body than the one that target %s wrote", o.Order, e.Target)
 	}
--- a/tools/stand/checker_test.go
+++ b/tools/stand/checker_test.go
@@ -84,6 +84,7 @@
 		},
 		"without a target's stamp":   func(r *Records) { r.Outcomes[5].Stamp = "" },
 		"never ran":                  func(r *Records) { r.Outcomes[5].Stamp = strings.Replace(r.Outcomes[5].Stamp, "n5.", "n6.", 1) },
+		"by a malformed answer":      func(r *Records) { r.Execs[5].Malformed = true },
 		"another body":               func(r *Records) { r.Outcomes[5].Digest = "other" },
 		"without the whole body":     func(r *Records) { r.Outcomes[5].BodyComplete = false },
 		"with the answer to":         func(r *Records) { r.Outcomes[5].BodyOrder = "o6" },
--- a/tools/stand/records.go
+++ b/tools/stand/records.go
@@ -34,6 +34,7 @@
 	Path           string
 	IntendedTarget string // target run that the gateway sent it to
 	Digest         string // of the answer's body as the target wrote it
+	Malformed      bool   // the target's answer is malformed
 }
 
 // Outcome is one call as its caller saw it.
--- a/tools/stand/target.go
+++ b/tools/stand/target.go
@@ -21,6 +21,7 @@
 
 	"github.com/samber/lo"
 
+	"walkrudder/internal/http1/http1test"
 	"walkrudder/internal/httpapi"
 )
 
@@ -38,6 +39,7 @@
 	Refusing             // answers "not run", truthfully
 	Swapping             // answers with another request's answer
 	Unresponsive         // accepts connections and answers nothing, not even probes
+	Malformed            // executes the request and answers with a malformed response
 )
 
 // Target is a stand-in target: one listener and one run at a time.
@@ -222,7 +224,7 @@
 	}
 	body, _ := json.Marshal(Body{Order: order, Service: t.Service, Target: t.ID, Got: len(in), Pad: strings.Repeat("x", size)})
 	st.Length = len(body)
-	t.Rec.RecordExec(Exec{At: time.Now(), Target: t.ID, Service: t.Service, Inc: inc, Order: order, SendID: sendID, Path: r.URL.Path, IntendedTarget: r.Header.Get(httpapi.TargetHeader), Digest: Digest(body)})
+	t.Rec.RecordExec(Exec{At: time.Now(), Target: t.ID, Service: t.Service, Inc: inc, Order: order, SendID: sendID, Path: r.URL.Path, IntendedTarget: r.Header.Get(httpapi.TargetHeader), Digest: Digest(body), Malformed: m == Malformed})
 	d := time.Duration(float64(t.MeanWork) * (0.5 + rand.Float64()))
 	if m == Slow {
 		d *= 20
@@ -249,6 +251,9 @@
 		case 2:
 			stamp = httpapi.Stamp{ID: t.ID, Service: t.Service, Inc: inc, Request: sendID + "x", Length: len(body)}.String()
 		}
+	case Malformed:
+		writeMalformed(w, stamp, body)
+		return
 	case Swapping:
 		t.mu.Lock()
 		if t.lastStamp != "" {
@@ -294,6 +299,17 @@
 	Pad     string `json:"pad"`
 }
 
+// writeMalformed writes a malformed answer and closes the connection.
+func writeMalformed(w http.ResponseWriter, stamp string, body []byte) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.Close()
+	samples := http1test.Malformed()
+	_, _ = io.WriteString(c, samples[rand.IntN(len(samples))].Response(httpapi.StampHeader+": "+stamp+"\r\n", string(body)))
+}
+
 // closeConn closes the connection without an answer.
 func closeConn(w http.ResponseWriter) {
 	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
