Tests of the gateway accept connections in one place

Cause: three of them had the accept loop written out; the test of probes over one connection looked only at connections after the first. Change: listen serves newRawTarget, newSampleTarget and probeOnce. probeSample notes each connection that had a reply, so that a probe on any of them is seen. All other assertions are as they were.

--- a/internal/gateway/http_test.go
+++ b/internal/gateway/http_test.go
@@ -193,10 +193,9 @@
 	}
 }
 
-// newRawTarget starts a target whose answers are written as raw bytes, and a gateway in front of it.
-func newRawTarget(t *testing.T, answer func(c net.Conn, requestID string)) *testTarget {
+// listen accepts connections until the test ends, serves each and closes it. It returns the address.
+func listen(t *testing.T, serve func(c net.Conn)) (addr string) {
 	t.Helper()
-	s := &testTarget{}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -210,17 +209,27 @@
 			}
 			go func() {
 				defer c.Close()
-				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, q.Body)
-				s.requests.Add(1)
-				answer(c, q.Header.Get(httpapi.RequestHeader))
+				serve(c)
 			}()
 		}
 	}()
-	s.startGateway(t, ln.Addr().String())
+	return ln.Addr().String()
+}
+
+// newRawTarget starts a target whose answers are written as raw bytes, and a gateway in front of it.
+func newRawTarget(t *testing.T, answer func(c net.Conn, requestID string)) *testTarget {
+	t.Helper()
+	s := &testTarget{}
+	addr := listen(t, func(c net.Conn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		s.requests.Add(1)
+		answer(c, q.Header.Get(httpapi.RequestHeader))
+	})
+	s.startGateway(t, addr)
 	return s
 }
 
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,15 +28,8 @@
 func newSampleTarget(t *testing.T, sample http1test.Sample) (s *testTarget, reused func() bool) {
 	t.Helper()
 	s = &testTarget{}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	var mu sync.Mutex
-	anyReused := false
-	serve := func(c net.Conn) {
-		defer c.Close()
+	var anyReused atomic.Bool
+	addr := listen(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for n := 0; ; n++ {
 			q, err := http.ReadRequest(r)
@@ -45,29 +38,16 @@
 			}
 			_, _ = io.Copy(io.Discard, q.Body)
 			s.requests.Add(1)
-			mu.Lock()
-			anyReused = anyReused || n > 0
-			mu.Unlock()
-			if _, err := io.WriteString(c, sample.Response(stampLine(q.Header.Get(httpapi.RequestHeader), "a", 1, len(sampleBody)), sampleBody)); err != nil {
-				return
+			if n > 0 {
+				anyReused.Store(true)
 			}
-		}
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
+			if _, err := io.WriteString(c, sample.Response(stampLine(q.Header.Get(httpapi.RequestHeader), "a", 1, len(sampleBody)), sampleBody)); err != nil {
 				return
 			}
-			go serve(c)
 		}
-	}()
-	s.startGateway(t, ln.Addr().String())
-	return s, func() bool {
-		mu.Lock()
-		defer mu.Unlock()
-		return anyReused
-	}
+	})
+	s.startGateway(t, addr)
+	return s, anyReused.Load
 }
 
 // strictCall makes a call over its own connection and reads the answer strictly; nothing may follow it.
@@ -157,30 +137,20 @@
 // probeOnce lets a gateway probe a target that replies with the sample, and reports whether the reply counted.
 func probeOnce(t *testing.T, sample http1test.Sample) bool {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	go func() {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	addr := listen(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
 		_, _ = io.WriteString(c, sample.Response("", `{"id":"a","service":"svc","incarnation":1,"seq":1}`))
 		_, _ = io.Copy(io.Discard, r)
-	}()
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	targets := &registry.GatewayTable{Clock: clock.Wall{}, Pauses: liveness.NewPauseMonitor(clock.Wall{}), ProbeInterval: time.Second}
 	targets.Init()
 	go targets.RunWithoutHomes(ctx)
-	if err := targets.MergeEntries(ctx, "svc", []registry.Entry{{Beat: httpapi.Beat{ID: "a", Service: "svc", Addr: ln.Addr().String(), Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
+	if err := targets.MergeEntries(ctx, "svc", []registry.Entry{{Beat: httpapi.Beat{ID: "a", Service: "svc", Addr: addr, Capacity: 4, Seq: 1, Inc: 1}}}); err != nil {
 		t.Fatal(err)
 	}
 	target := targets.Targets("svc")[0]
--- a/internal/proxy/malformed_test.go
+++ b/internal/proxy/malformed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,10 +128,15 @@
 	target := l.startTarget("one", nil, func(_ *harness, c net.Conn, s *receivedRequest) bool {
 		return writeAnswer(c, "500 Failed", s.id, "", "failed")
 	})
+	var mu sync.Mutex
+	replied := map[int]bool{} // the connections with a reply
 	target.health = func(_ *harness, c net.Conn, s *receivedRequest) bool {
-		if sample.Status == 0 && s.connIndex > 1 && s.connNumber > 1 {
+		mu.Lock()
+		if sample.Status == 0 && replied[s.connNumber] {
 			t.Errorf("a probe was sent on the connection of a malformed reply")
 		}
+		replied[s.connNumber] = true
+		mu.Unlock()
 		return write(c, sample.Response(fmt.Sprintf("%s: %s\r\n", testHeaders.Instance, s.targetID), "healthy"))
 	}
 	l.request("/idem/x", "q1", time.Second)
