The reader of responses, read once more

Change, behaviour as before: isName was proxy's equalFieldName again; there is one, http1.EqualName. headChecker's two flags followed from the length. conn.readHead prepares the header for answers and probes, which did so alike. passage.ReadResponse has its own pooled header, so that the simulator need not know the library. The three kinds of simulated targets draw malformed samples by http1test.DrawMalformed, which makes the list once. The strict reader keeps no trailer, which nobody read. Measured: tests of http1, gateway, passage, link, stand, fleet, hollow under the race detector and of both simulators in part pass.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -60,7 +60,7 @@
 // checkHead checks the head at the start of r, without consuming it, and returns its size in bytes. It fails at the first
 // malformed line, so that a target is not waited for in vain.
 func checkHead(r *bufio.Reader) (head Head, size int, err error) {
-	var c headChecker
+	c := headChecker{head: Head{Length: Unframed}}
 	for want := 1; ; want = r.Buffered() + 1 {
 		_, peekErr := r.Peek(want)
 		buffered, _ := r.Peek(r.Buffered())
@@ -87,9 +87,8 @@
 
 // headChecker checks the lines of a head in turn.
 type headChecker struct {
-	head                   Head
-	isHTTP10               bool
-	lengthSeen, codingSeen bool
+	head     Head // its Length is Unframed until a field gives it
+	isHTTP10 bool
 }
 
 // checkLine checks a line, given without its LF, and reports whether it is the last of the head.
@@ -106,9 +105,6 @@
 	case len(line) > 0:
 		return false, c.checkFieldLine(line)
 	}
-	if !c.lengthSeen && !c.codingSeen {
-		c.head.Length = Unframed
-	}
 	return true, nil
 }
 
@@ -152,23 +148,18 @@
 	switch {
 	case !ok:
 		return ErrFieldLine
-	case isName(name, "Content-Length"):
+	case EqualName(name, "Content-Length"):
 		return c.checkLength(trimBlanks(value))
-	case isName(name, "Transfer-Encoding"):
+	case EqualName(name, "Transfer-Encoding"):
 		return c.checkCoding(trimBlanks(value))
 	}
 	return nil
 }
 
-// isName reports whether a field name is the given one.
-func isName(name []byte, want string) bool {
-	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
-}
-
 // checkLength reads a Content-Length. A second one or a Transfer-Encoding beside it is an error: other readers might go by
 // either.
 func (c *headChecker) checkLength(value []byte) error {
-	if c.lengthSeen || c.codingSeen || len(value) == 0 {
+	if c.head.Length != Unframed || len(value) == 0 {
 		return ErrFraming
 	}
 	length := 0
@@ -181,15 +172,15 @@
 		}
 		length = length*10 + int(d-'0')
 	}
-	c.lengthSeen, c.head.Length = true, length
+	c.head.Length = length
 	return nil
 }
 
 // checkCoding checks a Transfer-Encoding. Only chunks are understood, and none in HTTP/1.0.
 func (c *headChecker) checkCoding(value []byte) error {
-	if c.lengthSeen || c.codingSeen || c.isHTTP10 || !isName(value, "chunked") {
+	if c.head.Length != Unframed || c.isHTTP10 || !EqualName(value, "chunked") {
 		return ErrFraming
 	}
-	c.codingSeen, c.head.Length = true, Chunked
+	c.head.Length = Chunked
 	return nil
 }
--- a/internal/http1/http1test/malformed.go
+++ b/internal/http1/http1test/malformed.go
@@ -1,12 +1,23 @@
 package http1test
 
-import "slices"
+import (
+	"slices"
+	"sync"
+)
 
 // Malformed returns responses that do not conform to RFC 9112 and RFC 9110.
 func Malformed() []Sample {
 	return slices.Concat(malformedStatusLines(), malformedFieldLines(), malformedInterim(), malformedFraming(), malformedChunks(), malformedTrailers())
 }
 
+var malformedOnce = sync.OnceValue(Malformed)
+
+// DrawMalformed draws a malformed response; intN returns a random number in [0, n).
+func DrawMalformed(intN func(n int) int) Sample {
+	all := malformedOnce()
+	return all[intN(len(all))]
+}
+
 // malformedStatusLines returns responses whose first line is no status line of a final response.
 func malformedStatusLines() []Sample {
 	lines := []string{
--- a/internal/http1/http1test/strict.go
+++ b/internal/http1/http1test/strict.go
@@ -13,10 +13,9 @@
 
 // Response is a response as the strict reader reads it.
 type Response struct {
-	Status  int
-	Fields  [][2]string
-	Body    string
-	Trailer [][2]string
+	Status int
+	Fields [][2]string
+	Body   string
 }
 
 // ErrNotStrict is wrapped by errors about input that does not conform to the grammar.
@@ -60,7 +59,7 @@
 	case err != nil:
 	case noBody || head.status < 200 || head.status == 204 || head.status == 304:
 	case head.chunked:
-		response.Body, response.Trailer, err = s.readChunks()
+		response.Body, err = s.readChunks()
 	case head.length < 0:
 		err = fmt.Errorf("%w: a body without a length", ErrNotStrict)
 	default:
@@ -125,28 +124,28 @@
 	return -1, false, fmt.Errorf("%w: lengths %q, codings %q", ErrNotStrict, lengths, codings)
 }
 
-func (s *strictReader) readChunks() (body string, trailer [][2]string, err error) {
+func (s *strictReader) readChunks() (body string, err error) {
 	for {
 		line, err := s.readLine()
 		if err != nil {
-			return "", nil, err
+			return "", err
 		}
 		parts := chunkLinePattern.FindStringSubmatch(line)
 		if parts == nil {
-			return "", nil, fmt.Errorf("%w: chunk %q", ErrNotStrict, line)
+			return "", fmt.Errorf("%w: chunk %q", ErrNotStrict, line)
 		}
 		size, _ := strconv.ParseInt(parts[1], 16, 64)
 		if size == 0 {
-			trailer, err = s.readFields()
-			return body, trailer, err
+			_, err = s.readFields() // the trailer
+			return body, err
 		}
 		chunk, err := s.take(int(size))
 		if err != nil {
-			return "", nil, err
+			return "", err
 		}
 		body += chunk
 		if end, err := s.take(2); err != nil || end != "\r\n" {
-			return "", nil, fmt.Errorf("%w: end of a chunk %q", ErrNotStrict, end)
+			return "", fmt.Errorf("%w: end of a chunk %q", ErrNotStrict, end)
 		}
 	}
 }
--- a/internal/http1/syntax.go
+++ b/internal/http1/syntax.go
@@ -29,6 +29,26 @@
 	return classes
 }()
 
+// EqualName compares names, such as those of fields, which are case-insensitive.
+func EqualName(b []byte, name string) bool {
+	if len(b) != len(name) {
+		return false
+	}
+	for i := range b {
+		if lower(b[i]) != lower(name[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func lower(c byte) byte {
+	if c >= 'A' && c <= 'Z' {
+		return c + 'a' - 'A'
+	}
+	return c
+}
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
 // tokenLength returns the length of the token at the start of b.
--- a/internal/passage/transport.go
+++ b/internal/passage/transport.go
@@ -192,9 +192,8 @@
 	if err := tc.conn.SetDeadline(s.Expiry); err != nil {
 		return nil, false, err
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	s.fillRequest(req)
 	if s.BeforeWrite != nil && !s.BeforeWrite() {
 		keepConn = true
@@ -207,7 +206,7 @@
 	if err != nil {
 		return nil, tc.conn.written.Load() > before, err
 	}
-	response, reusable, err := ReadResponse(tc.reader, &resp.Header, s.Req.Method)
+	response, reusable, err := ReadResponse(tc.reader, s.Req.Method)
 	if err != nil {
 		return nil, true, err
 	}
@@ -233,9 +232,12 @@
 	req.SetBodyRaw(s.Req.Body)
 }
 
-// ReadResponse reads one response, with its head into header; the second result reports whether the connection can be
+// ReadResponse reads the response to a request of the method; the second result reports whether the connection can be
 // reused. A response whose end is not known is incomplete, and its body is not read.
-func ReadResponse(reader *bufio.Reader, header *fasthttp.ResponseHeader, method string) (*Response, bool, error) {
+func ReadResponse(reader *bufio.Reader, method string) (*Response, bool, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	header := &resp.Header
 	head, err := http1.ReadHead(reader, header)
 	if err != nil {
 		return nil, false, err
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -107,16 +107,12 @@
 
 // readNextAnswer reads one answer. errOtherRequest means a complete answer to another request.
 func (n *Node) readNextAnswer(c *conn, id []byte, noBody bool, allowStream func(*answer) bool) (*answer, answerControl, error) {
-	h := &c.h
-	h.Reset()
-	h.DisableNormalizing()
-	h.SetNoDefaultContentType(true)
-	head, err := http1.ReadHead(c.r, h)
+	head, err := c.readHead()
 	if err != nil {
 		return nil, answerControl{}, err
 	}
 	a := &answer{status: head.Status, contentLength: -1, head: getBuffer()}
-	p, err := n.readFields(h, a, id)
+	p, err := n.readFields(&c.h, a, id)
 	otherRequest := errors.Is(err, errOtherRequest)
 	if size := head.Length; err == nil && allowStream != nil && !noBody && a.status < 300 && size >= largeBodySize && size <= n.settings.MaxAnswerBytes {
 		a.stream = newBodyStream(c, size)
@@ -153,22 +149,22 @@
 	idFields, matches := 0, false
 	for k, v := range h.All() {
 		switch {
-		case equalFieldName(k, d.RequestID):
+		case http1.EqualName(k, d.RequestID):
 			idFields++
 			matches = bytes.Equal(v, id)
-		case equalFieldName(k, d.Seal):
+		case http1.EqualName(k, d.Seal):
 			sealed = sealed || len(v) > 0
-		case equalFieldName(k, d.NotRun):
+		case http1.EqualName(k, d.NotRun):
 			p.notRun = true
-		case equalFieldName(k, "Content-Encoding"):
+		case http1.EqualName(k, "Content-Encoding"):
 			encoded = true
-		case equalFieldName(k, "Connection"):
+		case http1.EqualName(k, "Connection"):
 			p.close = p.close || listContains(v, "close")
 			continue
-		case equalFieldName(k, "Keep-Alive"):
+		case http1.EqualName(k, "Keep-Alive"):
 			p.idleTimeout = keepAliveTimeout(v)
 			continue
-		case equalFieldName(k, "Content-Length"):
+		case http1.EqualName(k, "Content-Length"):
 			continue
 		}
 		if !isHopByHop(k) {
@@ -241,7 +237,7 @@
 // time a request needs to get there. Without a number it is the default.
 func keepAliveTimeout(v []byte) time.Duration {
 	for t := range listTokens(v) {
-		if k, s, ok := bytes.Cut(t, []byte{'='}); ok && equalFieldName(bytes.Trim(k, " "), "timeout") {
+		if k, s, ok := bytes.Cut(t, []byte{'='}); ok && http1.EqualName(bytes.Trim(k, " "), "timeout") {
 			if s, ok := parseDigits(bytes.Trim(s, " \"")); ok {
 				d := time.Duration(s) * time.Second
 				return max(0, min(d-max(300*time.Millisecond, d/10), time.Minute))
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -207,22 +207,22 @@
 		case bytes.IndexByte(k, ' ') >= 0:
 			// Some parsers read this as another field, which allows request smuggling.
 			return badRequest("a blank in a field's name")
-		case equalFieldName(k, "Host"):
+		case http1.EqualName(k, "Host"):
 			hosts++
-		case equalFieldName(k, "Content-Length"):
+		case http1.EqualName(k, "Content-Length"):
 			lengths++
-		case equalFieldName(k, "Transfer-Encoding"):
+		case http1.EqualName(k, "Transfer-Encoding"):
 			codings++
-		case equalFieldName(k, "Connection"):
+		case http1.EqualName(k, "Connection"):
 			for t := range listTokens(v) {
 				connectionFields = append(connectionFields, t)
 			}
-		case equalFieldName(k, "Expect"):
+		case http1.EqualName(k, "Expect"):
 			c.expectContinue = h.IsHTTP11() && listContains(v, "100-continue")
-		case equalFieldName(k, d.RequestID):
+		case http1.EqualName(k, d.RequestID):
 			ids++
 			x.id = bytes.Clone(v)
-		case equalFieldName(k, d.RemainingTime):
+		case http1.EqualName(k, d.RemainingTime):
 			if ms, ok := parseDigits(v); ok {
 				timeout = time.Duration(ms) * time.Millisecond
 			}
@@ -258,9 +258,9 @@
 	b = append(b, " HTTP/1.1\r\n"...)
 	for k, v := range h.AllInOrder() {
 		switch {
-		case isHopByHop(k), equalFieldName(k, "Content-Length"), equalFieldName(k, "Expect"), equalFieldName(k, d.RemainingTime), equalFieldName(k, d.ExpectedRun):
+		case isHopByHop(k), http1.EqualName(k, "Content-Length"), http1.EqualName(k, "Expect"), http1.EqualName(k, d.RemainingTime), http1.EqualName(k, d.ExpectedRun):
 			continue
-		case equalFieldName(k, d.RequestID), equalFieldName(k, "Host"):
+		case http1.EqualName(k, d.RequestID), http1.EqualName(k, "Host"):
 		case containsFold(drop, k):
 			continue
 		}
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"walkrudder/internal/http1"
 	"walkrudder/internal/peer"
 )
 
@@ -121,6 +122,14 @@
 	}
 }
 
+// readHead reads the head of the next final response into c.h, with the names of its fields as they came.
+func (c *conn) readHead() (http1.Head, error) {
+	c.h.Reset()
+	c.h.DisableNormalizing()
+	c.h.SetNoDefaultContentType(true)
+	return http1.ReadHead(c.r, &c.h)
+}
+
 // abort interrupts a read or write in another goroutine.
 func (c *conn) abort() {
 	c.aborted.Store(true)
--- a/internal/proxy/field.go
+++ b/internal/proxy/field.go
@@ -3,32 +3,14 @@
 import (
 	"bytes"
 	"iter"
-)
 
-// equalFieldName compares field names, which are case-insensitive.
-func equalFieldName(b []byte, name string) bool {
-	if len(b) != len(name) {
-		return false
-	}
-	for i := range b {
-		if lower(b[i]) != lower(name[i]) {
-			return false
-		}
-	}
-	return true
-}
-
-func lower(c byte) byte {
-	if c >= 'A' && c <= 'Z' {
-		return c + 'a' - 'A'
-	}
-	return c
-}
+	"walkrudder/internal/http1"
+)
 
 // isHopByHop reports whether a field applies to one connection only.
 func isHopByHop(k []byte) bool {
 	for _, n := range [...]string{"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade"} {
-		if equalFieldName(k, n) {
+		if http1.EqualName(k, n) {
 			return true
 		}
 	}
@@ -51,7 +33,7 @@
 // listContains reports whether the list v contains name.
 func listContains(v []byte, name string) bool {
 	for t := range listTokens(v) {
-		if equalFieldName(t, name) {
+		if http1.EqualName(t, name) {
 			return true
 		}
 	}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -204,27 +204,23 @@
 	if _, err := c.nc.Write(c.buf); err != nil {
 		return false, false, 0
 	}
-	h := &c.h
-	h.Reset()
-	h.DisableNormalizing()
-	h.SetNoDefaultContentType(true)
-	head, err := http1.ReadHead(c.r, h)
+	head, err := c.readHead()
 	if err != nil {
 		return false, false, 0
 	}
 	keep = defaultIdleTimeout
-	closes := h.ConnectionClose()
+	closes := c.h.ConnectionClose()
 	var targetID string
-	for k, v := range h.All() {
+	for k, v := range c.h.All() {
 		switch {
-		case equalFieldName(k, n.settings.Headers.Instance):
+		case http1.EqualName(k, n.settings.Headers.Instance):
 			targetID = string(v)
-		case equalFieldName(k, n.settings.Headers.RequestID):
+		case http1.EqualName(k, n.settings.Headers.RequestID):
 			// An extra answer to some request.
 			return false, false, 0
-		case equalFieldName(k, "Connection"):
+		case http1.EqualName(k, "Connection"):
 			closes = closes || listContains(v, "close")
-		case equalFieldName(k, "Keep-Alive"):
+		case http1.EqualName(k, "Keep-Alive"):
 			keep = keepAliveTimeout(v)
 		}
 	}
--- a/internal/sim/day/target_request.go
+++ b/internal/sim/day/target_request.go
@@ -246,7 +246,7 @@
 		return write(x.formatResponse(200, x.arrival.ID, "", body[1:]))
 	}
 	if g == Malformed {
-		return write(x.drawMalformed().Response(x.formatFields(x.arrival.ID, sealed), body))
+		return write(http1test.DrawMalformed(x.target.world.randIntN).Response(x.formatFields(x.arrival.ID, sealed), body))
 	}
 	if g == EndsEarlyUnframed {
 		write(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", headerNames.RequestID, x.arrival.ID, sealed, body[:len(body)/2]))
@@ -257,12 +257,6 @@
 	return write(x.previous + whole)
 }
 
-// drawMalformed draws a malformed response.
-func (x *targetRequest) drawMalformed() http1test.Sample {
-	samples := http1test.Malformed()
-	return samples[x.target.world.randIntN(len(samples))]
-}
-
 // formatResponse returns a response as sent on the connection.
 func (x *targetRequest) formatResponse(status int, id, more, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), x.formatFields(id, more), len(body), body)
@@ -304,7 +298,7 @@
 	fields := fmt.Sprintf("%s: %s\r\nKeep-Alive: timeout=%d\r\n", headerNames.Instance, t.ID, t.idleSeconds)
 	response := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), fields)
 	if t.world.randFloat() < f.MalformedHealth {
-		response = x.drawMalformed().Response(fields, "well")
+		response = http1test.DrawMalformed(t.world.randIntN).Response(fields, "well")
 	}
 	_, err := io.WriteString(x.conn, response)
 	return err == nil
--- a/internal/sim/target.go
+++ b/internal/sim/target.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"walkrudder/internal/http1/http1test"
 	"walkrudder/internal/httpapi"
 	"walkrudder/internal/passage"
@@ -375,13 +373,11 @@
 // malformedResponse returns what the gateway's own reader makes of a malformed response: nil if it refuses it, which ends
 // the connection.
 func (t *Target) malformedResponse(s *passage.SendRequest, stamp httpapi.Stamp, body string) *passage.Response {
-	samples := http1test.Malformed()
 	t.mu.Lock()
-	sample := samples[t.rng.IntN(len(samples))]
+	sample := http1test.DrawMalformed(t.rng.IntN)
 	t.mu.Unlock()
 	raw := sample.Response(httpapi.StampHeader+": "+stamp.String()+"\r\n", body)
-	var header fasthttp.ResponseHeader
-	response, _, err := passage.ReadResponse(bufio.NewReader(strings.NewReader(raw)), &header, s.Req.Method)
+	response, _, err := passage.ReadResponse(bufio.NewReader(strings.NewReader(raw)), s.Req.Method)
 	if err != nil {
 		return nil
 	}
--- a/tools/stand/target.go
+++ b/tools/stand/target.go
@@ -306,8 +306,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer c.Close()
-	samples := http1test.Malformed()
-	_, _ = io.WriteString(c, samples[rand.IntN(len(samples))].Response(httpapi.StampHeader+": "+stamp+"\r\n", string(body)))
+	_, _ = io.WriteString(c, http1test.DrawMalformed(rand.IntN).Response(httpapi.StampHeader+": "+stamp+"\r\n", string(body)))
 }
 
 // closeConn closes the connection without an answer.
